--- /dev/null
+++ b/src/cmake/dependencies.cmake
@@ -0,0 +1,13 @@
+# Libraries, all from Debian's packages (scripts/install-deps).
+find_package(Threads REQUIRED)
+find_package(Boost 1.81 REQUIRED COMPONENTS json url)
+find_package(cereal REQUIRED)
+find_package(cxxopts REQUIRED)
+find_package(glog REQUIRED)
+find_package(yaml-cpp REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(Catch2 2 REQUIRED)
+find_package(benchmark REQUIRED)
+find_path(CW_EXPECTED_INCLUDE tl/expected.hpp REQUIRED)
+find_path(CW_XXHASH_INCLUDE xxhash.h REQUIRED)
+find_library(CW_XXHASH_LIBRARY xxhash REQUIRED)
--- /dev/null
+++ b/src/cmake/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/src/include/cranberrywing/message.h
@@ -0,0 +1,55 @@
+/// \file
+/// The variant of all messages between daemons and its cereal codec.
+/// messages/<concern>.h hold the messages of each concern.
+#pragma once
+
+#include <string>
+#include <variant>
+
+#include "cranberrywing/messages/configuration.h"
+#include "cranberrywing/messages/execution.h"
+#include "cranberrywing/messages/membership.h"
+#include "cranberrywing/messages/offers.h"
+#include "cranberrywing/messages/rates.h"
+#include "cranberrywing/result_code.h"
+#include "cranberrywing/types.h"
+
+namespace cranberrywing {
+
+/// New alternatives go at the end: the index is the wire tag.
+using Message = std::variant<message::Probe,
+                             message::ProbeAck,
+                             message::ProbeRequest,
+                             message::Leave,
+                             message::ConfigurationOffer,
+                             message::ConfigurationRequest,
+                             message::ConfigurationBody,
+                             message::TokenRequest,
+                             message::TokenTransfer,
+                             message::OfferAnnouncement,
+                             message::ReservationRequest,
+                             message::ReservationReply,
+                             message::ForwardedRequest,
+                             message::ForwardedAnswer,
+                             message::ForwardedRefusal,
+                             message::AnswerCopy,
+                             message::AnswerCopyAck,
+                             message::AnswerCopyQuery,
+                             message::SlotHandover,
+                             message::RequestBlock>;
+
+/// A message with its sender, as it goes over the wire.
+struct Envelope
+{
+  VmIncarnation mFrom;
+  Message mMessage;
+};
+
+/// Encodes an envelope in cereal's portable binary format. Thread-safe.
+std::string EncodeEnvelope(const Envelope& aEnvelope);
+
+/// Decodes what EncodeEnvelope made. Bytes that are cut, of another version
+/// or otherwise unusable give Malformed and never throw. Thread-safe.
+Result<Envelope> DecodeEnvelope(std::string_view aBytes);
+
+} // namespace cranberrywing
--- /dev/null
+++ b/src/include/cranberrywing/messages/membership.h
@@ -0,0 +1,126 @@
+/// \file
+/// Peer messages of failure detection and gossip.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "cranberrywing/messages/configuration.h"
+#include "cranberrywing/types.h"
+
+namespace cranberrywing {
+
+enum class MemberState : std::uint8_t
+{
+  Alive,
+  Suspect,
+  Unreachable,
+  Leaving,
+  /// Proven to have ended; final for the incarnation.
+  Dead,
+};
+
+/// What one VM tells of another.
+struct MemberUpdate
+{
+  VmIncarnation mMember;
+  MemberState mState = MemberState::Alive;
+  /// Raised by the member itself to refute a suspicion.
+  std::uint32_t mVersion = 0;
+  std::string mAddress;
+  std::uint16_t mPeerPort = 0;
+  std::uint16_t mCallerPort = 0;
+  RegionId mRegion;
+  FailureDomainId mFailureDomain;
+  SiteId mSite;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mMember,
+             mState,
+             mVersion,
+             mAddress,
+             mPeerPort,
+             mCallerPort,
+             mRegion,
+             mFailureDomain,
+             mSite);
+  }
+};
+
+/// Carried by every probe and acknowledgement.
+struct Gossip
+{
+  ConfigurationVersion mVersion;
+  /// Milliseconds since any VM known to the sender last heard the store
+  /// confirm the newest revision.
+  std::uint64_t mStoreContactAgeMs = 0;
+  std::vector<MemberUpdate> mUpdates;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mVersion, mStoreContactAgeMs, mUpdates);
+  }
+};
+
+namespace message {
+
+struct Probe
+{
+  std::uint64_t mSequence = 0;
+  Gossip mGossip;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mSequence, mGossip);
+  }
+};
+
+struct ProbeAck
+{
+  std::uint64_t mSequence = 0;
+  /// The member that was probed, which differs from the sender when the
+  /// acknowledgement is relayed.
+  VmIncarnation mTarget;
+  Gossip mGossip;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mSequence, mTarget, mGossip);
+  }
+};
+
+/// Asks the receiver to probe a member for the sender.
+struct ProbeRequest
+{
+  std::uint64_t mSequence = 0;
+  VmId mTarget;
+  Gossip mGossip;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mSequence, mTarget, mGossip);
+  }
+};
+
+/// The sender stops as planned.
+struct Leave
+{
+  /// Whether the process has ended all its work and exits now.
+  bool mFinal = false;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mFinal);
+  }
+};
+
+} // namespace message
+} // namespace cranberrywing
--- /dev/null
+++ b/src/include/cranberrywing/steering.h
@@ -0,0 +1,65 @@
+/// \file
+/// Answers lookups: which VMs a client should use (design 3.10).
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "cranberrywing/client_blocks.h"
+#include "cranberrywing/effect.h"
+#include "cranberrywing/event.h"
+
+namespace cranberrywing {
+
+/// A VM that lookups may name.
+struct SteeringTarget
+{
+  VmId mVm;
+  RegionId mRegion;
+  SiteId mSite;
+  std::string mAddress;
+  std::uint16_t mPort = 0;
+};
+
+struct SteeringHooks
+{
+  /// Usable VMs, this one included; asked for when membership changed.
+  std::function<std::vector<SteeringTarget>()> mTargets;
+  /// Slot owner for a non-idempotent route and an idempotency key.
+  std::function<
+    std::optional<VmId>(const AccountId&, const RouteId&, const std::string&)>
+    mExecutionOwner;
+};
+
+/// Not thread-safe; owned by the reducer.
+class Steering
+{
+public:
+  struct Options
+  {
+    RegionId mRegion;
+    /// VMs named in one answer.
+    std::size_t mAnswerSize = 3;
+  };
+
+  Steering(Options aOptions, SteeringHooks aHooks);
+
+  void Apply(SettingsSnapshotPtr aSettings);
+  void SetBlocks(std::shared_ptr<const ClientBlockTable> aBlocks);
+  /// Membership changed: targets are asked for again.
+  void Invalidate();
+
+  effect::AnswerLookup Lookup(const event::LookupArrived& aEvent,
+                              TimePoint aNow);
+  /// VMs among which an account is spread in a region, best first.
+  std::vector<VmId> AccountSubset(const AccountId& aAccount,
+                                  const RegionId& aRegion) const;
+
+private:
+  Options mOptions;
+  SteeringHooks mHooks;
+};
+
+} // namespace cranberrywing
--- /dev/null
+++ b/src/include/cranberrywing/store.h
@@ -0,0 +1,127 @@
+/// \file
+/// Calls to the platform's key-value service ("the store") as plain data.
+/// The daemon's store client carries them over etcd v3's JSON gateway.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cranberrywing/result_code.h"
+#include "cranberrywing/types.h"
+
+namespace cranberrywing {
+
+/// The concern to which the reply to a store call is delivered.
+enum class Concern : std::uint8_t
+{
+  Configuration,
+  ShareLedger,
+  SlotTable,
+  Executions,
+};
+
+/// Correlates a reply with its call. Numbers are unique per concern.
+struct StoreCallId
+{
+  Concern mConcern = Concern::Configuration;
+  std::uint64_t mNumber = 0;
+
+  auto operator<=>(const StoreCallId&) const = default;
+};
+
+/// A lease of the store; zero means none.
+enum class LeaseId : std::int64_t
+{
+  None = 0
+};
+
+struct StoreEntry
+{
+  std::string mKey;
+  std::string mValue;
+  /// Store revision of the entry's last change; zero if the key is absent.
+  std::int64_t mModRevision = 0;
+};
+
+/// Holds if the key's last change has this store revision (zero: absent).
+struct StoreCompare
+{
+  std::string mKey;
+  std::int64_t mModRevision = 0;
+};
+
+struct StorePut
+{
+  std::string mKey;
+  std::string mValue;
+  LeaseId mLease = LeaseId::None;
+};
+
+struct StoreDelete
+{
+  std::string mKey;
+  /// Exclusive end of the range; empty for a single key.
+  std::string mRangeEnd;
+};
+
+/// Reads one key, or the range [mKey, mRangeEnd) in key order.
+struct StoreRange
+{
+  std::string mKey;
+  std::string mRangeEnd;
+  std::int64_t mLimit = 0;
+};
+
+/// All compares hold: puts and deletes take effect together, then the reads
+/// are answered. Otherwise nothing changes and only the reads are answered.
+struct StoreTxn
+{
+  std::vector<StoreCompare> mCompares;
+  std::vector<StorePut> mPuts;
+  std::vector<StoreDelete> mDeletes;
+  std::vector<StoreRange> mReads;
+};
+
+struct StoreLeaseGrant
+{
+  Duration mTimeToLive{};
+};
+
+struct StoreLeaseKeepAlive
+{
+  LeaseId mLease = LeaseId::None;
+};
+
+struct StoreLeaseRevoke
+{
+  LeaseId mLease = LeaseId::None;
+};
+
+struct StoreCall
+{
+  std::optional<StoreTxn> mTxn;
+  std::optional<StoreLeaseGrant> mGrant;
+  std::optional<StoreLeaseKeepAlive> mKeepAlive;
+  std::optional<StoreLeaseRevoke> mRevoke;
+};
+
+/// Reply to a store call. Errors of the call itself come as Error with
+/// StoreUnavailable (certainly no effect) or OutcomeUnknown (the answer was
+/// lost; a write may or may not have taken effect).
+struct StoreReply
+{
+  /// Whether the transaction's compares held, or the lease call succeeded.
+  bool mSucceeded = false;
+  /// Entries read, concatenated in the order of the reads.
+  std::vector<StoreEntry> mEntries;
+  LeaseId mLease = LeaseId::None;
+  /// The store's revision at the reply.
+  std::int64_t mStoreRevision = 0;
+};
+
+/// End of the range of all keys that start with the prefix.
+std::string PrefixRangeEnd(std::string aPrefix);
+
+} // namespace cranberrywing
