Add the reducer, request pipeline, lookups, client blocks and drain stages

Cause: the concerns need one place that orders the checks of a request and delivers events between them. Change: RequestPipeline in three sources, Reducer with its hooks, Steering, ClientBlockTable and DrainController. A queue that frees places while it runs is drained by a loop, because recursion over a long queue exhausts the stack. Conclusion: the whole path can be joined as the concerns arrive.

--- a/src/cmake/compiler.cmake
+++ b/src/cmake/compiler.cmake
@@ -10,7 +10,8 @@
 # Line tables suffice for traces and keep the build small.
 set(CMAKE_CXX_FLAGS_RELWITHDEBINFO "-O2 -g1")
 
-add_compile_options(-Wall -Wextra -Werror)
+# Designated initialisers leave out members that keep their default.
+add_compile_options(-Wall -Wextra -Wno-missing-field-initializers -Werror)
 
 option(CW_SANITIZE "Build with AddressSanitizer and UBSan" OFF)
 if(CW_SANITIZE)
--- a/src/include/cranberrywing/event.h
+++ b/src/include/cranberrywing/event.h
@@ -73,8 +73,12 @@
   /// The connection ended before the answer did.
   Reset,
   MalformedAnswer,
-  /// The server refused before running the request (shed load, draining).
+  /// The server said with Cranberrywing-Not-Run that it refused before running
+  /// the request (shed load, draining).
   Shed,
+  /// A whole answer with a 5xx status. Drivers deliver it as BackendResponded;
+  /// the pipeline reports it to BackendHealth under this kind.
+  ServerError,
 };
 
 struct BackendFailed
--- a/src/include/cranberrywing/requests.h
+++ b/src/include/cranberrywing/requests.h
@@ -45,6 +45,10 @@
   std::function<bool(TimePoint)> mIsCurrent;
   /// Whether answers should close the caller's connection.
   std::function<bool()> mClosesCallers;
+  /// Address of a usable VM for callers, or nullopt.
+  std::function<std::optional<effect::LookupVm>(const VmId&)> mFindVm;
+  /// A VM that owns a slot, to which ticket requests are sent.
+  std::function<std::optional<VmId>()> mAnyOwner;
 };
 
 /// Counters since the start, for metrics and reports.
@@ -117,7 +121,11 @@
   enum class Stage : std::uint8_t
   {
     Rate,
+    /// Waits until an owner of its slot is known.
+    Locating,
+    /// Passed to the owner of its slot.
     Forwarded,
+    /// Waits for Executions to decide.
     Execution,
     Queue,
     Running,
@@ -143,46 +151,75 @@
     bool mHoldsQueuePlace = false;
     /// The caller has gone; the execution goes on to keep its answer.
     bool mAbandoned = false;
+    /// An attempt may have reached a server, or a forward's outcome was lost,
+    /// so that "not run" must no longer be said.
+    bool mMayHaveRun = false;
     std::vector<FailureDomainId> mTriedDomains;
     std::vector<BackendId> mTriedBackends;
-    /// Set if the request came from another VM.
+    /// Set if the request came from another VM, with that VM's number.
     std::optional<VmId> mForwardedBy;
-    std::uint64_t mForwardNumber = 0;
-    /// Owner to which this VM passed the request.
+    std::uint64_t mForwardedNumber = 0;
+    /// Owner to which this VM passed the request, under mForwardNumber.
     VmId mOwner;
+    std::uint64_t mForwardNumber = 0;
+    TimePoint mNextLocate{};
   };
 
   using RequestMap = std::unordered_map<RequestId, Request>;
 
-  bool IsExecution(const Request& aRequest) const;
-  void Admit(Request aRequest, TimePoint aNow, EffectList& aOut);
+  Request* Find(RequestId aRequest);
+  bool IsOwnAttempt(const Request* aRequest, AttemptNumber aAttempt) const;
+  static bool IsExecution(const Request& aRequest);
+  ExecutionRequest MakeExecution(const Request& aRequest) const;
+
+  // Arrival (requests.cpp).
+  std::optional<Refusal> Check(Request& aRequest, TimePoint aNow) const;
+  void Admit(Request& aRequest, TimePoint aNow, EffectList& aOut);
   void AfterRate(Request& aRequest, TimePoint aNow, EffectList& aOut);
-  void StartExecution(Request& aRequest, TimePoint aNow, EffectList& aOut);
+  void Enqueue(Request& aRequest, TimePoint aNow, EffectList& aOut);
+  void RunQueued(const ServiceId& aService, TimePoint aNow, EffectList& aOut);
+  void StartPopped(const QueuedRequest& aNext,
+                   TimePoint aNow,
+                   EffectList& aOut);
+  void Dispatch(Request& aRequest, TimePoint aNow, EffectList& aOut);
+  void TakeRates(TimePoint aNow, EffectList& aOut);
+  void ExpireQueued(TimePoint aNow, EffectList& aOut);
+
+  // Executions and forwarding (requests_execution.cpp).
+  void Locate(Request& aRequest, TimePoint aNow, EffectList& aOut);
   void Forward(Request& aRequest,
                const VmId& aOwner,
                TimePoint aNow,
                EffectList& aOut);
-  void Enqueue(Request& aRequest, TimePoint aNow, EffectList& aOut);
-  void RunQueued(const ServiceId& aService, TimePoint aNow, EffectList& aOut);
-  void Dispatch(Request& aRequest, TimePoint aNow, EffectList& aOut);
-  void ReleasePlace(Request& aRequest, TimePoint aNow);
-  void Refuse(Request& aRequest,
-              Refusal aRefusal,
-              TimePoint aNow,
-              EffectList& aOut);
-  void NotRun(Request& aRequest,
-              Refusal aRefusal,
-              TimePoint aNow,
-              EffectList& aOut);
+  void RelocateLater(Request& aRequest, TimePoint aNow);
+  void TakeExecutions(TimePoint aNow, EffectList& aOut);
+  void TakeExecution(const ExecutionDecision& aDecision,
+                     TimePoint aNow,
+                     EffectList& aOut);
+  void RetryLocating(TimePoint aNow, EffectList& aOut);
+  Request* FindForwarded(const VmId& aOwner, std::uint64_t aNumber);
+
+  // Outcomes (requests_outcome.cpp). Each ends the request, so that the
+  // reference is no longer valid afterwards.
   void Answer(Request& aRequest,
               AnswerContentPtr aAnswer,
               bool aReplayed,
               EffectList& aOut);
-  void Finish(RequestId aRequest);
-  void TakeRates(TimePoint aNow, EffectList& aOut);
-  void TakeExecutions(TimePoint aNow, EffectList& aOut);
-  void ExpireQueued(TimePoint aNow, EffectList& aOut);
-  void ExpireForwarded(TimePoint aNow, EffectList& aOut);
+  void Refuse(Request& aRequest, Refusal aRefusal, EffectList& aOut);
+  void EndNotRun(Request& aRequest,
+                 Refusal aRefusal,
+                 TimePoint aNow,
+                 EffectList& aOut);
+  void EndFailed(Request& aRequest,
+                 const event::BackendFailed& aEvent,
+                 TimePoint aNow,
+                 EffectList& aOut);
+  bool RetryServerError(Request& aRequest, TimePoint aNow, EffectList& aOut);
+  void NoteFailure(Request& aRequest,
+                   const event::BackendFailed& aEvent,
+                   TimePoint aNow,
+                   EffectList& aOut);
+  void ReleasePlace(Request& aRequest, TimePoint aNow, EffectList& aOut);
 
   Options mOptions;
   PipelineConcerns mConcerns;
@@ -191,6 +228,15 @@
   RequestMap mRequests;
   /// Requests of other VMs get numbers from the upper half.
   std::uint64_t mNextForwardedId = 1ull << 63;
+  /// Starts at a value derived from the incarnation, so that a late answer to
+  /// an earlier process's forward matches no forward of this one.
+  std::uint64_t mNextForwardNumber;
+  std::unordered_map<std::uint64_t, RequestId> mForwards;
+  /// Services whose queue is to be run. Places that are given back while a
+  /// queue runs are taken up by the running loop, because recursion over a
+  /// long queue would exhaust the stack.
+  std::vector<ServiceId> mQueuesToRun;
+  bool mIsRunningQueues = false;
   PipelineCounters mCounters;
 };
 
--- a/src/include/cranberrywing/steering.h
+++ b/src/include/cranberrywing/steering.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <unordered_map>
 #include <vector>
 
 #include "cranberrywing/client_blocks.h"
@@ -55,11 +56,30 @@
                               TimePoint aNow);
   /// VMs among which an account is spread in a region, best first.
   std::vector<VmId> AccountSubset(const AccountId& aAccount,
-                                  const RegionId& aRegion) const;
+                                  const RegionId& aRegion);
 
 private:
+  /// Targets of one region, indexed by site.
+  struct RegionTargets
+  {
+    std::vector<SteeringTarget> mTargets;
+    std::unordered_map<SiteId, std::vector<std::size_t>> mBySite;
+  };
+
+  void Refresh();
+  const RegionTargets* NearestRegion(const SiteId* aSite) const;
+  std::vector<std::size_t> Rank(const RegionTargets& aRegion,
+                                const SiteId* aSite,
+                                const event::LookupArrived& aEvent) const;
+
   Options mOptions;
   SteeringHooks mHooks;
+  SettingsSnapshotPtr mSettings;
+  std::shared_ptr<const ClientBlockTable> mBlocks;
+  bool mIsStale = true;
+  std::unordered_map<RegionId, RegionTargets> mRegions;
+  std::unordered_map<SiteId, RegionId> mRegionOfSite;
+  std::unordered_map<VmId, effect::LookupVm> mAddresses;
 };
 
 } // namespace cranberrywing
--- /dev/null
+++ b/src/libcranberrywing/drain.cpp
@@ -0,0 +1,63 @@
+#include "cranberrywing/drain.h"
+
+namespace cranberrywing {
+
+namespace {
+
+/// Time beyond the longest deadline that a planned stop may take.
+constexpr Duration kFinishMargin = std::chrono::seconds(1);
+
+} // namespace
+
+DrainController::DrainController(DrainHooks aHooks)
+  : mHooks(std::move(aHooks))
+{
+}
+
+void DrainController::Start(Duration aLookupLifetime,
+                            Duration aLongestDeadline,
+                            TimePoint aNow,
+                            EffectList& aOut)
+{
+  if (mStage != DrainStage::Serving) {
+    return;
+  }
+  mStage = DrainStage::Linger;
+  mLingerEnd = aNow + aLookupLifetime;
+  mFinishEnd = mLingerEnd + aLongestDeadline + kFinishMargin;
+  // Half of the time is kept for requests that a slow handover delays.
+  mHandoverEnd = mLingerEnd + aLongestDeadline / 2;
+  mHooks.mLeave(false, aNow, aOut);
+  aOut.push_back(effect::RecordTimeline{ .mName = "drain_started" });
+}
+
+void DrainController::Tick(TimePoint aNow, EffectList& aOut)
+{
+  if (mStage == DrainStage::Linger && aNow >= mLingerEnd) {
+    mStage = DrainStage::Handover;
+    mHooks.mStartHandover(aNow, aOut);
+    aOut.push_back(effect::RecordTimeline{ .mName = "drain_handover" });
+  }
+  const bool mayFinish = mStage == DrainStage::Handover &&
+                         (mHooks.mIsHandedOver() || aNow >= mHandoverEnd);
+  if (mayFinish) {
+    mStage = DrainStage::Finish;
+  }
+  const bool mayExit = mStage == DrainStage::Finish &&
+                       (mHooks.mInFlight() == 0 || aNow >= mFinishEnd);
+  if (mayExit) {
+    mStage = DrainStage::Exited;
+    mHooks.mLeave(true, aNow, aOut);
+    aOut.push_back(effect::RecordTimeline{
+      .mName = "drain_finished",
+      .mFields = { { "cut_requests", std::to_string(mHooks.mInFlight()) } } });
+    aOut.push_back(effect::Exit{});
+  }
+}
+
+bool DrainController::ClosesCallers() const
+{
+  return mStage != DrainStage::Serving;
+}
+
+} // namespace cranberrywing
--- /dev/null
+++ b/src/libcranberrywing/reducer_hooks.cpp
@@ -0,0 +1,368 @@
+// The hooks through which the concerns ask each other.
+#include <algorithm>
+#include <string_view>
+
+#include "reducer_state.h"
+
+namespace cranberrywing {
+
+namespace {
+
+constexpr std::string_view kAccountShare = "account/";
+constexpr std::string_view kCapacityShare = "capacity/";
+/// Age at which a load report no longer counts for capacity decisions.
+constexpr Duration kLoadReportLifetime = std::chrono::seconds(10);
+/// Peers of other regions that hear of offers at a time. All of them would be
+/// hundreds of messages a second at 460 VMs.
+constexpr std::size_t kOfferAudience = 8;
+
+std::string AccountShareName(const AccountId& aAccount)
+{
+  return std::string(kAccountShare) + aAccount.mName;
+}
+
+std::string CapacityShareName(const ServiceId& aService,
+                              const RegionId& aRegion)
+{
+  return std::string(kCapacityShare) + aService.mName + "/" + aRegion.mName;
+}
+
+} // namespace
+
+ConfigurationHooks Reducer::State::MakeConfigurationHooks()
+{
+  return {
+    .mIsWatcher = [this] { return mMembership.IsStoreWatcher(); },
+    .mPickPeers =
+      [this](std::size_t aCount) { return mMembership.PickPeers(aCount); },
+    .mMemberCount = [this] { return mMembership.UsableCount(); },
+  };
+}
+
+MembershipHooks Reducer::State::MakeMembershipHooks()
+{
+  return {
+    .mVersion = [this] { return mConfiguration.Version(); },
+    .mStoreContactAge = [this] { return mConfiguration.StoreContactAge(mNow); },
+    .mOnVersion =
+      [this](const VmId& aFrom, const ConfigurationVersion& aVersion) {
+        mHeard.push_back({ aFrom, aVersion });
+      },
+    .mOnDeath =
+      [this](const VmIncarnation& aProcess) { mDeaths.push_back(aProcess); },
+  };
+}
+
+ShareLedgerHooks Reducer::State::MakeLedgerHooks()
+{
+  return {
+    .mIsDead =
+      [this](const VmIncarnation& aProcess) {
+        return mMembership.IsDead(aProcess);
+      },
+    .mExpectedHolders =
+      [this](const std::string& aName) { return ExpectedHolders(aName); },
+  };
+}
+
+std::size_t Reducer::State::ExpectedHolders(const std::string& aName)
+{
+  std::size_t count = 0;
+  if (aName.starts_with(kAccountShare) && mApplied) {
+    const AccountId account(aName.substr(kAccountShare.size()));
+    for (const RegionId& region : mApplied->mRegions) {
+      count += mSteering.AccountSubset(account, region).size();
+    }
+  } else {
+    const RegionId& region = mOptions.mSelf.mRegion;
+    count = 1;
+    for (const auto& [vm, member] : mMembership.Members()) {
+      const bool counts =
+        member.mUpdate.mRegion == region && mMembership.IsUsable(vm);
+      count += counts ? 1 : 0;
+    }
+  }
+  return std::max<std::size_t>(count, 1);
+}
+
+void Reducer::State::ReviewShares(TimePoint aNow)
+{
+  if (!mApplied) {
+    return;
+  }
+  std::vector<AccountId> shared;
+  for (const auto& [id, account] : mApplied->mAccounts) {
+    const auto subset = mSteering.AccountSubset(id, mOptions.mSelf.mRegion);
+    const bool isMember =
+      std::find(subset.begin(), subset.end(), mOptions.mSelf.mMember.mVm) !=
+      subset.end();
+    if (isMember) {
+      shared.push_back(id);
+      mShares.Want(AccountShareName(id));
+      mShares.ReportUse(AccountShareName(id), mRates.TakeUse(id));
+    }
+  }
+  std::sort(shared.begin(), shared.end());
+  for (const AccountId& id : mSharedAccounts) {
+    if (!std::binary_search(shared.begin(), shared.end(), id)) {
+      mShares.Unwant(AccountShareName(id));
+    }
+  }
+  mSharedAccounts = std::move(shared);
+  for (const auto& [id, service] : mApplied->mServices) {
+    const auto it =
+      std::find_if(service.mBackends.begin(),
+                   service.mBackends.end(),
+                   [this](const BackendSettings& aBackend) {
+                     return aBackend.mRegion == mOptions.mSelf.mRegion;
+                   });
+    if (it != service.mBackends.end()) {
+      mShares.Want(CapacityShareName(id, mOptions.mSelf.mRegion));
+    }
+  }
+  mNextReview = aNow + std::chrono::seconds(1);
+}
+
+RateLimiterHooks Reducer::State::MakeRateHooks()
+{
+  return {
+    .mFraction =
+      [this](const AccountId& aAccount) {
+        return mShares.Fraction(AccountShareName(aAccount));
+      },
+    .mPeers = [this](const AccountId& aAccount) { return RatePeers(aAccount); },
+  };
+}
+
+std::vector<VmId> Reducer::State::RatePeers(const AccountId& aAccount)
+{
+  std::vector<VmId> peers;
+  if (!mApplied) {
+    return peers;
+  }
+  const auto add = [&](const RegionId& aRegion) {
+    for (VmId& vm : mSteering.AccountSubset(aAccount, aRegion)) {
+      if (vm != mOptions.mSelf.mMember.mVm) {
+        peers.push_back(std::move(vm));
+      }
+    }
+  };
+  // The own region first: its transfers arrive soonest.
+  add(mOptions.mSelf.mRegion);
+  for (const RegionId& region : mApplied->mRegions) {
+    if (region != mOptions.mSelf.mRegion) {
+      add(region);
+    }
+  }
+  return peers;
+}
+
+SlotTableHooks Reducer::State::MakeSlotHooks()
+{
+  return {
+    .mIsDead =
+      [this](const VmIncarnation& aProcess) {
+        return mMembership.IsDead(aProcess);
+      },
+    .mIsUsable =
+      [this](const VmId& aVm) {
+        return aVm == mOptions.mSelf.mMember.mVm || mMembership.IsUsable(aVm);
+      },
+    .mCandidates = [this] { return Candidates(); },
+    .mOnAcquired =
+      [this](std::uint32_t aSlot,
+             std::uint64_t aEpoch,
+             TimePoint aNow,
+             EffectList& aOut) {
+        mExecutions.OnSlotAcquired(aSlot, aEpoch, aNow, aOut);
+      },
+    .mOnLost =
+      [this](std::uint32_t aSlot, TimePoint aNow, EffectList& aOut) {
+        mExecutions.OnSlotLost(aSlot, aNow, aOut);
+      },
+  };
+}
+
+std::vector<std::pair<VmId, FailureDomainId>> Reducer::State::Candidates() const
+{
+  std::vector<std::pair<VmId, FailureDomainId>> candidates;
+  if (mDrain.Stage() == DrainStage::Serving) {
+    candidates.emplace_back(mOptions.mSelf.mMember.mVm,
+                            mOptions.mSelf.mFailureDomain);
+  }
+  for (const auto& [vm, member] : mMembership.Members()) {
+    if (mMembership.IsUsable(vm)) {
+      candidates.emplace_back(vm, member.mUpdate.mFailureDomain);
+    }
+  }
+  return candidates;
+}
+
+ExecutionsHooks Reducer::State::MakeExecutionHooks()
+{
+  return {
+    .mCopyHolder = [this](std::uint32_t aSlot) { return CopyHolder(aSlot); },
+    .mPeers =
+      [this] { return mMembership.PickPeers(mMembership.Members().size()); },
+    .mWallSeconds = [this] { return mWallSeconds; },
+  };
+}
+
+std::optional<VmId> Reducer::State::CopyHolder(std::uint32_t aSlot) const
+{
+  const std::string item = "copies/" + std::to_string(aSlot);
+  std::optional<VmId> holder;
+  std::uint64_t greatest = 0;
+  for (const auto& [vm, member] : mMembership.Members()) {
+    const bool isElsewhere =
+      member.mUpdate.mFailureDomain != mOptions.mSelf.mFailureDomain;
+    if (!isElsewhere || !mMembership.IsUsable(vm)) {
+      continue;
+    }
+    const std::uint64_t weight = RendezvousWeight(item, vm.mName);
+    if (!holder || weight > greatest) {
+      holder = vm;
+      greatest = weight;
+    }
+  }
+  return holder;
+}
+
+OfferBookHooks Reducer::State::MakeOfferHooks()
+{
+  return {
+    .mFraction =
+      [this](const ServiceId& aService) {
+        return mShares.Fraction(
+          CapacityShareName(aService, mOptions.mSelf.mRegion));
+      },
+    .mCapacity =
+      [this](
+        const ServiceId& aService, const RegionId& aRegion, TimePoint aNow) {
+        return mHealth.Capacity(aService, aRegion, aNow);
+      },
+    .mReportedRate =
+      [this](
+        const ServiceId& aService, const RegionId& aRegion, TimePoint aNow) {
+        return mHealth.ReportedRate(
+          aService, aRegion, kLoadReportLifetime, aNow);
+      },
+    .mShifted =
+      [this](const ServiceId& aService, TimePoint aNow) {
+        return mShifts.Moved(aService, aNow);
+      },
+    .mAudience = [this] { return OtherRegionPeers(); },
+  };
+}
+
+std::vector<VmId> Reducer::State::OtherRegionPeers()
+{
+  std::vector<VmId> audience;
+  for (VmId& vm : mMembership.PickPeers(mMembership.Members().size())) {
+    const Member* member = mMembership.Find(vm);
+    const bool isElsewhere =
+      member && member->mUpdate.mRegion != mOptions.mSelf.mRegion;
+    if (isElsewhere && audience.size() < kOfferAudience) {
+      audience.push_back(std::move(vm));
+    }
+  }
+  return audience;
+}
+
+ShiftHooks Reducer::State::MakeShiftHooks()
+{
+  return {
+    .mMayAdvance =
+      [this](
+        const ServiceId& aService, const RegionId& aRegion, TimePoint aNow) {
+        const bool isMeasured =
+          mHealth.ReportedRate(aService, aRegion, kLoadReportLifetime, aNow)
+            .has_value();
+        return isMeasured && mHealth.Capacity(aService, aRegion, aNow) > 0;
+      },
+  };
+}
+
+SteeringHooks Reducer::State::MakeSteeringHooks()
+{
+  return {
+    .mTargets = [this] { return Targets(); },
+    .mExecutionOwner = [this](const AccountId& aAccount,
+                              const RouteId& aRoute,
+                              const std::string& aKey) -> std::optional<VmId> {
+      const auto place = mExecutions.Locate(
+        { .mAccount = aAccount, .mRoute = aRoute, .mIdempotencyKey = aKey });
+      if (!place || !place->mOwner) {
+        return std::nullopt;
+      }
+      return place->mOwner->mProcess.mVm;
+    },
+  };
+}
+
+std::vector<SteeringTarget> Reducer::State::Targets() const
+{
+  std::vector<SteeringTarget> targets;
+  const auto add = [&](const MemberUpdate& aUpdate) {
+    targets.push_back({ .mVm = aUpdate.mMember.mVm,
+                        .mRegion = aUpdate.mRegion,
+                        .mSite = aUpdate.mSite,
+                        .mAddress = aUpdate.mAddress,
+                        .mPort = aUpdate.mCallerPort });
+  };
+  if (mDrain.Stage() == DrainStage::Serving && IsCurrent(mNow)) {
+    add(mOptions.mSelf);
+  }
+  for (const auto& [vm, member] : mMembership.Members()) {
+    if (mMembership.IsUsable(vm)) {
+      add(member.mUpdate);
+    }
+  }
+  return targets;
+}
+
+PipelineHooks Reducer::State::MakePipelineHooks()
+{
+  return {
+    .mIsCurrent = [this](TimePoint aNow) { return IsCurrent(aNow); },
+    .mClosesCallers = [this] { return mDrain.ClosesCallers(); },
+    .mFindVm = [this](const VmId& aVm) -> std::optional<effect::LookupVm> {
+      const Member* member = mMembership.Find(aVm);
+      if (!member || !mMembership.IsUsable(aVm)) {
+        return std::nullopt;
+      }
+      return effect::LookupVm{ aVm,
+                               member->mUpdate.mAddress,
+                               member->mUpdate.mCallerPort };
+    },
+    .mAnyOwner = [this]() -> std::optional<VmId> {
+      for (std::uint32_t n = 0; n < mSlots.SlotCount(); ++n) {
+        const auto owner = mSlots.Owner(n);
+        if (owner && mMembership.IsUsable(owner->mProcess.mVm)) {
+          return owner->mProcess.mVm;
+        }
+      }
+      return std::nullopt;
+    },
+  };
+}
+
+DrainHooks Reducer::State::MakeDrainHooks()
+{
+  return {
+    .mLeave =
+      [this](bool aFinal, TimePoint aNow, EffectList& aOut) {
+        mMembership.Leave(aFinal, aNow, aOut);
+      },
+    .mStartHandover =
+      [this](TimePoint aNow, EffectList& aOut) {
+        mSlots.ReleaseAll(aNow, aOut);
+        mShares.ReturnAll(aNow, aOut);
+      },
+    .mIsHandedOver =
+      [this] { return mSlots.IsReleased() && mShares.IsReturned(); },
+    .mInFlight = [this] { return mRequests.InFlight(); },
+  };
+}
+
+} // namespace cranberrywing
--- /dev/null
+++ b/src/libcranberrywing/requests_execution.cpp
@@ -0,0 +1,342 @@
+// Non-idempotent requests: finding the owner of their slot, passing them to
+// it, and taking over what Executions decides.
+#include <algorithm>
+
+#include "cranberrywing/requests.h"
+
+namespace cranberrywing {
+
+namespace {
+
+/// Time between looks for an owner while a slot has none.
+constexpr Duration kLocateInterval = std::chrono::milliseconds(50);
+
+/// Digest of what makes two requests the same for an idempotency key.
+ContentDigest DigestRequest(const RequestContent& aContent)
+{
+  const ContentDigest body = DigestContent(aContent.mBody);
+  std::string buf = aContent.mMethod;
+  buf += '\n';
+  buf += aContent.mTarget;
+  buf += '\n';
+  buf += std::to_string(body.mHigh);
+  buf += '\n';
+  buf += std::to_string(body.mLow);
+  return DigestContent(buf);
+}
+
+} // namespace
+
+ExecutionRequest RequestPipeline::MakeExecution(const Request& aRequest) const
+{
+  return { .mRequest = aRequest.mId,
+           .mAccount = aRequest.mIdentity.mAccount,
+           .mRoute = aRequest.mRoute.mRoute,
+           .mIdempotencyKey = aRequest.mIdempotencyKey,
+           .mTicket = aRequest.mTicket,
+           .mContent = DigestRequest(*aRequest.mContent),
+           .mDeadline = aRequest.mDeadline };
+}
+
+void RequestPipeline::Locate(Request& aRequest,
+                             TimePoint aNow,
+                             EffectList& aOut)
+{
+  const ExecutionRequest execution = MakeExecution(aRequest);
+  const auto place = mConcerns.mExecutions.Locate(execution);
+  if (!place) {
+    Refuse(aRequest,
+           Refusal{ .mCode = place.error().mCode,
+                    .mDetail = place.error().mMessage },
+           aOut);
+    return;
+  }
+  if (place->mIsOwnedHere) {
+    aRequest.mStage = Stage::Execution;
+    mConcerns.mExecutions.Begin(execution, aNow, aOut);
+    return;
+  }
+  const bool isOwnerElsewhere =
+    place->mOwner && place->mOwner->mProcess.mVm != mOptions.mSelf.mVm;
+  if (aRequest.mForwardedBy) {
+    // Passing on again could go in a circle while views of owners differ.
+    Refuse(aRequest,
+           Refusal{ .mCode = ResultCode::NotOwner,
+                    .mDetail = "this VM does not own the request's slot" },
+           aOut);
+    return;
+  }
+  if (isOwnerElsewhere && mHooks.mFindVm(place->mOwner->mProcess.mVm)) {
+    Forward(aRequest, place->mOwner->mProcess.mVm, aNow, aOut);
+    return;
+  }
+  RelocateLater(aRequest, aNow);
+}
+
+void RequestPipeline::RelocateLater(Request& aRequest, TimePoint aNow)
+{
+  aRequest.mStage = Stage::Locating;
+  aRequest.mNextLocate = aNow + kLocateInterval;
+}
+
+void RequestPipeline::Forward(Request& aRequest,
+                              const VmId& aOwner,
+                              TimePoint aNow,
+                              EffectList& aOut)
+{
+  ++mCounters.mForwarded;
+  aRequest.mStage = Stage::Forwarded;
+  aRequest.mOwner = aOwner;
+  aRequest.mForwardNumber = mNextForwardNumber++;
+  mForwards[aRequest.mForwardNumber] = aRequest.mId;
+  const auto left =
+    std::chrono::duration_cast<Milliseconds>(aRequest.mDeadline - aNow);
+  aOut.push_back(
+    effect::SendMessage{ .mTo = aOwner,
+                         .mTransport = effect::Transport::Stream,
+                         .mMessage = message::ForwardedRequest{
+                           .mNumber = aRequest.mForwardNumber,
+                           .mAccount = aRequest.mIdentity.mAccount,
+                           .mKeyName = aRequest.mIdentity.mKeyName,
+                           .mIdempotencyKey = aRequest.mIdempotencyKey,
+                           .mTicket = aRequest.mTicket,
+                           .mContent = *aRequest.mContent,
+                           .mTimeoutMs = static_cast<std::uint32_t>(
+                             std::max<Milliseconds::rep>(left.count(), 0)) } });
+}
+
+void RequestPipeline::OnMessage(const VmIncarnation& aFrom,
+                                const message::ForwardedRequest& aMessage,
+                                TimePoint aNow,
+                                EffectList& aOut)
+{
+  const auto id = static_cast<RequestId>(mNextForwardedId++);
+  Request& request = mRequests[id];
+  request.mId = id;
+  request.mForwardedBy = aFrom.mVm;
+  request.mForwardedNumber = aMessage.mNumber;
+  request.mIdentity = { aMessage.mAccount, aMessage.mKeyName };
+  request.mIdempotencyKey = aMessage.mIdempotencyKey;
+  request.mTicket = aMessage.mTicket;
+  request.mContent = std::make_shared<RequestContent>(aMessage.mContent);
+  request.mDeadline = aNow + Milliseconds(aMessage.mTimeoutMs);
+  const RouteSettings* route =
+    mSettings ? mSettings->FindRoute(aMessage.mContent.mMethod,
+                                     aMessage.mContent.mTarget)
+              : nullptr;
+  // Views of the settings differ for seconds after a change, so the owner
+  // checks again what the first VM has checked.
+  if (!route || route->mIdempotent) {
+    Refuse(request,
+           Refusal{ .mCode = ResultCode::UnknownRoute,
+                    .mDetail = "no non-idempotent route serves this request" },
+           aOut);
+    return;
+  }
+  if (!route->mOpenToAll && !mConcerns.mKeys.IsValid(request.mIdentity)) {
+    Refuse(request,
+           Refusal{ .mCode = ResultCode::KeyWithdrawn,
+                    .mDetail = "the key was withdrawn" },
+           aOut);
+    return;
+  }
+  request.mRoute =
+    mSettings->Resolve(*route, mOptions.mRegion, request.mIdentity.mAccount);
+  if (auto refusal = Check(request, aNow)) {
+    Refuse(request, std::move(*refusal), aOut);
+    return;
+  }
+  Locate(request, aNow, aOut);
+  TakeExecutions(aNow, aOut);
+}
+
+RequestPipeline::Request* RequestPipeline::FindForwarded(const VmId& aOwner,
+                                                         std::uint64_t aNumber)
+{
+  const auto it = mForwards.find(aNumber);
+  if (it == mForwards.end()) {
+    return nullptr;
+  }
+  Request* request = Find(it->second);
+  const bool isCurrent = request && request->mStage == Stage::Forwarded &&
+                         request->mForwardNumber == aNumber &&
+                         request->mOwner == aOwner;
+  mForwards.erase(it);
+  return isCurrent ? request : nullptr;
+}
+
+void RequestPipeline::OnMessage(const VmIncarnation& aFrom,
+                                const message::ForwardedAnswer& aMessage,
+                                TimePoint,
+                                EffectList& aOut)
+{
+  if (Request* request = FindForwarded(aFrom.mVm, aMessage.mNumber)) {
+    Answer(*request,
+           std::make_shared<AnswerContent>(aMessage.mAnswer),
+           aMessage.mReplayed,
+           aOut);
+  }
+}
+
+void RequestPipeline::OnMessage(const VmIncarnation& aFrom,
+                                const message::ForwardedRefusal& aMessage,
+                                TimePoint aNow,
+                                EffectList& aOut)
+{
+  Request* request = FindForwarded(aFrom.mVm, aMessage.mNumber);
+  if (!request) {
+    return;
+  }
+  if (aMessage.mRefusal.mCode == ResultCode::NotOwner) {
+    RelocateLater(*request, aNow);
+    return;
+  }
+  Refuse(*request, aMessage.mRefusal, aOut);
+}
+
+void RequestPipeline::OnPeerUnreachable(const VmId& aVm,
+                                        TimePoint aNow,
+                                        EffectList&)
+{
+  for (auto& [id, request] : mRequests) {
+    if (request.mStage != Stage::Forwarded || request.mOwner != aVm) {
+      continue;
+    }
+    // The owner may have the request. Passing it on again is safe, because
+    // the execution's identity runs at most once wherever it arrives, but
+    // "not run" can no longer be said.
+    mForwards.erase(request.mForwardNumber);
+    request.mMayHaveRun = true;
+    RelocateLater(request, aNow);
+  }
+}
+
+void RequestPipeline::RetryLocating(TimePoint aNow, EffectList& aOut)
+{
+  std::vector<RequestId> due;
+  for (const auto& [id, request] : mRequests) {
+    const bool isWaiting =
+      request.mStage == Stage::Locating || request.mStage == Stage::Forwarded;
+    const bool isLate = isWaiting && aNow >= request.mDeadline;
+    const bool isDue =
+      request.mStage == Stage::Locating && aNow >= request.mNextLocate;
+    if (isLate || isDue) {
+      due.push_back(id);
+    }
+  }
+  std::sort(due.begin(), due.end());
+  for (const RequestId id : due) {
+    Request& request = mRequests.at(id);
+    if (aNow < request.mDeadline) {
+      Locate(request, aNow, aOut);
+      continue;
+    }
+    const bool isForwarded = request.mStage == Stage::Forwarded;
+    request.mMayHaveRun = request.mMayHaveRun || isForwarded;
+    Refuse(request,
+           Refusal{ .mCode = isForwarded ? ResultCode::DeadlineExceeded
+                                         : ResultCode::StoreUnavailable,
+                    .mDetail = isForwarded
+                                 ? "the owner did not answer in time"
+                                 : "no VM owned the request's slot in time" },
+           aOut);
+  }
+}
+
+void RequestPipeline::TakeExecutions(TimePoint aNow, EffectList& aOut)
+{
+  // A decision can lead to further ones, for instance when a refused queue
+  // place ends an execution that others wait for.
+  for (;;) {
+    const std::vector<ExecutionDecision> decisions =
+      mConcerns.mExecutions.TakeDecisions();
+    if (decisions.empty()) {
+      return;
+    }
+    for (const ExecutionDecision& decision : decisions) {
+      TakeExecution(decision, aNow, aOut);
+    }
+  }
+}
+
+void RequestPipeline::TakeExecution(const ExecutionDecision& aDecision,
+                                    TimePoint aNow,
+                                    EffectList& aOut)
+{
+  Request* request = Find(aDecision.mRequest);
+  if (!request) {
+    if (aDecision.mRun) {
+      mConcerns.mExecutions.OnNotRun(
+        aDecision.mRequest,
+        Refusal{ .mCode = ResultCode::DeadlineExceeded,
+                 .mDetail = "the caller has gone" },
+        aNow,
+        aOut);
+    }
+    return;
+  }
+  if (aDecision.mRun) {
+    Enqueue(*request, aNow, aOut);
+    return;
+  }
+  if (aDecision.mAnswer) {
+    const bool isReplayed = request->mStage != Stage::Finishing;
+    Answer(*request, aDecision.mAnswer, isReplayed, aOut);
+    return;
+  }
+  Refuse(*request, aDecision.mRefusal, aOut);
+}
+
+void RequestPipeline::OnTicketRequested(const event::TicketRequested& aEvent,
+                                        TimePoint aNow,
+                                        EffectList& aOut)
+{
+  const auto refuse = [&](ResultCode aCode, std::string aDetail) {
+    ++mCounters.mRefusedByCode[static_cast<std::uint16_t>(aCode)];
+    aOut.push_back(effect::Refuse{
+      .mRequest = aEvent.mRequest,
+      .mRefusal = { .mCode = aCode, .mDetail = std::move(aDetail) } });
+  };
+  if (!mSettings) {
+    refuse(ResultCode::NoConfiguration, "this VM has no settings yet");
+    return;
+  }
+  const auto it = std::find_if(mSettings->mRoutes.begin(),
+                               mSettings->mRoutes.end(),
+                               [&](const RouteSettings& aRoute) {
+                                 return aRoute.mRoute == aEvent.mRoute;
+                               });
+  if (it == mSettings->mRoutes.end() || it->mIdempotent) {
+    refuse(ResultCode::UnknownRoute, "no non-idempotent route has this name");
+    return;
+  }
+  const auto identity = mConcerns.mKeys.Identify(aEvent.mKey);
+  if (!identity && !it->mOpenToAll) {
+    refuse(identity.error().mCode, identity.error().mMessage);
+    return;
+  }
+  if (!it->mOpenToAll && !mHooks.mIsCurrent(aNow)) {
+    refuse(ResultCode::Isolated, "this VM may have missed key withdrawals");
+    return;
+  }
+  const AccountId account = identity ? identity->mAccount : AccountId();
+  const auto ticket =
+    mConcerns.mExecutions.IssueTicket(account, aEvent.mRoute, aNow);
+  effect::AnswerTicket answer{ .mRequest = aEvent.mRequest };
+  if (ticket) {
+    answer.mTicket = *ticket;
+    answer.mLifetime = mSettings->mFleet.mTicketLifetime;
+    aOut.push_back(std::move(answer));
+    return;
+  }
+  const auto owner = mHooks.mAnyOwner();
+  const auto vm = owner ? mHooks.mFindVm(*owner) : std::nullopt;
+  if (!vm) {
+    refuse(ResultCode::NotOwner, "no VM can issue tickets now");
+    return;
+  }
+  answer.mOwner = *vm;
+  aOut.push_back(std::move(answer));
+}
+
+} // namespace cranberrywing
