--- a/src/include/cranberrywing/settings.h
+++ b/src/include/cranberrywing/settings.h
@@ -50,6 +50,14 @@
 /// Thread-safe.
 Result<Duration> ParseDuration(std::string_view aText);
 
+/// The shortest text that ParseDuration takes for a duration, rounded down to
+/// milliseconds. Thread-safe.
+std::string FormatDuration(Duration aDuration);
+
+/// Whether a path names a secret, which the administration API must not show.
+/// Thread-safe.
+bool IsSecretSetting(std::string_view aPath);
+
 /// A policy value and where it comes from, for explanations.
 struct PolicySource
 {
--- a/src/include/cranberrywing/settings_snapshot.h
+++ b/src/include/cranberrywing/settings_snapshot.h
@@ -111,6 +111,8 @@
   /// Retries allowed per request served, from 0 to 1.
   double mRetryBudget = 0.1;
   std::uint64_t mMaxBodyBytes = 1 << 20;
+
+  bool operator==(const RouteSettings&) const = default;
 };
 
 struct LinkSettings
@@ -133,6 +135,17 @@
   std::uint16_t mAdminPort = 0;
 };
 
+/// Someone who may use the administration API.
+struct OperatorSettings
+{
+  std::string mName;
+  /// Digest of the operator's token, made as for callers' keys.
+  KeyDigest mTokenDigest;
+  /// Paths of the document whose subtrees the operator may change; an empty
+  /// path stands for the whole document.
+  std::vector<std::string> mNodes;
+};
+
 /// Settings of the fleet as a whole.
 struct FleetSettings
 {
@@ -164,10 +177,13 @@
   std::unordered_map<ServiceId, ServiceSettings> mServices;
   /// Route definitions before overrides, longest path prefix first.
   std::vector<RouteSettings> mRoutes;
-  /// Routes that a region or client account overrides, by OverrideKey.
+  /// Routes that a region or client account overrides, by OverrideKey. An
+  /// empty region or account in the key stands for any.
   std::unordered_map<std::string, RouteSettings> mOverrides;
   std::vector<LinkSettings> mLinks;
   std::vector<RegionId> mRegions;
+  /// In order of their names.
+  std::vector<OperatorSettings> mOperators;
   /// VMs named as first contacts; members beyond them are found by gossip.
   std::vector<VmSettings> mVms;
   /// Digest of each client-block shard, in order of its first block.
@@ -177,7 +193,9 @@
   const RouteSettings* FindRoute(std::string_view aMethod,
                                  std::string_view aTarget) const;
 
-  /// The route as it applies in a region and for a client account.
+  /// The route as it applies in a region and for a client account: the
+  /// override for both, else for the region, else for the account, else the
+  /// route itself.
   const RouteSettings& Resolve(const RouteSettings& aRoute,
                                const RegionId& aRegion,
                                const AccountId& aAccount) const;
--- a/src/libcranberrywing/settings_snapshot.cpp
+++ b/src/libcranberrywing/settings_snapshot.cpp
@@ -38,8 +38,13 @@
   if (mOverrides.empty()) {
     return aRoute;
   }
-  const auto it =
-    mOverrides.find(OverrideKey(aRoute.mRoute, aRegion, aAccount));
+  auto it = mOverrides.find(OverrideKey(aRoute.mRoute, aRegion, aAccount));
+  if (it == mOverrides.end()) {
+    it = mOverrides.find(OverrideKey(aRoute.mRoute, aRegion, AccountId()));
+  }
+  if (it == mOverrides.end()) {
+    it = mOverrides.find(OverrideKey(aRoute.mRoute, RegionId(), aAccount));
+  }
   return it == mOverrides.end() ? aRoute : it->second;
 }
 
