--- a/src/include/cranberrywing/messages/membership.h
+++ b/src/include/cranberrywing/messages/membership.h
@@ -50,19 +50,39 @@
   }
 };
 
+/// How long ago some member of a failure domain was last heard directly.
+struct DomainContact
+{
+  /// Lower half of HashBytes of the failure domain's name.
+  std::uint32_t mDomain = 0;
+  /// In tenths of a second.
+  std::uint16_t mAgeTenths = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mDomain, mAgeTenths);
+  }
+};
+
 /// Carried by every probe and acknowledgement.
 struct Gossip
 {
+  /// mStoreContactAgeMs of a sender that knows of no store contact.
+  static constexpr std::uint64_t kNoContact = ~0ull;
+
   ConfigurationVersion mVersion;
   /// Milliseconds since any VM known to the sender last heard the store
   /// confirm the newest revision.
-  std::uint64_t mStoreContactAgeMs = 0;
+  std::uint64_t mStoreContactAgeMs = kNoContact;
+  std::vector<DomainContact> mDomains;
+  /// The sender's own update comes first, so that any receiver can answer.
   std::vector<MemberUpdate> mUpdates;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mVersion, mStoreContactAgeMs, mUpdates);
+    aArchive(mVersion, mStoreContactAgeMs, mDomains, mUpdates);
   }
 };
 
@@ -71,12 +91,15 @@
 struct Probe
 {
   std::uint64_t mSequence = 0;
+  /// Members that the sender knows. A receiver that knows clearly more sends
+  /// its whole list.
+  std::uint32_t mKnownMembers = 0;
   Gossip mGossip;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mSequence, mGossip);
+    aArchive(mSequence, mKnownMembers, mGossip);
   }
 };
 
