--- /dev/null
+++ b/src/libcranberrywing/rate_limiter_transfers.cpp
@@ -0,0 +1,240 @@
+// Token transfers between VMs.
+#include "cranberrywing/rate_limiter.h"
+
+#include <algorithm>
+
+namespace cranberrywing {
+
+namespace {
+
+/// After this time an unanswered request is thought lost and others are
+/// asked; above the round trip between regions, 35 ms in Namibia.
+constexpr Duration kAnswerWait = std::chrono::milliseconds(100);
+/// Time for which a peer's word about its spare tokens is believed.
+constexpr Duration kSpareLifetime = std::chrono::milliseconds(300);
+/// A peer that keeps answering without tokens is believed up to this many
+/// times longer, which bounds the messages of an account beyond its rate.
+constexpr std::uint32_t kMostPatience = 8;
+constexpr std::size_t kMostAskedAtOnce = 3;
+constexpr std::size_t kMostPeers = 16;
+/// Smaller transfers are not worth a message.
+constexpr double kLeastTransfer = 0.01;
+
+double Seconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+} // namespace
+
+RateLimiter::PeerSpare& RateLimiter::SpareOf(Account& aAccount, const VmId& aVm)
+{
+  const auto it =
+    std::find_if(aAccount.mPeers.begin(),
+                 aAccount.mPeers.end(),
+                 [&](const PeerSpare& aPeer) { return aPeer.mVm == aVm; });
+  if (it != aAccount.mPeers.end()) {
+    return *it;
+  }
+  if (aAccount.mPeers.size() >= 2 * kMostPeers) {
+    aAccount.mPeers.erase(aAccount.mPeers.begin());
+  }
+  return aAccount.mPeers.emplace_back(PeerSpare{ .mVm = aVm });
+}
+
+void RateLimiter::NoteSpare(Account& aAccount,
+                            const VmId& aVm,
+                            const message::TokenTransfer& aMessage,
+                            TimePoint aNow)
+{
+  PeerSpare& peer = SpareOf(aAccount, aVm);
+  peer.mSpare = aMessage.mSpare;
+  peer.mHeardAt = aNow;
+  peer.mAskedUntil = aNow;
+  peer.mEmptyAnswers = aMessage.mTokens > 0 ? 0 : peer.mEmptyAnswers + 1;
+}
+
+double RateLimiter::Shortage(const Account& aAccount, TimePoint aNow) const
+{
+  const TokenBucket& bucket = aAccount.mBucket;
+  const double demand = Demand(aAccount, aNow);
+  const double waiting = static_cast<double>(aAccount.mWaiters.size());
+  const double target = waiting + demand * Seconds(mOptions.mAskAhead);
+  // Two thirds of the demand that a request covers, so that requests are few.
+  const double lowWater =
+    std::max(mOptions.mLowWater * bucket.Capacity(), target * 2 / 3);
+  if (aAccount.mWaiters.empty() && bucket.Total() >= lowWater) {
+    return 0;
+  }
+  const double shortage = target - bucket.Total() - aAccount.mAsked;
+  // Less than a whole token matters only to a request that waits for it.
+  return waiting > 0 || shortage >= 1 ? std::max(shortage, 0.0) : 0;
+}
+
+std::vector<RateLimiter::Candidate> RateLimiter::Candidates(
+  const AccountId& aId,
+  const Account& aAccount,
+  TimePoint aNow)
+{
+  std::vector<Candidate> candidates;
+  for (const VmId& vm : mHooks.mPeers(aId)) {
+    if (candidates.size() >= kMostPeers) {
+      break;
+    }
+    const auto it =
+      std::find_if(aAccount.mPeers.begin(),
+                   aAccount.mPeers.end(),
+                   [&](const PeerSpare& aPeer) { return aPeer.mVm == vm; });
+    if (it == aAccount.mPeers.end()) {
+      candidates.push_back({ .mVm = vm });
+      continue;
+    }
+    if (aNow < it->mAskedUntil) {
+      continue;
+    }
+    const std::uint32_t patience =
+      std::clamp(it->mEmptyAnswers, 1u, kMostPatience);
+    if (aNow - it->mHeardAt >= kSpareLifetime * patience) {
+      candidates.push_back({ .mVm = vm });
+    } else if (it->mSpare >= kLeastTransfer) {
+      candidates.push_back({ .mVm = vm, .mSpare = it->mSpare });
+    }
+  }
+  // Most known tokens first, then the peers of which nothing is known, in the
+  // hook's order.
+  std::stable_sort(candidates.begin(),
+                   candidates.end(),
+                   [](const Candidate& aLeft, const Candidate& aRight) {
+                     return aLeft.mSpare.value_or(0) >
+                            aRight.mSpare.value_or(0);
+                   });
+  return candidates;
+}
+
+void RateLimiter::AskPeers(const AccountId& aId,
+                           Account& aAccount,
+                           TimePoint aNow,
+                           EffectList& aOut)
+{
+  if (!mOptions.mTransfers) {
+    return;
+  }
+  double missing = Shortage(aAccount, aNow);
+  if (missing <= 0) {
+    return;
+  }
+  std::size_t asked = 0;
+  for (const Candidate& candidate : Candidates(aId, aAccount, aNow)) {
+    if (asked >= kMostAskedAtOnce || missing < kLeastTransfer) {
+      return;
+    }
+    const double wanted = std::min(missing, candidate.mSpare.value_or(missing));
+    AskPeer(aId, aAccount, candidate.mVm, wanted, aNow, aOut);
+    missing -= wanted;
+    ++asked;
+  }
+}
+
+void RateLimiter::AskPeer(const AccountId& aId,
+                          Account& aAccount,
+                          const VmId& aPeer,
+                          double aWanted,
+                          TimePoint aNow,
+                          EffectList& aOut)
+{
+  const std::uint64_t number = mNextNumber++;
+  mAsks.emplace(
+    number,
+    Ask{
+      .mAccount = aId, .mPeer = aPeer, .mWanted = aWanted, .mSentAt = aNow });
+  aAccount.mAsked += aWanted;
+  SpareOf(aAccount, aPeer).mAskedUntil = aNow + kAnswerWait;
+  ++mCounters.mRequestsSent;
+  effect::SendMessage send;
+  send.mTo = aPeer;
+  send.mMessage = message::TokenRequest{ .mNumber = number,
+                                         .mAccount = aId,
+                                         .mWanted = aWanted };
+  aOut.push_back(std::move(send));
+}
+
+void RateLimiter::ForgetAsks(TimePoint aNow)
+{
+  for (auto it = mAsks.begin(); it != mAsks.end();) {
+    Ask& ask = it->second;
+    if (ask.mAwaited && aNow - ask.mSentAt >= kAnswerWait) {
+      ask.mAwaited = false;
+      const auto account = mAccounts.find(ask.mAccount);
+      if (account != mAccounts.end()) {
+        double& asked = account->second.mAsked;
+        asked = std::max(0.0, asked - ask.mWanted);
+      }
+    }
+    const bool isOver = aNow - ask.mSentAt >= mOptions.mTransferValidity;
+    it = isOver ? mAsks.erase(it) : std::next(it);
+  }
+}
+
+void RateLimiter::OnMessage(const VmIncarnation& aFrom,
+                            const message::TokenRequest& aMessage,
+                            TimePoint aNow,
+                            EffectList& aOut)
+{
+  message::TokenTransfer transfer{ .mNumber = aMessage.mNumber,
+                                   .mAccount = aMessage.mAccount };
+  Account* found = mOptions.mTransfers ? Find(aMessage.mAccount) : nullptr;
+  if (found != nullptr) {
+    Account& account = *found;
+    Advance(aMessage.mAccount, account, aNow);
+    Serve(account, aNow);
+    const double kept = static_cast<double>(account.mWaiters.size()) +
+                        Demand(account, aNow) * Seconds(mOptions.mReserve);
+    const double spare = account.mBucket.Own() - kept;
+    const double wanted = std::min(aMessage.mWanted, spare);
+    if (wanted >= kLeastTransfer) {
+      // From here on, the validity that the asker counts from its earlier
+      // request ends before this one, for clocks within the drift margin.
+      const TimePoint end = aNow + WithDriftMargin(mOptions.mTransferValidity);
+      transfer.mTokens = account.mBucket.Lend(wanted, end);
+    }
+    transfer.mSpare = std::max(0.0, spare - transfer.mTokens);
+  }
+  ++mCounters.mTransfersSent;
+  effect::SendMessage send;
+  send.mTo = aFrom.mVm;
+  send.mMessage = std::move(transfer);
+  aOut.push_back(std::move(send));
+}
+
+void RateLimiter::OnMessage(const VmIncarnation& aFrom,
+                            const message::TokenTransfer& aMessage,
+                            TimePoint aNow,
+                            EffectList& aOut)
+{
+  const auto it = mAsks.find(aMessage.mNumber);
+  const bool isExpected = it != mAsks.end() && it->second.mPeer == aFrom.mVm &&
+                          it->second.mAccount == aMessage.mAccount;
+  Account* found = Find(aMessage.mAccount);
+  if (!isExpected || found == nullptr) {
+    ++mCounters.mTransfersIgnored;
+    return;
+  }
+  const Ask ask = it->second;
+  mAsks.erase(it);
+  Account& account = *found;
+  if (ask.mAwaited) {
+    account.mAsked = std::max(0.0, account.mAsked - ask.mWanted);
+  }
+  Advance(ask.mAccount, account, aNow);
+  NoteSpare(account, aFrom.mVm, aMessage, aNow);
+  const TimePoint end = ask.mSentAt + mOptions.mTransferValidity;
+  if (aNow >= end) {
+    ++mCounters.mTransfersIgnored;
+  } else if (aMessage.mTokens > 0) {
+    account.mBucket.Borrow(std::min(aMessage.mTokens, ask.mWanted), end);
+  }
+  Serve(account, aNow);
+  AskPeers(ask.mAccount, account, aNow, aOut);
+}
+
+} // namespace cranberrywing
