--- a/src/include/cranberrywing/share_ledger.h
+++ b/src/include/cranberrywing/share_ledger.h
@@ -7,16 +7,17 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
+#include <random>
 #include <string>
+#include <vector>
 
 #include "cranberrywing/effect.h"
 #include "cranberrywing/event.h"
+#include "cranberrywing/share_record.h"
 
 namespace cranberrywing {
 
-/// Fractions are counted in millionths, so that sums are exact.
-inline constexpr std::uint32_t kWholeShare = 1'000'000;
-
 struct ShareLedgerHooks
 {
   std::function<bool(const VmIncarnation&)> mIsDead;
@@ -24,6 +25,17 @@
   std::function<std::size_t(const std::string&)> mExpectedHolders;
 };
 
+/// Counters since the start, for metrics and reports.
+struct ShareCounters
+{
+  std::uint64_t mReads = 0;
+  std::uint64_t mWrites = 0;
+  /// Writes that lost a race.
+  std::uint64_t mConflicts = 0;
+  /// Calls that the store did not answer.
+  std::uint64_t mFailures = 0;
+};
+
 /// Not thread-safe; owned by the reducer.
 class ShareLedger
 {
@@ -36,6 +48,14 @@
     /// Time between looks at whether a fraction fits the demand.
     Duration mReviewInterval = std::chrono::seconds(30);
     Duration mRetryInterval = std::chrono::milliseconds(500);
+    /// Time for which a process keeps to a smaller fraction before the store
+    /// is told that the rest is free, and from learning of a death until the
+    /// dead process's fraction is taken. Above the validity of a token
+    /// transfer with its drift margin (510 ms): until then, tokens that were
+    /// lent under the larger fraction may still be used.
+    Duration mReleaseDelay = std::chrono::milliseconds(600);
+    /// Reads per second of all holders together after they start at once.
+    double mStartReadsPerSecond = 60;
   };
 
   ShareLedger(Options aOptions, ShareLedgerHooks aHooks);
@@ -60,9 +80,104 @@
   void ReturnAll(TimePoint aNow, EffectList& aOut);
   bool IsReturned() const;
 
+  /// The record as last read, for reports; null if never read.
+  const ShareRecord* Record(const std::string& aName) const;
+  const ShareCounters& Counters() const { return mCounters; }
+
 private:
+  /// A write whose answer was lost. It may still take effect as long as the
+  /// record has the revision that it compares with.
+  struct Unsettled
+  {
+    std::int64_t mComparedRevision = 0;
+    /// Least own fraction that the record may have.
+    std::uint32_t mLeast = 0;
+  };
+
+  /// This process keeps to a smaller fraction than the record says.
+  struct Lowering
+  {
+    std::uint32_t mFraction = 0;
+    TimePoint mSince{};
+  };
+
+  struct EndedHolder
+  {
+    VmIncarnation mHolder;
+    TimePoint mKnownSince{};
+  };
+
+  struct Share
+  {
+    bool mWanted = true;
+    std::optional<ShareRecord> mRecord{};
+    std::int64_t mModRevision = 0;
+    /// What this process is sure to hold.
+    std::uint32_t mUsable = 0;
+    std::optional<Unsettled> mUnsettled{};
+    std::optional<Lowering> mLowering{};
+    std::vector<EndedHolder> mEnded{};
+    /// When to read the record next; nullopt if to be chosen.
+    std::optional<TimePoint> mDue{};
+    double mUseSum = 0;
+    std::uint32_t mUseCount = 0;
+    /// Lost races, and reviews without enough, in a row.
+    std::uint32_t mConflicts = 0;
+    std::uint32_t mShortReviews = 0;
+  };
+
+  /// The one call to the store that is in flight.
+  struct Call
+  {
+    std::uint64_t mNumber = 0;
+    std::string mName;
+    TimePoint mSentAt{};
+    bool mIsWrite = false;
+    std::int64_t mComparedRevision = 0;
+    std::uint32_t mOldFraction = 0;
+    std::uint32_t mNewFraction = 0;
+  };
+
+  Duration Jittered(Duration aDuration);
+  std::uint32_t OwnFraction(const Share& aShare) const;
+  void UpdateUsable(const std::string& aName, Share& aShare, EffectList& aOut);
+  void Schedule(const std::string& aName, Share& aShare, TimePoint aNow);
+  void StartNextCall(TimePoint aNow, EffectList& aOut);
+  void CallStore(StoreTxn aTxn, Call aCall, EffectList& aOut);
+  void Read(const std::string& aName, TimePoint aNow, EffectList& aOut);
+  void Write(const std::string& aName,
+             Share& aShare,
+             ShareRecord aRecord,
+             TimePoint aNow,
+             EffectList& aOut);
+  void OnFailure(const Call& aCall, bool aMayHaveEffect, TimePoint aNow);
+  void TakeRecord(const std::string& aName,
+                  Share& aShare,
+                  const std::vector<StoreEntry>& aEntries,
+                  EffectList& aOut);
+  void NoteEnded(Share& aShare, TimePoint aNow) const;
+  std::size_t ReclaimRank(const Share& aShare,
+                          const VmIncarnation& aEnded) const;
+  void Review(const std::string& aName,
+              Share& aShare,
+              TimePoint aNow,
+              EffectList& aOut);
+  void HastenReclaim(Share& aShare, TimePoint aNow) const;
+  void ScheduleReview(Share& aShare, bool aIsShort, TimePoint aNow);
+  bool IsGone(const Share& aShare) const;
+
   Options mOptions;
   ShareLedgerHooks mHooks;
+  std::mt19937_64 mRandom;
+  std::map<std::string, Share> mShares;
+  std::optional<Call> mCall;
+  std::uint64_t mNextCall = 1;
+  std::uint64_t mNextOperation = 1;
+  /// Failed calls in a row, and when the store may be tried again.
+  std::uint32_t mFailures = 0;
+  TimePoint mNotBefore{};
+  bool mReturning = false;
+  ShareCounters mCounters;
 };
 
 } // namespace cranberrywing
--- /dev/null
+++ b/src/libcranberrywing/share_ledger_store.cpp
@@ -0,0 +1,167 @@
+// Calls to the store, one at a time, and what their answers settle.
+#include "cranberrywing/share_ledger.h"
+
+#include <algorithm>
+
+namespace cranberrywing {
+
+namespace {
+
+constexpr std::uint32_t kMostBackOffDoublings = 5;
+constexpr Duration kConflictBackOff = std::chrono::milliseconds(20);
+
+} // namespace
+
+void ShareLedger::CallStore(StoreTxn aTxn, Call aCall, EffectList& aOut)
+{
+  aCall.mNumber = mNextCall++;
+  effect::CallStore call;
+  call.mCall = { .mConcern = Concern::ShareLedger, .mNumber = aCall.mNumber };
+  call.mRequest.mTxn = std::move(aTxn);
+  aOut.push_back(std::move(call));
+  mCall = std::move(aCall);
+}
+
+void ShareLedger::Read(const std::string& aName,
+                       TimePoint aNow,
+                       EffectList& aOut)
+{
+  ++mCounters.mReads;
+  StoreTxn txn;
+  txn.mReads = { { .mKey = mOptions.mStorePrefix + aName, .mRangeEnd = "" } };
+  CallStore(std::move(txn), { .mName = aName, .mSentAt = aNow }, aOut);
+}
+
+void ShareLedger::Write(const std::string& aName,
+                        Share& aShare,
+                        ShareRecord aRecord,
+                        TimePoint aNow,
+                        EffectList& aOut)
+{
+  ++mCounters.mWrites;
+  ShareEntry* own = aRecord.Find(mOptions.mSelf);
+  Call call{ .mName = aName,
+             .mSentAt = aNow,
+             .mIsWrite = true,
+             .mComparedRevision = aShare.mModRevision,
+             .mOldFraction = OwnFraction(aShare) };
+  if (own != nullptr) {
+    own->mOperation = mNextOperation++;
+    call.mNewFraction = own->mFraction;
+  }
+  const std::string key = mOptions.mStorePrefix + aName;
+  StoreTxn txn;
+  txn.mCompares = { { .mKey = key, .mModRevision = aShare.mModRevision } };
+  txn.mPuts = { { .mKey = key, .mValue = EncodeShareRecord(aRecord) } };
+  txn.mReads = { { .mKey = key, .mRangeEnd = "" } };
+  CallStore(std::move(txn), std::move(call), aOut);
+}
+
+void ShareLedger::OnFailure(const Call& aCall,
+                            bool aMayHaveEffect,
+                            TimePoint aNow)
+{
+  ++mCounters.mFailures;
+  const std::uint32_t doublings = std::min(mFailures, kMostBackOffDoublings);
+  mNotBefore = aNow + Jittered(mOptions.mRetryInterval * (1u << doublings));
+  ++mFailures;
+  const auto it = mShares.find(aCall.mName);
+  if (it == mShares.end()) {
+    return;
+  }
+  Share& share = it->second;
+  share.mDue = aNow;
+  if (!aCall.mIsWrite || !aMayHaveEffect) {
+    return;
+  }
+  std::uint32_t least = std::min(aCall.mOldFraction, aCall.mNewFraction);
+  if (share.mUnsettled) {
+    least = std::min(least, share.mUnsettled->mLeast);
+  }
+  share.mUnsettled =
+    Unsettled{ .mComparedRevision = aCall.mComparedRevision, .mLeast = least };
+}
+
+void ShareLedger::TakeRecord(const std::string& aName,
+                             Share& aShare,
+                             const std::vector<StoreEntry>& aEntries,
+                             EffectList& aOut)
+{
+  ShareRecord record;
+  std::int64_t revision = 0;
+  if (!aEntries.empty()) {
+    auto decoded = DecodeShareRecord(aEntries.front().mValue);
+    if (!decoded) {
+      // Nobody may build on it; an operator has to look.
+      aOut.push_back(effect::RecordTimeline{
+        .mName = "share_record_malformed",
+        .mFields = { { "share", aName },
+                     { "error", decoded.error().mMessage } } });
+      aShare.mRecord.reset();
+      UpdateUsable(aName, aShare, aOut);
+      return;
+    }
+    record = std::move(*decoded);
+    revision = aEntries.front().mModRevision;
+  }
+  // A lost write is settled once the record has another revision: it took
+  // effect or its comparison fails for ever. The entry then tells which.
+  if (aShare.mUnsettled && aShare.mUnsettled->mComparedRevision != revision) {
+    aShare.mUnsettled.reset();
+  }
+  aShare.mRecord = std::move(record);
+  aShare.mModRevision = revision;
+  UpdateUsable(aName, aShare, aOut);
+}
+
+void ShareLedger::OnStoreReply(const event::StoreReplied& aReply,
+                               TimePoint aNow,
+                               EffectList& aOut)
+{
+  if (!mCall || aReply.mCall.mNumber != mCall->mNumber) {
+    return;
+  }
+  const Call call = *mCall;
+  mCall.reset();
+  if (!aReply.mReply) {
+    const bool isLost =
+      aReply.mReply.error().mCode != ResultCode::StoreUnavailable;
+    OnFailure(call, isLost, aNow);
+    return;
+  }
+  mFailures = 0;
+  const auto it = mShares.find(call.mName);
+  if (it == mShares.end()) {
+    return;
+  }
+  Share& share = it->second;
+  const bool isWritten = call.mIsWrite && aReply.mReply->mSucceeded;
+  if (isWritten) {
+    share.mConflicts = 0;
+    // What was given back is in the record now.
+    share.mLowering.reset();
+  }
+  TakeRecord(call.mName, share, aReply.mReply->mEntries, aOut);
+  if (!share.mRecord) {
+    ScheduleReview(share, false, aNow);
+    return;
+  }
+  NoteEnded(share, aNow);
+  if (isWritten) {
+    const ShareEntry* own = share.mRecord->Find(mOptions.mSelf);
+    ScheduleReview(
+      share, own != nullptr && own->mWanted > own->mFraction, aNow);
+    return;
+  }
+  if (call.mIsWrite) {
+    ++mCounters.mConflicts;
+    ++share.mConflicts;
+    const std::uint32_t doublings =
+      std::min(share.mConflicts, kMostBackOffDoublings);
+    share.mDue = aNow + Jittered(kConflictBackOff * (1u << doublings));
+    return;
+  }
+  Review(call.mName, share, aNow, aOut);
+}
+
+} // namespace cranberrywing
