--- a/src/include/cranberrywing/backend_health.h
+++ b/src/include/cranberrywing/backend_health.h
@@ -3,7 +3,10 @@
 /// drains, ejection and slow start (design 3.7).
 #pragma once
 
+#include <cstdint>
 #include <optional>
+#include <random>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -12,6 +15,42 @@
 
 namespace cranberrywing {
 
+/// What is known of one backend server.
+struct BackendStatus
+{
+  BackendSettings mSettings;
+  ServiceId mService;
+  Duration mSlowStart{};
+  Duration mProbeInterval{};
+
+  /// Whether the server may get new work.
+  bool mUsable = true;
+  /// The server says that it is leaving.
+  bool mClaimsDraining = false;
+  std::uint32_t mUnhealthyReports = 0;
+  std::uint32_t mConsecutiveFailures = 0;
+  /// Own exchanges since the last comparison with the other servers.
+  std::uint32_t mSuccesses = 0;
+  std::uint32_t mFailures = 0;
+  /// Seconds, summed over mSuccesses.
+  double mLatencySum = 0;
+  /// Successive ejections; lowered by time without one.
+  std::uint32_t mEjections = 0;
+  bool mEjected = false;
+  TimePoint mEjectedUntil{};
+  /// When the server last became usable after a time of being cold; unset if
+  /// it is warm.
+  std::optional<TimePoint> mColdSince;
+  std::optional<TimePoint> mLastSuccess;
+  TimePoint mNextProbe{};
+  std::optional<event::LoadReport> mLoad;
+  TimePoint mLoadTime{};
+
+  bool IsDraining() const { return mSettings.mDraining || mClaimsDraining; }
+  /// From near 0 for a cold server to 1 for a warm one.
+  double Warmth(TimePoint aNow) const;
+};
+
 /// Not thread-safe; owned by the reducer.
 class BackendHealth
 {
@@ -22,8 +61,16 @@
     std::uint32_t mConsecutiveFailures = 5;
     Duration mFirstEjection = std::chrono::seconds(5);
     Duration mLongestEjection = std::chrono::minutes(5);
-    /// Least part of a service's servers that stays in use.
+    /// Least part of a service's servers in a region that stays in use,
+    /// however many look bad.
     double mFloor = 0.5;
+    /// Time between comparisons of servers with each other.
+    Duration mCompareInterval = std::chrono::seconds(5);
+    /// Success rate below the others' mean by this much is an outlier.
+    double mSuccessRateGap = 0.15;
+    /// Mean latency above this multiple of the others' median is an outlier;
+    /// zero turns ejection on latency off.
+    double mLatencyFactor = 3;
   };
 
   explicit BackendHealth(Options aOptions);
@@ -46,6 +93,9 @@
   bool IsUsable(const BackendId& aBackend, TimePoint aNow) const;
   /// From near 0 for a cold server to 1 for a warm one.
   double Warmth(const BackendId& aBackend, TimePoint aNow) const;
+  /// Whether reports and own observations agree that the server does not
+  /// answer at all.
+  bool IsDown(const BackendId& aBackend) const;
 
   struct AgedLoad
   {
@@ -66,8 +116,56 @@
                                      Duration aMaxAge,
                                      TimePoint aNow) const;
 
+  /// The server's status, or null. The pointer holds until Generation()
+  /// changes.
+  const BackendStatus* Find(const BackendId& aBackend) const;
+  /// Rises with each Apply.
+  std::uint64_t Generation() const { return mGeneration; }
+
 private:
+  /// Servers of one service in one region, between which work is chosen.
+  struct Group
+  {
+    ServiceId mService;
+    RegionId mRegion;
+    std::vector<BackendStatus*> mMembers;
+  };
+
+  BackendStatus* FindMutable(const BackendId& aBackend);
+  const Group* FindGroup(const ServiceId& aService,
+                         const RegionId& aRegion) const;
+  void AddBackend(const ServiceSettings& aService,
+                  const BackendSettings& aBackend,
+                  TimePoint aNow,
+                  EffectList& aOut);
+  void RebuildGroups(const SettingsSnapshot& aSettings);
+  /// Decides anew which servers of the group are usable.
+  void Review(const Group& aGroup, TimePoint aNow, EffectList& aOut);
+  void ReviewGroupOf(const BackendStatus& aStatus,
+                     TimePoint aNow,
+                     EffectList& aOut);
+  void SetUsable(BackendStatus& aStatus,
+                 bool aUsable,
+                 TimePoint aNow,
+                 EffectList& aOut);
+  void Eject(BackendStatus& aStatus,
+             std::string_view aReason,
+             TimePoint aNow,
+             EffectList& aOut);
+  void EndEjections(TimePoint aNow, EffectList& aOut);
+  void Compare(const Group& aGroup, TimePoint aNow, EffectList& aOut);
+  void Probe(BackendStatus& aStatus, TimePoint aNow, EffectList& aOut);
+  Duration Jittered(Duration aInterval);
+
   Options mOptions;
+  std::mt19937_64 mRandom;
+  std::unordered_map<BackendId, BackendStatus> mStatus;
+  std::vector<Group> mGroups;
+  std::uint64_t mGeneration = 0;
+  bool mConfigured = false;
+  /// Next time at which Tick has anything to do.
+  TimePoint mNextWork{};
+  TimePoint mNextCompare{};
 };
 
 } // namespace cranberrywing
--- a/src/include/cranberrywing/backend_selector.h
+++ b/src/include/cranberrywing/backend_selector.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <optional>
 #include <random>
+#include <unordered_map>
 #include <vector>
 
 #include "cranberrywing/backend_health.h"
@@ -54,11 +55,52 @@
   /// The exchange ended; no latency if it failed.
   void OnFinish(const BackendId& aBackend, std::optional<Duration> aLatency);
   std::uint32_t InFlight(const BackendId& aBackend) const;
+  /// Smoothed latency, which jumps to a slower sample at once; zero while
+  /// unknown.
+  Duration Latency(const BackendId& aBackend) const;
 
 private:
+  struct Candidate
+  {
+    BackendSettings mSettings;
+    const BackendStatus* mStatus = nullptr;
+    std::uint32_t mInFlight = 0;
+    /// Seconds; zero while unknown.
+    double mLatency = 0;
+  };
+
+  /// Servers of one service in one region.
+  struct Group
+  {
+    ServiceId mService;
+    RegionId mRegion;
+    std::vector<Candidate*> mMembers;
+    /// Position of the round-robin baseline.
+    std::size_t mNext = 0;
+  };
+
+  Group* FindGroup(const ServiceId& aService, const RegionId& aRegion);
+  void RefreshStatus();
+  bool IsFree(const Candidate& aCandidate) const;
+  Candidate* Draw(Group& aGroup, TimePoint aNow);
+  Candidate* TwoChoices(Group& aGroup, TimePoint aNow);
+  Candidate* RoundRobin(Group& aGroup);
+  Candidate* LeastReportedLoad(Group& aGroup);
+  /// The best of all free servers that the request does not avoid.
+  Candidate* BestOf(Group& aGroup,
+                    const SelectionRequest& aRequest,
+                    TimePoint aNow);
+  double Cost(const Candidate& aCandidate, TimePoint aNow) const;
+
   Options mOptions;
   const BackendHealth& mHealth;
   std::mt19937_64 mRandom;
+  std::unordered_map<BackendId, Candidate> mCandidates;
+  std::vector<Group> mGroups;
+  /// BackendHealth::Generation() at which status pointers were taken.
+  std::uint64_t mGeneration = 0;
+  /// Mean latency over all servers, taken for servers without a sample.
+  double mUsualLatency = 0;
 };
 
 } // namespace cranberrywing
--- a/src/include/cranberrywing/crash_guard.h
+++ b/src/include/cranberrywing/crash_guard.h
@@ -2,6 +2,8 @@
 /// Blocks requests that end the backend servers that run them (design 3.7).
 #pragma once
 
+#include <cstddef>
+#include <deque>
 #include <unordered_map>
 #include <vector>
 
@@ -39,13 +41,49 @@
   void OnServerDown(const BackendId& aBackend,
                     TimePoint aNow,
                     EffectList& aOut);
+  /// The request was answered: it does not end servers.
+  void OnSuccess(const ContentDigest& aFingerprint);
   void OnMessage(const message::RequestBlock& aMessage, TimePoint aNow);
   void Tick(TimePoint aNow);
   /// Blocks made here since the last call, to be told to all peers.
   std::vector<message::RequestBlock> TakeNewBlocks();
 
 private:
+  /// A connection that ended while a server ran the request.
+  struct Reset
+  {
+    ContentDigest mFingerprint;
+    BackendId mBackend;
+    TimePoint mTime{};
+  };
+
+  /// Servers that were lost while they ran a request.
+  struct Suspicion
+  {
+    std::vector<BackendId> mLost;
+    TimePoint mUntil{};
+  };
+
+  struct DigestHash
+  {
+    std::size_t operator()(const ContentDigest& aDigest) const
+    {
+      return static_cast<std::size_t>(aDigest.mLow);
+    }
+  };
+
+  template<class Value>
+  using DigestMap = std::unordered_map<ContentDigest, Value, DigestHash>;
+
+  void CountLoss(const Reset& aReset, TimePoint aNow, EffectList& aOut);
+  void Block(const ContentDigest& aFingerprint, TimePoint aUntil);
+
   Options mOptions;
+  std::deque<Reset> mResets;
+  DigestMap<Suspicion> mSuspicions;
+  DigestMap<TimePoint> mBlocks;
+  std::vector<message::RequestBlock> mNewBlocks;
+  TimePoint mNextSweep{};
 };
 
 } // namespace cranberrywing
--- a/src/include/cranberrywing/fair_queue.h
+++ b/src/include/cranberrywing/fair_queue.h
@@ -4,11 +4,13 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "cranberrywing/concurrency_limit.h"
 #include "cranberrywing/settings_snapshot.h"
 #include "cranberrywing/types.h"
 
@@ -52,9 +54,71 @@
 
   std::size_t Waiting(const ServiceId& aService) const;
   std::size_t Running(const ServiceId& aService) const;
+  /// Most requests of the service that may run at one time at present.
+  std::size_t Limit(const ServiceId& aService) const;
 
 private:
+  using Slot = std::uint32_t;
+  static constexpr Slot kNoSlot = ~Slot{ 0 };
+
+  struct ServiceQueue;
+
+  /// Waiting requests of one client account for one service.
+  struct AccountQueue
+  {
+    Slot mFirst = kNoSlot;
+    Slot mLast = kNoSlot;
+    std::size_t mWaiting = 0;
+    /// Requests per round, at most 1.
+    double mQuantum = 1;
+    double mDeficit = 0;
+    /// Ring of accounts with waiting requests.
+    AccountQueue* mPrevious = nullptr;
+    AccountQueue* mNext = nullptr;
+  };
+
+  struct ServiceQueue
+  {
+    ConcurrencyLimit mLimit;
+    std::unordered_map<AccountId, AccountQueue> mAccounts;
+    /// Account whose turn it is; null if none waits.
+    AccountQueue* mTurn = nullptr;
+    std::size_t mWaiting = 0;
+  };
+
+  /// A waiting request, linked into its account's queue.
+  struct Entry
+  {
+    QueuedRequest mRequest;
+    ServiceQueue* mService = nullptr;
+    AccountQueue* mAccount = nullptr;
+    Slot mPrevious = kNoSlot;
+    Slot mNext = kNoSlot;
+  };
+
+  ServiceQueue& FindService(const ServiceId& aService);
+  AccountQueue& FindAccount(ServiceQueue& aService, const AccountId& aAccount);
+  Slot TakeSlot();
+  void Append(ServiceQueue& aService, AccountQueue& aAccount, Slot aSlot);
+  /// Unlinks an entry and frees its slot.
+  QueuedRequest Remove(Slot aSlot);
+  void Activate(ServiceQueue& aService, AccountQueue& aAccount);
+  void Deactivate(ServiceQueue& aService, AccountQueue& aAccount);
+  AccountQueue& NextAccount(ServiceQueue& aService);
+  bool CanFinish(const ServiceQueue& aService,
+                 const AccountQueue& aAccount,
+                 TimePoint aDeadline,
+                 TimePoint aNow) const;
+
   Options mOptions;
+  std::unordered_map<ServiceId, ServiceQueue> mServices;
+  std::unordered_map<AccountId, double> mQuanta;
+  double mDefaultQuantum = 1;
+  std::vector<Entry> mEntries;
+  std::vector<Slot> mFreeSlots;
+  std::unordered_map<RequestId, Slot> mSlots;
+  /// No waiting request's deadline is earlier.
+  TimePoint mEarliestDeadline = TimePoint::max();
 };
 
 } // namespace cranberrywing
--- a/src/include/cranberrywing/retry_policy.h
+++ b/src/include/cranberrywing/retry_policy.h
@@ -37,7 +37,21 @@
   bool TryRetry(const FailedAttempt& aAttempt, TimePoint aNow);
 
 private:
+  /// Retries that a service may make.
+  struct Budget
+  {
+    double mTokens = 0;
+    /// First attempts per second, smoothed.
+    double mRequestRate = 0;
+    /// Retries per first attempt, of the last request's route.
+    double mRatio = 0;
+    TimePoint mUpdated{};
+  };
+
+  Budget& Refill(const ServiceId& aService, TimePoint aNow);
+
   Options mOptions;
+  std::unordered_map<ServiceId, Budget> mBudgets;
 };
 
 } // namespace cranberrywing
--- /dev/null
+++ b/src/libcranberrywing/backend_health.cpp
@@ -0,0 +1,459 @@
+#include "cranberrywing/backend_health.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+
+namespace cranberrywing {
+
+namespace {
+
+/// Warmth of a server that has just started.
+constexpr double kLeastWarmth = 0.02;
+/// One lost probe is no evidence; two in a row are.
+constexpr std::uint32_t kUnhealthyReports = 2;
+/// Own successes newer than this outweigh a health endpoint's claim.
+constexpr double kOwnEvidenceIntervals = 2;
+/// Reports of at least this part of the usable servers must be fresh.
+constexpr double kFreshPart = 0.8;
+constexpr double kProbeJitter = 0.2;
+
+double Seconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+/// Whether own exchanges show that the server works.
+bool IsProvenGood(const BackendStatus& aStatus, TimePoint aNow)
+{
+  if (!aStatus.mLastSuccess || aStatus.mConsecutiveFailures > 0) {
+    return false;
+  }
+  const Duration age = aNow - *aStatus.mLastSuccess;
+  return Seconds(age) <=
+         kOwnEvidenceIntervals * Seconds(aStatus.mProbeInterval);
+}
+
+bool ClaimsUnhealthy(const BackendStatus& aStatus)
+{
+  return aStatus.mUnhealthyReports >= kUnhealthyReports;
+}
+
+/// Reports and own failures agree, so that the floor does not protect it.
+bool HasFailed(const BackendStatus& aStatus)
+{
+  return ClaimsUnhealthy(aStatus) && aStatus.mConsecutiveFailures > 0;
+}
+
+effect::RecordTimeline Entry(std::string aName, const BackendStatus& aStatus)
+{
+  return { std::move(aName),
+           { { "service", aStatus.mService.mName },
+             { "backend", aStatus.mSettings.mBackend.mName } } };
+}
+
+} // namespace
+
+double BackendStatus::Warmth(TimePoint aNow) const
+{
+  if (!mColdSince || mSlowStart <= Duration::zero()) {
+    return 1;
+  }
+  const double part = Seconds(aNow - *mColdSince) / Seconds(mSlowStart);
+  return std::clamp(part, kLeastWarmth, 1.0);
+}
+
+BackendHealth::BackendHealth(Options aOptions)
+  : mOptions(aOptions)
+  , mRandom(aOptions.mSeed)
+{
+}
+
+void BackendHealth::Apply(const SettingsSnapshot& aSettings,
+                          TimePoint aNow,
+                          EffectList& aOut)
+{
+  std::unordered_map<BackendId, BackendStatus> previous;
+  previous.swap(mStatus);
+  for (const auto& [id, service] : aSettings.mServices) {
+    for (const BackendSettings& backend : service.mBackends) {
+      auto node = previous.extract(backend.mBackend);
+      if (node) {
+        mStatus.insert(std::move(node));
+      }
+      AddBackend(service, backend, aNow, aOut);
+    }
+  }
+  for (const auto& [id, status] : previous) {
+    aOut.push_back(effect::CloseBackendConnections{ id });
+  }
+  mConfigured = mConfigured || !mStatus.empty();
+  ++mGeneration;
+  RebuildGroups(aSettings);
+  for (const Group& group : mGroups) {
+    Review(group, aNow, aOut);
+  }
+  mNextWork = aNow;
+}
+
+void BackendHealth::AddBackend(const ServiceSettings& aService,
+                               const BackendSettings& aBackend,
+                               TimePoint aNow,
+                               EffectList& aOut)
+{
+  const auto [it, isNew] = mStatus.try_emplace(aBackend.mBackend);
+  BackendStatus& status = it->second;
+  const bool moved =
+    !isNew && (status.mSettings.mAddress != aBackend.mAddress ||
+               status.mSettings.mPort != aBackend.mPort);
+  if (moved) {
+    status = {};
+    aOut.push_back(effect::CloseBackendConnections{ aBackend.mBackend });
+  }
+  status.mSettings = aBackend;
+  status.mService = aService.mService;
+  status.mSlowStart = aService.mSlowStart;
+  status.mProbeInterval = aService.mProbeInterval;
+  if (!isNew && !moved) {
+    return;
+  }
+  // The servers of the first configuration ran before this process did; only
+  // later additions are cold.
+  if (mConfigured) {
+    status.mColdSince = aNow;
+  }
+  std::uniform_real_distribution<double> part(0, 1);
+  const double wait = Seconds(status.mProbeInterval) * part(mRandom);
+  status.mNextProbe = aNow + std::chrono::duration_cast<Duration>(
+                               std::chrono::duration<double>(wait));
+}
+
+void BackendHealth::RebuildGroups(const SettingsSnapshot& aSettings)
+{
+  mGroups.clear();
+  for (const auto& [id, service] : aSettings.mServices) {
+    for (const BackendSettings& backend : service.mBackends) {
+      const auto it =
+        std::find_if(mGroups.begin(), mGroups.end(), [&](const Group& aGroup) {
+          return aGroup.mService == id && aGroup.mRegion == backend.mRegion;
+        });
+      Group& group = it == mGroups.end() ? mGroups.emplace_back() : *it;
+      group.mService = id;
+      group.mRegion = backend.mRegion;
+      group.mMembers.push_back(FindMutable(backend.mBackend));
+    }
+  }
+}
+
+void BackendHealth::Tick(TimePoint aNow, EffectList& aOut)
+{
+  if (aNow < mNextWork) {
+    return;
+  }
+  if (aNow >= mNextCompare) {
+    for (const Group& group : mGroups) {
+      Compare(group, aNow, aOut);
+    }
+    mNextCompare = aNow + mOptions.mCompareInterval;
+  }
+  EndEjections(aNow, aOut);
+  mNextWork = mNextCompare;
+  for (const Group& group : mGroups) {
+    for (BackendStatus* status : group.mMembers) {
+      if (status->mNextProbe <= aNow) {
+        Probe(*status, aNow, aOut);
+      }
+      mNextWork = std::min(mNextWork, status->mNextProbe);
+      if (status->mEjected) {
+        mNextWork = std::min(mNextWork, status->mEjectedUntil);
+      }
+    }
+  }
+}
+
+void BackendHealth::Probe(BackendStatus& aStatus,
+                          TimePoint aNow,
+                          EffectList& aOut)
+{
+  aStatus.mNextProbe = aNow + Jittered(aStatus.mProbeInterval);
+  aOut.push_back(effect::ProbeBackend{ aStatus.mSettings.mBackend,
+                                       aStatus.mSettings.mAddress,
+                                       aStatus.mSettings.mPort });
+}
+
+Duration BackendHealth::Jittered(Duration aInterval)
+{
+  std::uniform_real_distribution<double> factor(1 - kProbeJitter,
+                                                1 + kProbeJitter);
+  const double seconds = Seconds(aInterval) * factor(mRandom);
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(std::max(seconds, 0.01)));
+}
+
+void BackendHealth::OnHealth(const event::HealthReported& aEvent,
+                             TimePoint aNow,
+                             EffectList& aOut)
+{
+  BackendStatus* status = FindMutable(aEvent.mBackend);
+  if (status == nullptr) {
+    return;
+  }
+  const bool drainChanged = status->mClaimsDraining != aEvent.mDraining;
+  status->mClaimsDraining = aEvent.mDraining;
+  if (aEvent.mHealthy) {
+    status->mUnhealthyReports = 0;
+  } else {
+    ++status->mUnhealthyReports;
+  }
+  if (drainChanged || !status->mUsable || !aEvent.mHealthy) {
+    ReviewGroupOf(*status, aNow, aOut);
+  }
+}
+
+void BackendHealth::OnLoad(const event::LoadReported& aEvent, TimePoint aNow)
+{
+  BackendStatus* status = FindMutable(aEvent.mBackend);
+  if (status != nullptr) {
+    status->mLoad = aEvent.mReport;
+    status->mLoadTime = aNow;
+  }
+}
+
+void BackendHealth::OnSuccess(const BackendId& aBackend,
+                              Duration aLatency,
+                              TimePoint aNow)
+{
+  BackendStatus* status = FindMutable(aBackend);
+  if (status == nullptr) {
+    return;
+  }
+  status->mConsecutiveFailures = 0;
+  status->mLastSuccess = aNow;
+  ++status->mSuccesses;
+  status->mLatencySum += Seconds(aLatency);
+}
+
+void BackendHealth::OnFailure(const BackendId& aBackend,
+                              event::FailureKind aKind,
+                              TimePoint aNow,
+                              EffectList& aOut)
+{
+  BackendStatus* status = FindMutable(aBackend);
+  // A server that sheds load works; the selector turns to others.
+  if (status == nullptr || aKind == event::FailureKind::Shed) {
+    return;
+  }
+  ++status->mConsecutiveFailures;
+  ++status->mFailures;
+  if (status->mConsecutiveFailures >= mOptions.mConsecutiveFailures) {
+    Eject(*status, "consecutive_failures", aNow, aOut);
+  } else if (ClaimsUnhealthy(*status)) {
+    ReviewGroupOf(*status, aNow, aOut);
+  }
+}
+
+bool BackendHealth::IsUsable(const BackendId& aBackend, TimePoint) const
+{
+  const BackendStatus* status = Find(aBackend);
+  return status != nullptr && status->mUsable;
+}
+
+double BackendHealth::Warmth(const BackendId& aBackend, TimePoint aNow) const
+{
+  const BackendStatus* status = Find(aBackend);
+  return status == nullptr ? 0 : status->Warmth(aNow);
+}
+
+bool BackendHealth::IsDown(const BackendId& aBackend) const
+{
+  const BackendStatus* status = Find(aBackend);
+  return status != nullptr && HasFailed(*status);
+}
+
+std::optional<BackendHealth::AgedLoad> BackendHealth::Load(
+  const BackendId& aBackend,
+  TimePoint aNow) const
+{
+  const BackendStatus* status = Find(aBackend);
+  if (status == nullptr || !status->mLoad) {
+    return std::nullopt;
+  }
+  return AgedLoad{ *status->mLoad, aNow - status->mLoadTime };
+}
+
+double BackendHealth::Capacity(const ServiceId& aService,
+                               const RegionId& aRegion,
+                               TimePoint aNow) const
+{
+  const Group* group = FindGroup(aService, aRegion);
+  double capacity = 0;
+  if (group != nullptr) {
+    for (const BackendStatus* status : group->mMembers) {
+      if (status->mUsable) {
+        capacity += status->mSettings.mCapacity * status->Warmth(aNow);
+      }
+    }
+  }
+  return capacity;
+}
+
+std::optional<double> BackendHealth::ReportedRate(const ServiceId& aService,
+                                                  const RegionId& aRegion,
+                                                  Duration aMaxAge,
+                                                  TimePoint aNow) const
+{
+  const Group* group = FindGroup(aService, aRegion);
+  if (group == nullptr) {
+    return std::nullopt;
+  }
+  double rate = 0;
+  std::size_t fresh = 0;
+  std::size_t usable = 0;
+  for (const BackendStatus* status : group->mMembers) {
+    usable += status->mUsable ? 1 : 0;
+    if (!status->mLoad || aNow - status->mLoadTime > aMaxAge) {
+      continue;
+    }
+    rate += status->mLoad->mRequestsPerSecond;
+    fresh += status->mUsable ? 1 : 0;
+  }
+  if (usable == 0 || fresh < kFreshPart * static_cast<double>(usable)) {
+    return std::nullopt;
+  }
+  // Servers without a fresh report are taken to carry the mean.
+  return rate * static_cast<double>(usable) / static_cast<double>(fresh);
+}
+
+const BackendStatus* BackendHealth::Find(const BackendId& aBackend) const
+{
+  const auto it = mStatus.find(aBackend);
+  return it == mStatus.end() ? nullptr : &it->second;
+}
+
+BackendStatus* BackendHealth::FindMutable(const BackendId& aBackend)
+{
+  const auto it = mStatus.find(aBackend);
+  return it == mStatus.end() ? nullptr : &it->second;
+}
+
+const BackendHealth::Group* BackendHealth::FindGroup(
+  const ServiceId& aService,
+  const RegionId& aRegion) const
+{
+  for (const Group& group : mGroups) {
+    if (group.mService == aService && group.mRegion == aRegion) {
+      return &group;
+    }
+  }
+  return nullptr;
+}
+
+void BackendHealth::ReviewGroupOf(const BackendStatus& aStatus,
+                                  TimePoint aNow,
+                                  EffectList& aOut)
+{
+  const Group* group = FindGroup(aStatus.mService, aStatus.mSettings.mRegion);
+  if (group != nullptr) {
+    Review(*group, aNow, aOut);
+  }
+}
+
+void BackendHealth::Review(const Group& aGroup,
+                           TimePoint aNow,
+                           EffectList& aOut)
+{
+  std::vector<BackendStatus*> doubtful;
+  std::size_t serving = 0;
+  for (BackendStatus* status : aGroup.mMembers) {
+    if (status->IsDraining()) {
+      SetUsable(*status, false, aNow, aOut);
+      continue;
+    }
+    ++serving;
+    const bool isBad =
+      HasFailed(*status) || status->mEjected ||
+      (ClaimsUnhealthy(*status) && !IsProvenGood(*status, aNow));
+    if (isBad) {
+      doubtful.push_back(status);
+    } else {
+      SetUsable(*status, true, aNow, aOut);
+    }
+  }
+  // Worst evidence first: the floor keeps the least suspicious in use.
+  const auto evidence = [](const BackendStatus* aStatus) {
+    return (HasFailed(*aStatus) ? 2 : 0) + (aStatus->mEjected ? 1 : 0);
+  };
+  std::stable_sort(doubtful.begin(),
+                   doubtful.end(),
+                   [&](const auto* aLeft, const auto* aRight) {
+                     if (evidence(aLeft) != evidence(aRight)) {
+                       return evidence(aLeft) > evidence(aRight);
+                     }
+                     return !aLeft->mUsable && aRight->mUsable;
+                   });
+  const auto kept = static_cast<std::size_t>(
+    std::ceil(mOptions.mFloor * static_cast<double>(serving)));
+  std::size_t left = serving;
+  for (BackendStatus* status : doubtful) {
+    const bool mayGo = HasFailed(*status) || left > kept;
+    SetUsable(*status, !mayGo, aNow, aOut);
+    left -= mayGo ? 1 : 0;
+  }
+}
+
+void BackendHealth::SetUsable(BackendStatus& aStatus,
+                              bool aUsable,
+                              TimePoint aNow,
+                              EffectList& aOut)
+{
+  if (aStatus.mUsable == aUsable) {
+    return;
+  }
+  aStatus.mUsable = aUsable;
+  if (aUsable) {
+    aStatus.mColdSince = aNow;
+    aOut.push_back(Entry("backend_usable", aStatus));
+    return;
+  }
+  aOut.push_back(Entry("backend_unusable", aStatus));
+  aOut.push_back(effect::CloseBackendConnections{ aStatus.mSettings.mBackend });
+}
+
+void BackendHealth::Eject(BackendStatus& aStatus,
+                          std::string_view aReason,
+                          TimePoint aNow,
+                          EffectList& aOut)
+{
+  if (aStatus.mEjected) {
+    return;
+  }
+  aStatus.mEjected = true;
+  const std::uint32_t doublings = std::min(aStatus.mEjections, 16u);
+  const Duration time = mOptions.mFirstEjection * (1u << doublings);
+  aStatus.mEjectedUntil = aNow + std::min(time, mOptions.mLongestEjection);
+  ++aStatus.mEjections;
+  mNextWork = std::min(mNextWork, aStatus.mEjectedUntil);
+  effect::RecordTimeline entry = Entry("backend_ejected", aStatus);
+  entry.mFields.push_back({ "reason", std::string(aReason) });
+  aOut.push_back(std::move(entry));
+  ReviewGroupOf(aStatus, aNow, aOut);
+}
+
+void BackendHealth::EndEjections(TimePoint aNow, EffectList& aOut)
+{
+  for (const Group& group : mGroups) {
+    bool changed = false;
+    for (BackendStatus* status : group.mMembers) {
+      if (status->mEjected && aNow >= status->mEjectedUntil) {
+        status->mEjected = false;
+        status->mConsecutiveFailures = 0;
+        changed = true;
+      }
+    }
+    if (changed) {
+      Review(group, aNow, aOut);
+    }
+  }
+}
+
+} // namespace cranberrywing
