Add first versions of offers and shifts

ReservationRequest and ReservationReply gain a sequence and the request the use of the reservation, because a reordered renewal could otherwise leave the asking VM with more than the offering VM holds. ShiftProgress is a new message, by which a VM that joins during a shift learns how far it has come.

--- a/src/include/cranberrywing/message.h
+++ b/src/include/cranberrywing/message.h
@@ -36,7 +36,8 @@
                              message::AnswerCopyAck,
                              message::AnswerCopyQuery,
                              message::SlotHandover,
-                             message::RequestBlock>;
+                             message::RequestBlock,
+                             message::ShiftProgress>;
 
 /// A message with its sender, as it goes over the wire.
 struct Envelope
--- a/src/include/cranberrywing/messages/offers.h
+++ b/src/include/cranberrywing/messages/offers.h
@@ -47,11 +47,22 @@
   RegionId mFromRegion;
   RegionId mToRegion;
   double mRequestsPerSecond = 0;
+  /// Rises with each message of one number, so that reordered messages are
+  /// told apart.
+  std::uint32_t mSequence = 0;
+  /// Requests per second that were lately sent under the reservation.
+  double mUsedPerSecond = 0;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mNumber, mService, mFromRegion, mToRegion, mRequestsPerSecond);
+    aArchive(mNumber,
+             mService,
+             mFromRegion,
+             mToRegion,
+             mRequestsPerSecond,
+             mSequence,
+             mUsedPerSecond);
   }
 };
 
@@ -62,11 +73,31 @@
   double mRequestsPerSecond = 0;
   /// Lifetime counted by the asking VM from when it asked.
   std::uint32_t mLifetimeMs = 0;
+  /// Of the request that it answers.
+  std::uint32_t mSequence = 0;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mNumber, mRequestsPerSecond, mLifetimeMs);
+    aArchive(mNumber, mRequestsPerSecond, mLifetimeMs, mSequence);
+  }
+};
+
+/// How far a shift has come on the sender, for VMs of its region that join
+/// while the shift is under way.
+struct ShiftProgress
+{
+  ServiceId mService;
+  RegionId mTo;
+  /// Part of the region's traffic that the sender moves.
+  double mMoved = 0;
+  /// Asks the receiver to answer with its own progress.
+  bool mIsQuery = false;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mService, mTo, mMoved, mIsQuery);
   }
 };
 
--- /dev/null
+++ b/src/include/cranberrywing/offer_hooks.h
@@ -0,0 +1,34 @@
+/// \file
+/// What OfferBook asks of other concerns.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "cranberrywing/types.h"
+
+namespace cranberrywing {
+
+struct OfferBookHooks
+{
+  /// This process's fraction of its region's spare capacity for a service, in
+  /// millionths.
+  std::function<std::uint32_t(const ServiceId&)> mFraction;
+  /// Requests per second that a region can carry for a service.
+  std::function<double(const ServiceId&, const RegionId&, TimePoint)> mCapacity;
+  /// Reported requests per second of a region for a service, if fresh.
+  std::function<
+    std::optional<double>(const ServiceId&, const RegionId&, TimePoint)>
+    mReportedRate;
+  /// Part of the service's local traffic that shifts move to other regions.
+  std::function<std::vector<std::pair<RegionId, double>>(const ServiceId&,
+                                                         TimePoint)>
+    mShifted;
+  /// Peers of other regions to which offers are announced.
+  std::function<std::vector<VmId>()> mAudience;
+};
+
+} // namespace cranberrywing
--- a/src/include/cranberrywing/offers.h
+++ b/src/include/cranberrywing/offers.h
@@ -4,36 +4,18 @@
 #pragma once
 
 #include <cstdint>
-#include <functional>
 #include <map>
-#include <optional>
-#include <string>
 #include <vector>
 
+#include "cranberrywing/capacity_grants.h"
+#include "cranberrywing/capacity_reservations.h"
 #include "cranberrywing/effect.h"
 #include "cranberrywing/event.h"
+#include "cranberrywing/offer_hooks.h"
+#include "cranberrywing/region_links.h"
 
 namespace cranberrywing {
 
-struct OfferBookHooks
-{
-  /// This process's fraction of its region's spare capacity for a service, in
-  /// millionths.
-  std::function<std::uint32_t(const ServiceId&)> mFraction;
-  /// Requests per second that a region can carry for a service.
-  std::function<double(const ServiceId&, const RegionId&, TimePoint)> mCapacity;
-  /// Reported requests per second of a region for a service, if fresh.
-  std::function<
-    std::optional<double>(const ServiceId&, const RegionId&, TimePoint)>
-    mReportedRate;
-  /// Part of the service's local traffic that shifts move to other regions.
-  std::function<std::vector<std::pair<RegionId, double>>(const ServiceId&,
-                                                         TimePoint)>
-    mShifted;
-  /// Peers of other regions to which offers are announced.
-  std::function<std::vector<VmId>()> mAudience;
-};
-
 /// Not thread-safe; owned by the reducer.
 class OfferBook
 {
@@ -43,8 +25,15 @@
     RegionId mRegion;
     std::uint64_t mSeed = 1;
     Duration mOfferLifetime = std::chrono::seconds(5);
-    /// Utilization above which local traffic spills to other regions.
+    /// Utilization above which local traffic spills to other regions, and up
+    /// to which capacity is offered to them.
     double mSpillUtilization = 0.9;
+    /// Part of a link between regions that reservations may fill.
+    double mLinkUtilization = 0.9;
+    /// Longest time from a change of traffic to the reports that show it.
+    Duration mMeasurementLag = std::chrono::seconds(5);
+    /// Peers that get one announcement; more get theirs in later rounds.
+    std::size_t mAnnouncedPeers = 16;
   };
 
   OfferBook(Options aOptions, OfferBookHooks aHooks);
@@ -57,6 +46,15 @@
   double Reserved(const ServiceId& aService,
                   const RegionId& aRegion,
                   TimePoint aNow) const;
+  /// Whether the reservations in the region carry what shifts move there.
+  bool IsCovered(const ServiceId& aService,
+                 const RegionId& aRegion,
+                 TimePoint aNow) const;
+  /// Requests per second of this VM that other VMs have reserved.
+  double Granted(const ServiceId& aService, TimePoint aNow) const;
+  /// Part of this VM's fraction of the spare capacity that is reserved, for
+  /// ShareLedger::ReportUse.
+  double Use(const ServiceId& aService, TimePoint aNow) const;
 
   void Tick(TimePoint aNow, EffectList& aOut);
   void OnMessage(const VmIncarnation& aFrom,
@@ -73,8 +71,56 @@
                  EffectList& aOut);
 
 private:
+  struct MovedPart
+  {
+    RegionId mRegion;
+    double mPart = 0;
+    /// Requests owed to the region; one goes there at 1.
+    double mCredit = 0;
+  };
+
+  /// This VM's traffic of one service.
+  struct Traffic
+  {
+    std::uint64_t mArrivals = 0;
+    std::uint64_t mKeptLocal = 0;
+    /// Requests per second, smoothed.
+    double mRate = 0;
+    double mLocalRate = 0;
+    std::vector<MovedPart> mMoved;
+    /// Requests per second to spill, and that as a part of the traffic.
+    double mSpill = 0;
+    double mSpillPart = 0;
+    double mSpillCredit = 0;
+  };
+
+  void Measure(Traffic& aTraffic, double aSeconds);
+  void UpdateMoved(const ServiceId& aService,
+                   Traffic& aTraffic,
+                   TimePoint aNow);
+  void UpdateSpill(const ServiceId& aService,
+                   Traffic& aTraffic,
+                   TimePoint aNow);
+  void Announce(TimePoint aNow, EffectList& aOut);
+  bool TakeMoved(const ServiceId& aService,
+                 Traffic& aTraffic,
+                 TimePoint aNow,
+                 RegionId& aRegion);
+  bool TakeSpilled(const ServiceId& aService,
+                   Traffic& aTraffic,
+                   TimePoint aNow,
+                   RegionId& aRegion);
+
   Options mOptions;
   OfferBookHooks mHooks;
+  RegionLinks mLinks;
+  CapacityGrants mGrants;
+  CapacityReservations mReservations;
+  std::map<ServiceId, Traffic> mTraffic;
+  TimePoint mNextControl{};
+  TimePoint mLastControl{};
+  TimePoint mNextAnnouncement{};
+  std::size_t mNextPeer = 0;
 };
 
 } // namespace cranberrywing
--- a/src/include/cranberrywing/shifts.h
+++ b/src/include/cranberrywing/shifts.h
@@ -4,8 +4,7 @@
 #pragma once
 
 #include <functional>
-#include <map>
-#include <string>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -19,6 +18,8 @@
   /// Whether the target region is healthy and measured well enough for the
   /// service to take a further step.
   std::function<bool(const ServiceId&, const RegionId&, TimePoint)> mMayAdvance;
+  /// Peers of this VM's region, for learning how far shifts have come.
+  std::function<std::vector<VmId>()> mRegionPeers;
 };
 
 /// Not thread-safe; owned by the reducer.
@@ -41,9 +42,50 @@
   std::vector<std::pair<RegionId, double>> Moved(const ServiceId& aService,
                                                  TimePoint aNow) const;
 
+  /// Another VM of the region tells or asks how far a shift has come.
+  void OnMessage(const VmIncarnation& aFrom,
+                 const message::ShiftProgress& aMessage,
+                 TimePoint aNow,
+                 EffectList& aOut);
+
+  /// A shift as this VM carries it out, for reports.
+  struct Progress
+  {
+    ServiceId mService;
+    RegionId mTo;
+    double mMoved = 0;
+    double mTarget = 0;
+    /// Whether the operator or mMayAdvance holds it.
+    bool mIsHeld = false;
+  };
+  std::vector<Progress> Report() const;
+
 private:
+  struct Ramp
+  {
+    ServiceId mService;
+    RegionId mTo;
+    double mMoved = 0;
+    double mTarget = 0;
+    double mCapPerMinute = 0;
+    bool mPaused = false;
+    bool mIsHeld = false;
+    /// While set, the progress of the region's other VMs is awaited.
+    std::optional<TimePoint> mAwaitsPeersUntil;
+  };
+
+  Ramp& FindOrAdd(const ServiceId& aService, const ShiftSettings& aShift);
+  void Step(Ramp& aRamp, Duration aElapsed, TimePoint aNow, EffectList& aOut);
+  void SetHeld(Ramp& aRamp, bool aIsHeld, EffectList& aOut);
+  /// Part of the service's traffic that no ramp moves.
+  double Unmoved(const ServiceId& aService) const;
+  void AskPeers(Ramp& aRamp, TimePoint aNow, EffectList& aOut);
+
   Options mOptions;
   ShiftHooks mHooks;
+  std::vector<Ramp> mRamps;
+  bool mConfigured = false;
+  TimePoint mLastStep{};
 };
 
 } // namespace cranberrywing
--- /dev/null
+++ b/src/libcranberrywing/shifts.cpp
@@ -0,0 +1,228 @@
+#include "cranberrywing/shifts.h"
+
+#include <algorithm>
+#include <string>
+
+namespace cranberrywing {
+
+namespace {
+
+/// Time for which a VM that joins during a shift waits for its peers.
+constexpr Duration kPeerWait = std::chrono::seconds(3);
+/// Below this, parts count as equal.
+constexpr double kEpsilon = 1e-9;
+
+effect::RecordTimeline Entry(std::string aName,
+                             const ServiceId& aService,
+                             const RegionId& aTo,
+                             double aMoved)
+{
+  return { std::move(aName),
+           { { "service", aService.mName },
+             { "to", aTo.mName },
+             { "moved", std::to_string(aMoved) } } };
+}
+
+} // namespace
+
+ShiftController::ShiftController(Options aOptions, ShiftHooks aHooks)
+  : mOptions(std::move(aOptions))
+  , mHooks(std::move(aHooks))
+{
+}
+
+void ShiftController::Apply(const SettingsSnapshot& aSettings,
+                            TimePoint aNow,
+                            EffectList& aOut)
+{
+  // A shift that is no longer in the settings ramps back under its last cap.
+  for (Ramp& ramp : mRamps) {
+    ramp.mTarget = 0;
+    ramp.mPaused = false;
+  }
+  for (const auto& [id, service] : aSettings.mServices) {
+    for (const ShiftSettings& shift : service.mShifts) {
+      if (shift.mFrom != mOptions.mRegion || shift.mTo == shift.mFrom) {
+        continue;
+      }
+      const std::size_t known = mRamps.size();
+      Ramp& ramp = FindOrAdd(id, shift);
+      ramp.mTarget = std::clamp(shift.mTarget, 0.0, 1.0);
+      ramp.mCapPerMinute = std::max(0.0, shift.mCapPerMinute);
+      ramp.mPaused = shift.mPaused;
+      if (mRamps.size() > known) {
+        aOut.push_back(Entry("shift_started", id, shift.mTo, 0));
+        if (!mConfigured) {
+          AskPeers(ramp, aNow, aOut);
+        }
+      }
+    }
+  }
+  if (!mConfigured) {
+    mLastStep = aNow;
+  }
+  mConfigured = true;
+}
+
+ShiftController::Ramp& ShiftController::FindOrAdd(const ServiceId& aService,
+                                                  const ShiftSettings& aShift)
+{
+  const auto it =
+    std::find_if(mRamps.begin(), mRamps.end(), [&](const Ramp& aRamp) {
+      return aRamp.mService == aService && aRamp.mTo == aShift.mTo;
+    });
+  if (it != mRamps.end()) {
+    return *it;
+  }
+  Ramp& ramp = mRamps.emplace_back();
+  ramp.mService = aService;
+  ramp.mTo = aShift.mTo;
+  return ramp;
+}
+
+void ShiftController::AskPeers(Ramp& aRamp, TimePoint aNow, EffectList& aOut)
+{
+  if (!mHooks.mRegionPeers) {
+    return;
+  }
+  const std::vector<VmId> peers = mHooks.mRegionPeers();
+  aRamp.mAwaitsPeersUntil = aNow + kPeerWait;
+  for (const VmId& peer : peers) {
+    effect::SendMessage send;
+    send.mTo = peer;
+    send.mMessage =
+      message::ShiftProgress{ aRamp.mService, aRamp.mTo, 0, true };
+    aOut.push_back(std::move(send));
+  }
+}
+
+void ShiftController::Tick(TimePoint aNow, EffectList& aOut)
+{
+  if (aNow - mLastStep < mOptions.mStepInterval) {
+    return;
+  }
+  // A process that was paused does not catch up: that would break the cap.
+  const Duration elapsed =
+    std::min(aNow - mLastStep, 2 * mOptions.mStepInterval);
+  mLastStep = aNow;
+  for (Ramp& ramp : mRamps) {
+    Step(ramp, elapsed, aNow, aOut);
+  }
+  std::erase_if(mRamps, [](const Ramp& aRamp) {
+    return aRamp.mTarget <= 0 && aRamp.mMoved <= 0 && !aRamp.mAwaitsPeersUntil;
+  });
+}
+
+void ShiftController::Step(Ramp& aRamp,
+                           Duration aElapsed,
+                           TimePoint aNow,
+                           EffectList& aOut)
+{
+  if (aRamp.mAwaitsPeersUntil) {
+    if (aNow < *aRamp.mAwaitsPeersUntil) {
+      AskPeers(aRamp, aNow, aOut);
+      return;
+    }
+    aRamp.mAwaitsPeersUntil.reset();
+  }
+  const double distance = aRamp.mTarget - aRamp.mMoved;
+  if (std::abs(distance) < kEpsilon) {
+    return;
+  }
+  const bool isUp = distance > 0;
+  const bool mayAdvance = !isUp || !mHooks.mMayAdvance ||
+                          mHooks.mMayAdvance(aRamp.mService, aRamp.mTo, aNow);
+  SetHeld(aRamp, aRamp.mPaused || !mayAdvance, aOut);
+  if (aRamp.mIsHeld) {
+    return;
+  }
+  // The divisor is a minute and two intervals, so that no window of a minute,
+  // which may hold one step more than its length, exceeds the cap.
+  const Duration minute = std::chrono::minutes(1) + 2 * mOptions.mStepInterval;
+  const double most = aRamp.mCapPerMinute *
+                      static_cast<double>(aElapsed.count()) /
+                      static_cast<double>(minute.count());
+  double step = std::clamp(distance, -most, most);
+  step = std::min(step, Unmoved(aRamp.mService));
+  aRamp.mMoved += step;
+  if (std::abs(aRamp.mTarget - aRamp.mMoved) < kEpsilon) {
+    aRamp.mMoved = aRamp.mTarget;
+    aOut.push_back(
+      Entry("shift_reached", aRamp.mService, aRamp.mTo, aRamp.mMoved));
+  }
+}
+
+void ShiftController::SetHeld(Ramp& aRamp, bool aIsHeld, EffectList& aOut)
+{
+  if (aRamp.mIsHeld == aIsHeld) {
+    return;
+  }
+  aRamp.mIsHeld = aIsHeld;
+  aOut.push_back(Entry(aIsHeld ? "shift_held" : "shift_resumed",
+                       aRamp.mService,
+                       aRamp.mTo,
+                       aRamp.mMoved));
+}
+
+double ShiftController::Unmoved(const ServiceId& aService) const
+{
+  double unmoved = 1;
+  for (const Ramp& ramp : mRamps) {
+    unmoved -= ramp.mService == aService ? ramp.mMoved : 0;
+  }
+  return std::max(0.0, unmoved);
+}
+
+void ShiftController::OnMessage(const VmIncarnation& aFrom,
+                                const message::ShiftProgress& aMessage,
+                                TimePoint,
+                                EffectList& aOut)
+{
+  const auto it =
+    std::find_if(mRamps.begin(), mRamps.end(), [&](const Ramp& aRamp) {
+      return aRamp.mService == aMessage.mService && aRamp.mTo == aMessage.mTo;
+    });
+  if (it == mRamps.end()) {
+    return;
+  }
+  if (aMessage.mIsQuery) {
+    // A VM that waits for an answer itself has none to give.
+    if (!it->mAwaitsPeersUntil) {
+      effect::SendMessage send;
+      send.mTo = aFrom.mVm;
+      send.mMessage =
+        message::ShiftProgress{ it->mService, it->mTo, it->mMoved, false };
+      aOut.push_back(std::move(send));
+    }
+    return;
+  }
+  if (it->mAwaitsPeersUntil) {
+    it->mAwaitsPeersUntil.reset();
+    it->mMoved = std::clamp(aMessage.mMoved, 0.0, Unmoved(it->mService));
+  }
+}
+
+std::vector<std::pair<RegionId, double>> ShiftController::Moved(
+  const ServiceId& aService,
+  TimePoint) const
+{
+  std::vector<std::pair<RegionId, double>> moved;
+  for (const Ramp& ramp : mRamps) {
+    if (ramp.mService == aService && ramp.mMoved > 0) {
+      moved.emplace_back(ramp.mTo, ramp.mMoved);
+    }
+  }
+  return moved;
+}
+
+std::vector<ShiftController::Progress> ShiftController::Report() const
+{
+  std::vector<Progress> report;
+  for (const Ramp& ramp : mRamps) {
+    report.push_back(
+      { ramp.mService, ramp.mTo, ramp.mMoved, ramp.mTarget, ramp.mIsHeld });
+  }
+  return report;
+}
+
+} // namespace cranberrywing
