--- /dev/null
+++ b/src/netutil/endpoint.cpp
@@ -0,0 +1,70 @@
+#include "netutil/endpoint.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+
+namespace cranberrywing::netutil {
+
+namespace {
+
+tl::unexpected<Error> BadEndpoint(std::string_view aText)
+{
+  return MakeError(ResultCode::InvalidArgument,
+                   "'" + std::string(aText) +
+                     "' is not an address and port such as 127.0.0.1:7001");
+}
+
+} // namespace
+
+Result<Endpoint> ParseEndpoint(std::string_view aText)
+{
+  const std::size_t colon = aText.rfind(':');
+  if (colon == std::string_view::npos) {
+    return BadEndpoint(aText);
+  }
+  std::string_view host = aText.substr(0, colon);
+  if (host.starts_with('[') && host.ends_with(']')) {
+    host = host.substr(1, host.size() - 2);
+  }
+  boost::system::error_code ec;
+  const auto address = boost::asio::ip::make_address(std::string(host), ec);
+  if (ec) {
+    return BadEndpoint(aText);
+  }
+  const std::string_view digits = aText.substr(colon + 1);
+  std::uint16_t port = 0;
+  const auto [end, error] =
+    std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (error != std::errc() || end != digits.data() + digits.size()) {
+    return BadEndpoint(aText);
+  }
+  return Endpoint{ address.to_string(), port };
+}
+
+Result<std::vector<Endpoint>> ParseEndpoints(std::string_view aText)
+{
+  std::vector<Endpoint> endpoints;
+  while (!aText.empty()) {
+    const std::size_t comma = aText.find(',');
+    const auto endpoint = ParseEndpoint(aText.substr(0, comma));
+    if (!endpoint) {
+      return tl::unexpected(endpoint.error());
+    }
+    endpoints.push_back(*endpoint);
+    if (comma == std::string_view::npos) {
+      break;
+    }
+    aText.remove_prefix(comma + 1);
+  }
+  return endpoints;
+}
+
+std::string ToString(const Endpoint& aEndpoint)
+{
+  const bool isV6 = aEndpoint.mAddress.find(':') != std::string::npos;
+  const std::string host =
+    isV6 ? "[" + aEndpoint.mAddress + "]" : aEndpoint.mAddress;
+  return host + ":" + std::to_string(aEndpoint.mPort);
+}
+
+} // namespace cranberrywing::netutil
--- /dev/null
+++ b/src/netutil/http_client.cpp
@@ -0,0 +1,296 @@
+#include "netutil/http_client.h"
+
+#include <array>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include "netutil/headers.h"
+
+namespace cranberrywing::netutil {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t kReadBytes = 8 * 1024;
+constexpr std::size_t kBodyReadBytes = 64 * 1024;
+
+void AppendHeader(std::string& aHead, const Header& aHeader)
+{
+  aHead += aHeader.mName;
+  aHead += ": ";
+  aHead += aHeader.mValue;
+  aHead += "\r\n";
+}
+
+} // namespace
+
+std::string SerializeHead(const RequestContent& aRequest,
+                          const std::vector<Header>& aExtraHeaders,
+                          const Endpoint& aEndpoint)
+{
+  std::string head;
+  head.reserve(256);
+  head += aRequest.mMethod;
+  head += ' ';
+  head += aRequest.mTarget;
+  head += " HTTP/1.1\r\n";
+  if (!FindHeader(aRequest.mHeaders, "Host")) {
+    AppendHeader(head, { "Host", ToString(aEndpoint) });
+  }
+  for (const Header& header : aRequest.mHeaders) {
+    AppendHeader(head, header);
+  }
+  for (const Header& header : aExtraHeaders) {
+    AppendHeader(head, header);
+  }
+  AppendHeader(head,
+               { "Content-Length", std::to_string(aRequest.mBody.size()) });
+  head += "\r\n";
+  return head;
+}
+
+HttpClientConnection::HttpClientConnection(asio::io_context& aContext,
+                                           Endpoint aEndpoint,
+                                           HttpClientOptions aOptions)
+  : mEndpoint(std::move(aEndpoint))
+  , mOptions(aOptions)
+  , mSocket(aContext)
+  , mTimer(aContext)
+{
+}
+
+void HttpClientConnection::Start(RequestContentPtr aRequest,
+                                 std::vector<Header> aExtraHeaders,
+                                 Duration aTimeout,
+                                 ExchangeHandler aHandler)
+{
+  ++mExchange;
+  mIsActive = true;
+  mWasSent = false;
+  mIsSendComplete = false;
+  mHead = SerializeHead(*aRequest, aExtraHeaders, mEndpoint);
+  mRequest = std::move(aRequest);
+  mHandler = std::move(aHandler);
+  StartTimer(aTimeout);
+  if (mIsConnected) {
+    Send();
+  } else {
+    Connect();
+  }
+}
+
+void HttpClientConnection::StartTimer(Duration aTimeout)
+{
+  mTimer.expires_after(aTimeout);
+  mTimer.async_wait([self = shared_from_this(),
+                     exchange = mExchange](boost::system::error_code aError) {
+    if (!aError && self->mExchange == exchange && self->mIsActive) {
+      self->Fail(ExchangeFailureKind::Timeout, "no answer in time");
+    }
+  });
+}
+
+void HttpClientConnection::Connect()
+{
+  boost::system::error_code ec;
+  const auto address = asio::ip::make_address(mEndpoint.mAddress, ec);
+  const asio::ip::tcp::endpoint endpoint(address, mEndpoint.mPort);
+  mSocket.async_connect(endpoint,
+                        [self = shared_from_this(), exchange = mExchange](
+                          boost::system::error_code aError) {
+                          if (self->mExchange == exchange && self->mIsActive) {
+                            self->OnConnected(aError);
+                          }
+                        });
+}
+
+void HttpClientConnection::OnConnected(boost::system::error_code aError)
+{
+  if (aError) {
+    Fail(ExchangeFailureKind::Connect, aError.message());
+    return;
+  }
+  mIsConnected = true;
+  boost::system::error_code ec;
+  mSocket.set_option(asio::ip::tcp::no_delay(true), ec);
+  mSocket.non_blocking(true, ec);
+  Send();
+}
+
+void HttpClientConnection::Send()
+{
+  // From here on a byte may be on its way unless the write reports none.
+  mWasSent = true;
+  PrepareParser();
+  const std::array<asio::const_buffer, 2> buffers{
+    asio::buffer(mHead),
+    asio::buffer(mRequest->mBody),
+  };
+  asio::async_write(mSocket,
+                    buffers,
+                    [self = shared_from_this(), exchange = mExchange](
+                      boost::system::error_code aError, std::size_t aBytes) {
+                      if (self->mExchange == exchange && self->mIsActive) {
+                        self->OnSent(aError, aBytes);
+                      }
+                    });
+  Read();
+}
+
+void HttpClientConnection::OnSent(boost::system::error_code aError,
+                                  std::size_t aBytes)
+{
+  if (aError && aBytes == 0) {
+    mWasSent = false;
+    Fail(ExchangeFailureKind::Reset, aError.message());
+    return;
+  }
+  // After a partial write the answer may still tell why; the read ends the
+  // exchange.
+  mIsSendComplete = !aError;
+}
+
+void HttpClientConnection::PrepareParser()
+{
+  mParser.emplace();
+  mParser->eager(true);
+  mParser->header_limit(mOptions.mHeaderBytes);
+  mParser->body_limit(mOptions.mBodyBytes);
+  mParser->skip(mRequest->mMethod == "HEAD");
+}
+
+void HttpClientConnection::Read()
+{
+  const bool isInBody = mParser->is_header_done();
+  mSocket.async_read_some(
+    mBuffer.prepare(isInBody ? kBodyReadBytes : kReadBytes),
+    [self = shared_from_this(), exchange = mExchange](
+      boost::system::error_code aError, std::size_t aBytes) {
+      if (self->mExchange == exchange && self->mIsActive) {
+        self->OnRead(aError, aBytes);
+      }
+    });
+}
+
+void HttpClientConnection::OnRead(boost::system::error_code aError,
+                                  std::size_t aBytes)
+{
+  if (aError) {
+    const bool isUnbounded = mParser->is_header_done() && mParser->need_eof();
+    Fail(isUnbounded ? ExchangeFailureKind::Malformed
+                     : ExchangeFailureKind::Reset,
+         aError.message());
+    return;
+  }
+  mBuffer.commit(aBytes);
+  if (Parse()) {
+    Read();
+  }
+}
+
+bool HttpClientConnection::Parse()
+{
+  while (mBuffer.size() > 0) {
+    boost::system::error_code ec;
+    mBuffer.consume(mParser->put(mBuffer.data(), ec));
+    if (ec == http::error::need_more) {
+      return true;
+    }
+    if (ec) {
+      Fail(ExchangeFailureKind::Malformed, ec.message());
+      return false;
+    }
+    if (!mParser->is_done()) {
+      continue;
+    }
+    const unsigned status = mParser->get().result_int();
+    if (status == 101) {
+      Fail(ExchangeFailureKind::Malformed, "unasked switch of protocols");
+      return false;
+    }
+    if (status >= 200) {
+      OnAnswerRead();
+      return false;
+    }
+    PrepareParser();
+  }
+  // Bytes of a body without length end with the connection, which a failing
+  // server does as well; there is nothing to check.
+  if (mParser->is_header_done() && mParser->need_eof()) {
+    Fail(ExchangeFailureKind::Malformed, "answer without length");
+    return false;
+  }
+  return true;
+}
+
+void HttpClientConnection::OnAnswerRead()
+{
+  auto& message = mParser->get();
+  AnswerContent answer;
+  answer.mStatus = message.result_int();
+  for (const auto& field : message) {
+    const auto name = field.name_string();
+    const auto value = field.value();
+    answer.mHeaders.push_back(
+      { { name.data(), name.size() }, { value.data(), value.size() } });
+  }
+  answer.mBody = std::move(message.body());
+  mIsKeepAlive = message.keep_alive() && mIsSendComplete && mBuffer.size() == 0;
+  Finish(std::move(answer));
+}
+
+void HttpClientConnection::Fail(ExchangeFailureKind aKind, std::string aDetail)
+{
+  mIsKeepAlive = false;
+  Finish(tl::unexpected(ExchangeFailure{
+    .mKind = aKind,
+    .mWasSent = mWasSent,
+    .mDetail = std::move(aDetail),
+  }));
+}
+
+void HttpClientConnection::Finish(ExchangeResult aResult)
+{
+  mIsActive = false;
+  mTimer.cancel();
+  mParser.reset();
+  mRequest.reset();
+  const ExchangeHandler handler = std::move(mHandler);
+  mHandler = nullptr;
+  if (!mIsKeepAlive) {
+    Close();
+  }
+  if (handler) {
+    handler(std::move(aResult));
+  }
+}
+
+void HttpClientConnection::Close()
+{
+  mIsActive = false;
+  mIsConnected = false;
+  mIsKeepAlive = false;
+  mHandler = nullptr;
+  mTimer.cancel();
+  boost::system::error_code ec;
+  mSocket.close(ec);
+}
+
+bool HttpClientConnection::IsReusable()
+{
+  if (!mIsConnected || mIsActive || !mIsKeepAlive) {
+    return false;
+  }
+  // An idle connection has nothing to read; readable means closed or out of
+  // step.
+  char byte = 0;
+  boost::system::error_code ec;
+  mSocket.receive(
+    asio::buffer(&byte, 1), asio::ip::tcp::socket::message_peek, ec);
+  return ec == asio::error::would_block || ec == asio::error::try_again;
+}
+
+} // namespace cranberrywing::netutil
--- /dev/null
+++ b/src/netutil/http_pool.cpp
@@ -0,0 +1,125 @@
+#include "netutil/http_pool.h"
+
+namespace cranberrywing::netutil {
+
+namespace {
+
+constexpr std::chrono::seconds kSweepInterval{ 1 };
+
+} // namespace
+
+HttpClientPool::HttpClientPool(boost::asio::io_context& aContext,
+                               Options aOptions)
+  : mContext(aContext)
+  , mOptions(aOptions)
+  , mSweepTimer(aContext)
+{
+  Sweep();
+}
+
+HttpClientPool::~HttpClientPool()
+{
+  *mIsAlive = false;
+  for (auto& [endpoint, idle] : mIdle) {
+    for (Idle& entry : idle) {
+      entry.mConnection->Close();
+    }
+  }
+}
+
+HttpClientConnectionPtr HttpClientPool::Start(const Endpoint& aEndpoint,
+                                              RequestContentPtr aRequest,
+                                              std::vector<Header> aExtraHeaders,
+                                              Duration aTimeout,
+                                              ExchangeHandler aHandler)
+{
+  HttpClientConnectionPtr connection = Take(aEndpoint);
+  // The connection owns the handler, so a strong reference from the handler
+  // would keep both for ever.
+  const std::weak_ptr<HttpClientConnection> weak = connection;
+  connection->Start(
+    std::move(aRequest),
+    std::move(aExtraHeaders),
+    aTimeout,
+    [this, alive = mIsAlive, weak, handler = std::move(aHandler)](
+      ExchangeResult aResult) {
+      const HttpClientConnectionPtr self = weak.lock();
+      if (*alive && self) {
+        Return(self);
+      }
+      handler(std::move(aResult));
+    });
+  return connection;
+}
+
+HttpClientConnectionPtr HttpClientPool::Take(const Endpoint& aEndpoint)
+{
+  std::vector<Idle>& idle = mIdle[aEndpoint];
+  while (!idle.empty()) {
+    const HttpClientConnectionPtr connection =
+      std::move(idle.back().mConnection);
+    idle.pop_back();
+    if (connection->IsReusable()) {
+      return connection;
+    }
+    connection->Close();
+  }
+  return std::make_shared<HttpClientConnection>(
+    mContext, aEndpoint, mOptions.mClient);
+}
+
+void HttpClientPool::Return(const HttpClientConnectionPtr& aConnection)
+{
+  if (!aConnection->IsReusable()) {
+    aConnection->Close();
+    return;
+  }
+  std::vector<Idle>& idle = mIdle[aConnection->Peer()];
+  if (idle.size() >= mOptions.mIdleLimit) {
+    aConnection->Close();
+    return;
+  }
+  idle.push_back({ aConnection, std::chrono::steady_clock::now() });
+}
+
+void HttpClientPool::CloseIdle(const Endpoint& aEndpoint)
+{
+  const auto it = mIdle.find(aEndpoint);
+  if (it == mIdle.end()) {
+    return;
+  }
+  for (Idle& entry : it->second) {
+    entry.mConnection->Close();
+  }
+  mIdle.erase(it);
+}
+
+std::size_t HttpClientPool::IdleCount(const Endpoint& aEndpoint) const
+{
+  const auto it = mIdle.find(aEndpoint);
+  return it == mIdle.end() ? 0 : it->second.size();
+}
+
+void HttpClientPool::Sweep()
+{
+  const auto limit = std::chrono::steady_clock::now() - mOptions.mIdleTime;
+  for (auto& [endpoint, idle] : mIdle) {
+    std::erase_if(idle, [limit](Idle& aEntry) {
+      if (aEntry.mSince >= limit) {
+        return false;
+      }
+      aEntry.mConnection->Close();
+      return true;
+    });
+  }
+  std::erase_if(mIdle,
+                [](const auto& aEntry) { return aEntry.second.empty(); });
+  mSweepTimer.expires_after(kSweepInterval);
+  mSweepTimer.async_wait([this](boost::system::error_code aError) {
+    if (!aError) {
+      Sweep();
+    }
+  });
+}
+
+} // namespace cranberrywing::netutil
--- /dev/null
+++ b/src/netutil/http_server.cpp
@@ -0,0 +1,218 @@
+#include "netutil/http_server.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include "netutil/http_session.h"
+
+namespace cranberrywing::netutil {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr Milliseconds kSweepInterval{ 100 };
+/// Wait after a failed accept, which mostly means that no file descriptor
+/// is free.
+constexpr Milliseconds kAcceptPause{ 100 };
+
+} // namespace
+
+HttpServer::HttpServer(asio::io_context& aContext,
+                       HttpServerOptions aOptions,
+                       HttpServerHooks aHooks)
+  : mContext(aContext)
+  , mOptions(std::move(aOptions))
+  , mHooks(std::move(aHooks))
+  , mAcceptor(aContext)
+  , mSweepTimer(aContext)
+  , mAcceptTimer(aContext)
+  , mNow(std::chrono::steady_clock::now())
+{
+}
+
+HttpServer::~HttpServer()
+{
+  for (auto& [id, session] : mSessions) {
+    session->Detach();
+  }
+}
+
+Result<void> HttpServer::Listen(const Endpoint& aEndpoint)
+{
+  boost::system::error_code ec;
+  const auto address = asio::ip::make_address(aEndpoint.mAddress, ec);
+  const tcp::endpoint endpoint(address, aEndpoint.mPort);
+  if (!ec) {
+    mAcceptor.open(endpoint.protocol(), ec);
+  }
+  if (!ec) {
+    mAcceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  }
+  if (!ec) {
+    mAcceptor.bind(endpoint, ec);
+  }
+  if (!ec) {
+    mAcceptor.listen(asio::socket_base::max_listen_connections, ec);
+  }
+  if (ec) {
+    return MakeError(ResultCode::InvalidArgument,
+                     "cannot listen on " + ToString(aEndpoint) + ": " +
+                       ec.message());
+  }
+  Accept();
+  Sweep();
+  return {};
+}
+
+std::uint16_t HttpServer::Port() const
+{
+  boost::system::error_code ec;
+  return mAcceptor.local_endpoint(ec).port();
+}
+
+void HttpServer::StopAccepting()
+{
+  boost::system::error_code ec;
+  mAcceptor.close(ec);
+}
+
+void HttpServer::Accept()
+{
+  mAcceptor.async_accept(
+    [this](boost::system::error_code aError, tcp::socket aSocket) {
+      if (aError == asio::error::operation_aborted || !mAcceptor.is_open()) {
+        return;
+      }
+      if (aError) {
+        PauseAccepting();
+        return;
+      }
+      OnAccepted(std::move(aSocket));
+    });
+}
+
+void HttpServer::OnAccepted(tcp::socket aSocket)
+{
+  boost::system::error_code ec;
+  aSocket.set_option(tcp::no_delay(true), ec);
+  const ConnectionId id{ mNextConnection++ };
+  const auto session =
+    std::make_shared<HttpSession>(*this, std::move(aSocket), id);
+  mSessions.emplace(id, session);
+  session->Start();
+  if (mSessions.size() >= mOptions.mConnections) {
+    mIsAcceptPaused = true;
+    return;
+  }
+  Accept();
+}
+
+void HttpServer::PauseAccepting()
+{
+  mAcceptTimer.expires_after(kAcceptPause);
+  mAcceptTimer.async_wait([this](boost::system::error_code aError) {
+    if (!aError && mAcceptor.is_open()) {
+      Accept();
+    }
+  });
+}
+
+void HttpServer::Sweep()
+{
+  mNow = std::chrono::steady_clock::now();
+  std::vector<SessionPtr> sessions;
+  sessions.reserve(mSessions.size());
+  for (const auto& [id, session] : mSessions) {
+    sessions.push_back(session);
+  }
+  for (const SessionPtr& session : sessions) {
+    session->CheckLimits();
+  }
+  mSweepTimer.expires_after(kSweepInterval);
+  mSweepTimer.async_wait([this](boost::system::error_code aError) {
+    if (!aError) {
+      Sweep();
+    }
+  });
+}
+
+void HttpServer::OnEnded(ConnectionId aConnection)
+{
+  mSessions.erase(aConnection);
+  if (mIsAcceptPaused && mAcceptor.is_open()) {
+    mIsAcceptPaused = false;
+    Accept();
+  }
+}
+
+HttpServer::SessionPtr HttpServer::Find(ConnectionId aConnection) const
+{
+  const auto it = mSessions.find(aConnection);
+  return it == mSessions.end() ? nullptr : it->second;
+}
+
+void HttpServer::Answer(const ExchangeId& aExchange,
+                        AnswerContentPtr aAnswer,
+                        const AnswerOptions& aOptions)
+{
+  if (const SessionPtr session = Find(aExchange.mConnection)) {
+    session->Answer(aExchange.mNumber, std::move(aAnswer), aOptions);
+  }
+}
+
+void HttpServer::StartStream(const ExchangeId& aExchange,
+                             const AnswerContent& aHead)
+{
+  if (const SessionPtr session = Find(aExchange.mConnection)) {
+    session->StartStream(aExchange.mNumber, aHead);
+  }
+}
+
+void HttpServer::WriteChunk(const ExchangeId& aExchange,
+                            std::string_view aBytes)
+{
+  if (const SessionPtr session = Find(aExchange.mConnection)) {
+    session->WriteChunk(aExchange.mNumber, aBytes);
+  }
+}
+
+void HttpServer::EndStream(const ExchangeId& aExchange)
+{
+  if (const SessionPtr session = Find(aExchange.mConnection)) {
+    session->EndStream(aExchange.mNumber);
+  }
+}
+
+void HttpServer::CloseAfterAnswers(ConnectionId aConnection)
+{
+  if (const SessionPtr session = Find(aConnection)) {
+    session->CloseAfterAnswers();
+  }
+}
+
+void HttpServer::Abort(ConnectionId aConnection)
+{
+  if (const SessionPtr session = Find(aConnection)) {
+    session->Abort();
+  }
+}
+
+void HttpServer::AbortAll()
+{
+  std::vector<SessionPtr> sessions;
+  for (const auto& [id, session] : mSessions) {
+    sessions.push_back(session);
+  }
+  for (const SessionPtr& session : sessions) {
+    session->Abort();
+  }
+}
+
+std::string HttpServer::RemoteAddress(ConnectionId aConnection) const
+{
+  const SessionPtr session = Find(aConnection);
+  return session ? session->RemoteAddress() : std::string();
+}
+
+} // namespace cranberrywing::netutil
--- /dev/null
+++ b/src/netutil/json.cpp
@@ -0,0 +1,93 @@
+#include "netutil/json.h"
+
+#include <boost/json/parse.hpp>
+#include <charconv>
+
+namespace cranberrywing::netutil {
+
+namespace json = boost::json;
+
+namespace {
+
+std::optional<std::int64_t> ParseInteger(std::string_view aText)
+{
+  std::int64_t number = 0;
+  const char* const last = aText.data() + aText.size();
+  const auto [end, error] = std::from_chars(aText.data(), last, number);
+  if (error != std::errc() || end != last) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+} // namespace
+
+Result<json::object> ParseObject(std::string_view aText)
+{
+  boost::system::error_code ec;
+  json::value value = json::parse(aText, ec);
+  if (ec) {
+    return MakeError(ResultCode::Malformed, "not JSON: " + ec.message());
+  }
+  if (!value.is_object()) {
+    return MakeError(ResultCode::Malformed, "not a JSON object");
+  }
+  return std::move(value.get_object());
+}
+
+const json::object* FindObject(const json::object& aObject,
+                               std::string_view aName)
+{
+  const json::value* value = aObject.if_contains(aName);
+  return value ? value->if_object() : nullptr;
+}
+
+const json::array* FindArray(const json::object& aObject,
+                             std::string_view aName)
+{
+  const json::value* value = aObject.if_contains(aName);
+  return value ? value->if_array() : nullptr;
+}
+
+std::string FindString(const json::object& aObject, std::string_view aName)
+{
+  const json::value* value = aObject.if_contains(aName);
+  if (!value || !value->is_string()) {
+    return {};
+  }
+  return std::string(value->get_string());
+}
+
+std::optional<std::int64_t> FindInteger(const json::object& aObject,
+                                        std::string_view aName)
+{
+  const json::value* value = aObject.if_contains(aName);
+  if (!value) {
+    return std::nullopt;
+  }
+  if (value->is_int64()) {
+    return value->get_int64();
+  }
+  if (value->is_string()) {
+    return ParseInteger(std::string_view(value->get_string()));
+  }
+  return std::nullopt;
+}
+
+std::optional<double> FindNumber(const json::object& aObject,
+                                 std::string_view aName)
+{
+  const json::value* value = aObject.if_contains(aName);
+  if (!value || !value->is_number()) {
+    return std::nullopt;
+  }
+  return value->to_number<double>();
+}
+
+bool FindBool(const json::object& aObject, std::string_view aName)
+{
+  const json::value* value = aObject.if_contains(aName);
+  return value && value->is_bool() && value->get_bool();
+}
+
+} // namespace cranberrywing::netutil
