--- a/src/libcranberrywing/reducer.cpp
+++ b/src/libcranberrywing/reducer.cpp
@@ -229,6 +229,11 @@
   {
     Pass(mState.mOffers, aFrom, aMessage);
   }
+  void OnMessage(const VmIncarnation& aFrom,
+                 const message::ShiftProgress& aMessage)
+  {
+    Pass(mState.mShifts, aFrom, aMessage);
+  }
   void OnMessage(const VmIncarnation& aFrom,
                  const message::ForwardedRequest& aMessage)
   {
--- a/src/libcranberrywing/reducer_hooks.cpp
+++ b/src/libcranberrywing/reducer_hooks.cpp
@@ -280,6 +280,7 @@
             .has_value();
         return isMeasured && mHealth.Capacity(aService, aRegion, aNow) > 0;
       },
+    .mRegionPeers = [this] { return RegionPeers(); },
   };
 }
 
--- a/src/libcranberrywing/reducer_state.h
+++ b/src/libcranberrywing/reducer_state.h
@@ -55,6 +55,7 @@
   std::optional<VmId> CopyHolder(std::uint32_t aSlot) const;
   std::vector<VmId> RatePeers(const AccountId& aAccount);
   std::vector<VmId> OtherRegionPeers();
+  std::vector<VmId> RegionPeers() const;
 
   Options mOptions;
   TimePoint mNow{};
