--- a/src/include/cranberrywing/executions.h
+++ b/src/include/cranberrywing/executions.h
@@ -3,18 +3,24 @@
 /// and the answers kept for repeats (design 3.4).
 #pragma once
 
+#include <boost/unordered/unordered_flat_map.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
+#include <queue>
+#include <random>
 #include <string>
 #include <unordered_map>
-#include <variant>
 #include <vector>
 
+#include "cranberrywing/answer_store.h"
+#include "cranberrywing/claim_log.h"
 #include "cranberrywing/effect.h"
 #include "cranberrywing/event.h"
 #include "cranberrywing/slots.h"
+#include "cranberrywing/ticket.h"
+#include "cranberrywing/wall_clock.h"
 
 namespace cranberrywing {
 
@@ -66,6 +72,24 @@
   std::function<std::int64_t()> mWallSeconds;
 };
 
+/// Counters since the start, for metrics and reports.
+struct ExecutionCounters
+{
+  std::uint64_t mClaims = 0;
+  /// Transactions that carried claims, counting repeated ones.
+  std::uint64_t mCommits = 0;
+  std::uint64_t mFenceRefusals = 0;
+  std::uint64_t mTicketsIssued = 0;
+  std::uint64_t mTicketsRun = 0;
+  /// Repeats that were given a kept answer.
+  std::uint64_t mReplayed = 0;
+  std::uint64_t mUnknown = 0;
+  std::uint64_t mCopiesAcknowledged = 0;
+  std::uint64_t mCopiesMissed = 0;
+  std::uint64_t mHandoversSent = 0;
+  std::uint64_t mHandoversTaken = 0;
+};
+
 /// Not thread-safe; owned by the reducer.
 class Executions
 {
@@ -80,6 +104,13 @@
     /// Most bytes of kept answers; the oldest are dropped first, after which
     /// a repeat is told Completed without the answer.
     std::size_t mKeptBytes = 32u << 20;
+    /// A store call without a reply counts as lost after this time.
+    Duration mCallTimeout = std::chrono::seconds(5);
+    /// Wait for the predecessor's message after a planned handover.
+    Duration mHandoverWait = std::chrono::seconds(1);
+    /// Wait for copies from peers after a takeover, before a repeat of an
+    /// execution without an answer is told Unknown.
+    Duration mCopyQueryWait = std::chrono::milliseconds(500);
   };
 
   /// Precondition: aSlots outlives this object.
@@ -92,7 +123,9 @@
   Result<ExecutionPlace> Locate(const ExecutionRequest& aRequest) const;
 
   /// Starts a request whose slot this process owns. Its decision comes from
-  /// TakeDecisions, at once or after a claim was committed.
+  /// TakeDecisions, at once or after a claim was committed. A refusal with
+  /// NotOwner means that the slot has moved and this request did not run
+  /// here: it may be forwarded to the new owner.
   void Begin(const ExecutionRequest& aRequest,
              TimePoint aNow,
              EffectList& aOut);
@@ -154,10 +187,313 @@
   /// Stops running requests of the slot and returns its state for handover.
   message::SlotHandover Freeze(std::uint32_t aSlot, std::uint64_t aEpoch);
 
+  const ExecutionCounters& Counters() const { return mCounters; }
+  /// Whether the slot's claims are loaded, so that new ones can be taken.
+  bool IsLoaded(std::uint32_t aSlot) const;
+  /// Executions known of the slots owned here.
+  std::size_t RecordCount() const;
+  const AnswerStore& Answers() const { return mAnswers; }
+
 private:
+  using Outcome = message::ExecutionOutcome;
+
+  /// An execution that is neither waiting nor running. One that runs has
+  /// Unknown here, which is what becomes of it if this process ends.
+  struct Record
+  {
+    ContentDigest mContent;
+    std::uint32_t mExpirySeconds = 0;
+    Outcome mOutcome = Outcome::Unknown;
+    bool mIsTicket = false;
+  };
+
+  using RecordTable =
+    boost::unordered_flat_map<ExecutionId, Record, ExecutionIdHash>;
+
+  /// A request with its execution, located.
+  struct Attempt
+  {
+    ExecutionRequest mRequest;
+    std::uint32_t mSlot = 0;
+    ExecutionId mExecution;
+    std::optional<TicketFields> mTicket;
+  };
+
+  struct SlotState
+  {
+    std::uint64_t mEpoch = 0;
+    bool mIsLoaded = false;
+    bool mIsFrozen = false;
+    /// A commit was refused by the fence; the loss is yet to be read.
+    bool mIsFenced = false;
+    bool mAwaitsHandover = false;
+    bool mHasAdopted = false;
+    TimePoint mHandoverUntil{};
+    TimePoint mCopiesUntil{};
+    std::vector<std::uint64_t> mInheritedEpochs;
+    RecordTable mRecords;
+    ClaimLog mLog;
+    std::uint64_t mNextBatch = 1;
+    std::uint64_t mNextTicket = 1;
+    /// Claims for the next commit.
+    std::vector<ExecutionId> mPending;
+    /// Requests that wait for loading, for a handover or for copies.
+    std::vector<Attempt> mWaiting;
+    std::string mLoadFrom;
+    TimePoint mLoadRetry{};
+    bool mIsReading = false;
+  };
+
+  enum class Phase : std::uint8_t
+  {
+    Committing,
+    Running,
+    /// Finished; the answer's copy is on its way.
+    Copying,
+  };
+
+  struct Waiter
+  {
+    RequestId mRequest{};
+    TimePoint mDeadline{};
+  };
+
+  /// An execution that is being claimed, runs, or waits for its copy.
+  struct Active
+  {
+    std::uint32_t mSlot = 0;
+    std::uint64_t mEpoch = 0;
+    ContentDigest mContent;
+    Phase mPhase = Phase::Committing;
+    RequestId mRunner{};
+    std::vector<Waiter> mWaiters;
+    AnswerContentPtr mAnswer;
+    std::uint64_t mCopyNumber = 0;
+    TimePoint mCopyUntil{};
+  };
+
+  /// Where a request waits: in a slot's queue or for an execution.
+  struct WaitingPlace
+  {
+    std::uint32_t mSlot = 0;
+    std::optional<ExecutionId> mExecution;
+  };
+
+  struct Deadline
+  {
+    TimePoint mTime{};
+    RequestId mRequest{};
+
+    auto operator<=>(const Deadline&) const = default;
+  };
+
+  struct BatchPart
+  {
+    std::uint32_t mSlot = 0;
+    std::uint64_t mEpoch = 0;
+    std::string mKey;
+    ClaimBatch mBatch;
+  };
+
+  /// One commit. Repeated unchanged until its outcome is certain.
+  struct CommitGroup
+  {
+    std::vector<BatchPart> mParts;
+    std::uint32_t mMergeSlot = 0;
+    std::uint64_t mMergeEpoch = 0;
+    std::string mMergeKey;
+    ClaimBatch mMergeBatch;
+    std::vector<std::string> mMergedKeys;
+    StoreTxn mTxn;
+    bool mIsInFlight = false;
+    /// An earlier sending may have taken effect.
+    bool mIsUncertain = false;
+    TimePoint mRetry{};
+  };
+
+  struct Departing
+  {
+    SlotState mState;
+    VmId mSuccessor;
+    int mSendsLeft = 0;
+    TimePoint mNextSend{};
+  };
+
+  enum class Call : std::uint8_t
+  {
+    Commit,
+    ReadBack,
+    Load,
+    Clean,
+  };
+
+  struct PendingCall
+  {
+    Call mCall = Call::Commit;
+    std::uint32_t mSlot = 0;
+    std::uint64_t mEpoch = 0;
+    TimePoint mSentAt{};
+    std::vector<std::string> mKeys;
+  };
+
+  // executions.cpp
+  Result<Attempt> LocateAttempt(const ExecutionRequest& aRequest) const;
+  void Start(Attempt aAttempt, TimePoint aNow, EffectList& aOut);
+  void StartClaim(SlotState& aSlot,
+                  const Attempt& aAttempt,
+                  TimePoint aNow,
+                  EffectList& aOut);
+  void Queue(SlotState& aSlot, Attempt aAttempt);
+  void Join(Active& aActive, const Attempt& aAttempt);
+  void Repeat(SlotState& aSlot,
+              Record& aRecord,
+              const Attempt& aAttempt,
+              TimePoint aNow);
+  void Run(SlotState& aSlot, const Attempt& aAttempt);
+  bool AcceptsNew(const SlotState& aSlot, std::uint32_t aNumber) const;
+  void WaitAgain(TimePoint aNow, EffectList& aOut);
+  void RestartQueue(SlotState& aSlot, TimePoint aNow, EffectList& aOut);
+  SlotState* FindState(std::uint32_t aSlot, std::uint64_t aEpoch);
+  void Send(PendingCall aCall, StoreTxn aTxn, TimePoint aNow, EffectList& aOut);
+  void DropLostCalls(TimePoint aNow, EffectList& aOut);
+  void OnReply(const PendingCall& aCall,
+               const Result<StoreReply>& aReply,
+               TimePoint aNow,
+               EffectList& aOut);
+
+  // executions_outcomes.cpp
+  void Refuse(RequestId aRequest, Refusal aRefusal);
+  void DecideAnswer(RequestId aRequest, AnswerContentPtr aAnswer);
+  void RefuseAll(const Active& aActive, const Refusal& aRefusal);
+  void RefuseKnown(RequestId aRequest, Outcome aOutcome);
+  void ExpireWaiters(TimePoint aNow);
+  void ExpireWaiter(RequestId aRequest);
+  void RemoveWaiter(const WaitingPlace& aPlace, RequestId aRequest);
+  void SetOutcome(const Active& aActive,
+                  const ExecutionId& aExecution,
+                  Outcome aOutcome);
+  void ReleaseAnswer(const ExecutionId& aExecution);
+
+  // executions_claims.cpp
+  void TryCommit(TimePoint aNow, EffectList& aOut);
+  bool TakeCommitToken(TimePoint aNow);
+  CommitGroup BuildGroup();
+  bool AddPart(CommitGroup& aGroup, std::uint32_t aNumber, SlotState& aSlot);
+  void AddMerge(CommitGroup& aGroup, std::uint32_t aNumber, SlotState& aSlot);
+  void AddPut(StoreTxn& aTxn,
+              const std::string& aKey,
+              const ClaimBatch& aBatch);
+  std::string BatchKey(std::uint32_t aSlot,
+                       std::uint64_t aEpoch,
+                       std::uint64_t aNumber) const;
+  std::string SlotPrefix(std::uint32_t aSlot) const;
+  void SendGroup(TimePoint aNow, EffectList& aOut);
+  void ReadBack(TimePoint aNow, EffectList& aOut);
+  void OnCommitReply(const Result<StoreReply>& aReply,
+                     TimePoint aNow,
+                     EffectList& aOut);
+  void OnReadBackReply(const Result<StoreReply>& aReply,
+                       TimePoint aNow,
+                       EffectList& aOut);
+  void CompleteGroup(TimePoint aNow);
+  void CompleteClaim(SlotState& aSlot,
+                     const BatchPart& aPart,
+                     const Claim& aClaim,
+                     TimePoint aNow);
+  void AbandonGroup();
+
+  // executions_load.cpp
+  void ContinueLoad(std::uint32_t aNumber,
+                    SlotState& aSlot,
+                    TimePoint aNow,
+                    EffectList& aOut);
+  void OnLoadReply(const PendingCall& aCall,
+                   const Result<StoreReply>& aReply,
+                   TimePoint aNow,
+                   EffectList& aOut);
+  bool LoadEntry(SlotState& aSlot, const StoreEntry& aEntry);
+  void Clean(TimePoint aNow, EffectList& aOut);
+  void PruneNextSlot();
+  void OnCleanReply(const PendingCall& aCall, const Result<StoreReply>& aReply);
+
+  // executions_tickets.cpp
+  void StartTicket(SlotState& aSlot,
+                   Attempt aAttempt,
+                   TimePoint aNow,
+                   EffectList& aOut);
+  bool OwnsEpoch(const SlotState& aSlot, std::uint64_t aEpoch) const;
+  void StartUnseenTicket(SlotState& aSlot, Attempt aAttempt);
+  void StartForeignTicket(SlotState& aSlot, Attempt aAttempt, TimePoint aNow);
+
+  // executions_answers.cpp
+  void SendCopy(const ExecutionId& aExecution,
+                Active& aActive,
+                TimePoint aNow,
+                EffectList& aOut);
+  std::optional<VmId> CopyTarget(const Active& aActive) const;
+  void ReleaseCopied(TimePoint aNow);
+  void QueryCopies(std::uint32_t aSlot, EffectList& aOut) const;
+
+  // executions_handover.cpp
+  message::SlotHandover BuildHandover(std::uint32_t aNumber,
+                                      const SlotState& aSlot) const;
+  void AddAnswers(std::uint32_t aNumber,
+                  message::SlotHandover& aMessage,
+                  std::vector<ExecutionId>& aRest) const;
+  bool HasActive(std::uint32_t aSlot, std::uint64_t aEpoch) const;
+  void TickHandover(TimePoint aNow, EffectList& aOut);
+  void SendHandover(std::uint32_t aNumber,
+                    Departing& aDeparting,
+                    TimePoint aNow,
+                    EffectList& aOut);
+  void Adopt(std::uint32_t aNumber,
+             SlotState& aSlot,
+             const message::SlotHandover& aMessage,
+             TimePoint aNow,
+             EffectList& aOut);
+  void AdoptRecord(SlotState& aSlot, const message::ExecutionRecord& aRecord);
+  void RefuseSlot(std::uint32_t aNumber, SlotState& aSlot, bool aIsPlanned);
+
   Options mOptions;
   ExecutionsHooks mHooks;
   SlotTable& mSlots;
+  TicketSigner mSigner;
+  WallClock mWall;
+  std::mt19937_64 mRandom;
+
+  Duration mRetention = std::chrono::hours(24);
+  Duration mTicketLifetime = std::chrono::minutes(10);
+  Duration mCommitInterval = std::chrono::milliseconds(100);
+
+  std::map<std::uint32_t, SlotState> mOwned;
+  std::map<std::uint32_t, Departing> mDeparting;
+  /// Handovers that arrived before the store's record of the new owner.
+  std::map<std::uint32_t, message::SlotHandover> mEarlyHandovers;
+  std::unordered_map<ExecutionId, Active, ExecutionIdHash> mActive;
+  std::unordered_map<RequestId, WaitingPlace> mRequests;
+  std::unordered_map<RequestId, ExecutionId> mRunners;
+  std::priority_queue<Deadline, std::vector<Deadline>, std::greater<>>
+    mDeadlines;
+  std::vector<ExecutionDecision> mDecisions;
+
+  std::optional<CommitGroup> mGroup;
+  double mCommitTokens = 0;
+  TimePoint mTokensAt{};
+  TimePoint mCommitRetry{};
+  std::uint32_t mNextCommitSlot = 0;
+  std::uint64_t mNextCall = 1;
+  std::map<std::uint64_t, PendingCall> mCalls;
+
+  AnswerStore mAnswers;
+  std::uint64_t mNextCopy = 1;
+  std::map<std::uint64_t, ExecutionId> mCopies;
+
+  TimePoint mNextRestart{};
+  TimePoint mNextClean{};
+  TimePoint mNextPrune{};
+  std::uint32_t mPruneSlot = 0;
+  std::uint32_t mTicketSlot = 0;
+  ExecutionCounters mCounters;
 };
 
 } // namespace cranberrywing
--- a/src/include/cranberrywing/messages/execution.h
+++ b/src/include/cranberrywing/messages/execution.h
@@ -129,18 +129,30 @@
   }
 };
 
-/// One execution as it is handed over or recorded.
+/// What is known of an execution that is neither waiting nor running.
+enum class ExecutionOutcome : std::uint8_t
+{
+  /// It may have run and will not run again.
+  Unknown,
+  Completed,
+  /// No byte of it reached a backend server; it may run.
+  NotRun,
+};
+
+/// One execution as it is handed over.
 struct ExecutionRecord
 {
   ExecutionId mExecution;
   ContentDigest mContent;
-  /// Wall-clock seconds at which the claim may be removed.
+  /// Wall-clock seconds at which the record may be removed.
   std::int64_t mExpirySeconds = 0;
+  ExecutionOutcome mOutcome = ExecutionOutcome::Unknown;
+  bool mIsTicket = false;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mExecution, mContent, mExpirySeconds);
+    aArchive(mExecution, mContent, mExpirySeconds, mOutcome, mIsTicket);
   }
 };
 
@@ -152,7 +164,11 @@
   std::uint64_t mEpoch = 0;
   /// Earlier epochs that were handed over to the sender in the same way.
   std::vector<std::uint64_t> mInheritedEpochs;
+  /// Every ticket seen, and claims with an outcome that the store's claim
+  /// batches do not tell.
   std::vector<ExecutionRecord> mRecords;
+  /// Latest answers, as far as they fit in one message; the others are sent
+  /// before as AnswerCopy.
   std::vector<KeptAnswer> mAnswers;
 
   template<class Archive>
--- a/src/include/cranberrywing/slots.h
+++ b/src/include/cranberrywing/slots.h
@@ -7,22 +7,16 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "cranberrywing/effect.h"
 #include "cranberrywing/event.h"
+#include "cranberrywing/slot_record.h"
 
 namespace cranberrywing {
 
-struct SlotOwner
-{
-  VmIncarnation mProcess;
-  std::uint64_t mEpoch = 0;
-
-  bool operator==(const SlotOwner&) const = default;
-};
-
 struct SlotTableHooks
 {
   std::function<bool(const VmIncarnation&)> mIsDead;
@@ -37,6 +31,17 @@
   std::function<void(std::uint32_t, TimePoint, EffectList&)> mOnLost;
 };
 
+/// Store layout, all under Options::mStorePrefix so that one range read and
+/// one watch cover it:
+/// - `count`: number of slots, written once with the first slot record;
+/// - `<slot>`: owner and epoch (slot_record.h);
+/// - `live/<vm>/<incarnation>`: bound to the lease of an owner or candidate.
+///
+/// Candidates, which are the mSlotOwners VMs that ChooseSlotOwners names, and
+/// owners hold a lease and a watch. All other VMs read the range at start,
+/// every mRefreshInterval, and, with backoff, when an owner became unusable
+/// or Refresh was called.
+///
 /// Not thread-safe; owned by the reducer.
 class SlotTable
 {
@@ -46,21 +51,52 @@
     VmIncarnation mSelf;
     std::string mStorePrefix = "/cw/slots/";
     Duration mLeaseTime = std::chrono::seconds(3);
+    /// Wait before slots that never had an owner are taken, so that VMs that
+    /// start together share them.
+    Duration mSettleTime = std::chrono::seconds(1);
+    /// Time for which another VM must have been the better owner before a
+    /// slot is handed to it. Membership views converge well within it.
+    Duration mRebalanceDelay = std::chrono::seconds(10);
+    /// Time between reads of VMs that hold no watch.
+    Duration mRefreshInterval = std::chrono::seconds(30);
+    /// First wait between reads on demand; doubled up to mRefreshInterval.
+    Duration mRefreshBackoff = std::chrono::seconds(2);
+    /// A call without a reply counts as lost after this time.
+    Duration mCallTimeout = std::chrono::seconds(5);
+    /// A watch without news or progress notifications counts as broken.
+    Duration mWatchSilence = std::chrono::seconds(5);
   };
 
   SlotTable(Options aOptions, SlotTableHooks aHooks);
 
   void Apply(const SettingsSnapshot& aSettings);
+  /// As recorded in the store, else as set. A setting that differs from the
+  /// record is not used, since each key must always map to the same slot.
   std::uint32_t SlotCount() const;
   /// Owner as last read from the store, or nullopt.
   std::optional<SlotOwner> Owner(std::uint32_t aSlot) const;
   /// Whether this process owns the slot, as far as it knows.
   bool IsOwner(std::uint32_t aSlot) const;
+  /// Slots that this process owns, in order.
+  std::vector<std::uint32_t> OwnedSlots() const;
+  /// Whether the present owner got the slot by a planned handover.
+  bool IsHandedOver(std::uint32_t aSlot) const;
   /// Store key of a slot's record, to be compared in fenced transactions, and
   /// the record's mod revision as last known to this owner.
   StoreCompare Fence(std::uint32_t aSlot) const;
   /// A fenced transaction failed: reads the record again.
   void OnFenceFailed(std::uint32_t aSlot, TimePoint aNow, EffectList& aOut);
+  /// The known owners may be out of date, for example because one refused a
+  /// request with NotOwner: reads them again, with backoff.
+  void Refresh();
+
+  /// Whether an owned slot is about to be handed over: nothing new may be
+  /// started in it, and HandOver is to be called once nothing runs.
+  bool IsStopping(std::uint32_t aSlot) const;
+  /// Passes an owned, idle slot to its successor. After a failure IsStopping
+  /// is false for a while, then the handover is tried again.
+  /// Precondition: IsStopping.
+  void HandOver(std::uint32_t aSlot);
 
   void Tick(TimePoint aNow, EffectList& aOut);
   void OnStoreReply(const event::StoreReplied& aReply,
@@ -75,8 +111,154 @@
   bool IsReleased() const;
 
 private:
+  enum class Release : std::uint8_t
+  {
+    None,
+    /// Waits until nothing runs in the slot.
+    Stopping,
+    /// Idle: to be written with the next transaction.
+    Ready,
+    Writing,
+  };
+
+  struct Slot
+  {
+    std::optional<SlotRecord> mRecord;
+    /// The record exists but cannot be read; the slot is left alone.
+    bool mIsUnreadable = false;
+    std::int64_t mModRevision = 0;
+    /// Since when the owner has shown no sign of life.
+    std::optional<TimePoint> mOrphanedSince;
+    /// Since when another VM would be the better owner.
+    std::optional<TimePoint> mMisplacedSince;
+    bool mIsHeld = false;
+    std::uint64_t mHeldEpoch = 0;
+    Release mRelease = Release::None;
+    TimePoint mReleaseRetry{};
+  };
+
+  enum class Call : std::uint8_t
+  {
+    Read,
+    Grant,
+    PutLive,
+    KeepAlive,
+    Revoke,
+    Take,
+    HandOver,
+  };
+
+  struct PendingCall
+  {
+    Call mCall = Call::Read;
+    TimePoint mSentAt{};
+  };
+
+  enum class LeaseState : std::uint8_t
+  {
+    None,
+    Granted,
+    /// The live key is in the store.
+    Held,
+  };
+
+  // slots.cpp
+  void Send(Call aCall, StoreCall aRequest, TimePoint aNow, EffectList& aOut);
+  void SendTxn(Call aCall, StoreTxn aTxn, TimePoint aNow, EffectList& aOut);
+  bool IsPending(Call aCall) const;
+  void DropLostCalls(TimePoint aNow, EffectList& aOut);
+  void OnReply(Call aCall,
+               const Result<StoreReply>& aReply,
+               TimePoint aNow,
+               EffectList& aOut);
+  bool HoldsAny() const;
+  bool NeedsLease() const;
+  std::string SlotKey(std::uint32_t aSlot) const;
+  std::string LiveKey(const VmIncarnation& aProcess) const;
+
+  // slots_view.cpp
+  StoreRange WholeRange() const;
+  void TickView(TimePoint aNow, EffectList& aOut);
+  void Read(TimePoint aNow, EffectList& aOut);
+  void StartWatch(TimePoint aNow, EffectList& aOut);
+  bool IsViewCurrent(TimePoint aNow) const;
+  bool HasUnusableOwner() const;
+  void ApplyRange(const StoreReply& aReply, TimePoint aNow, EffectList& aOut);
+  void ApplyEntry(const StoreEntry& aEntry);
+  void ApplyCount(const StoreEntry& aEntry);
+  void ApplySlot(std::uint32_t aSlot, const StoreEntry& aEntry);
+  void Reconcile(TimePoint aNow, EffectList& aOut);
+  void ReconcileSlot(std::uint32_t aSlot, TimePoint aNow, EffectList& aOut);
+
+  // slots_lease.cpp
+  void TickLease(TimePoint aNow, EffectList& aOut);
+  void GrantLease(TimePoint aNow, EffectList& aOut);
+  void PutLiveKey(TimePoint aNow, EffectList& aOut);
+  void KeepLeaseAlive(TimePoint aNow, EffectList& aOut);
+  void RevokeLease(TimePoint aNow, EffectList& aOut);
+  void OnGrantReply(const Result<StoreReply>& aReply,
+                    TimePoint aNow,
+                    EffectList& aOut);
+  void OnPutLiveReply(const Result<StoreReply>& aReply, TimePoint aNow);
+  void OnKeepAliveReply(const Result<StoreReply>& aReply);
+
+  // slots_ownership.cpp
+  void Evaluate(TimePoint aNow, EffectList& aOut);
+  void UpdateOrphans(TimePoint aNow);
+  bool IsLive(const VmIncarnation& aProcess) const;
+  bool HasLiveProcess(const VmId& aVm) const;
+  /// Candidates with a live process, best owner of the slot first.
+  std::vector<VmId> LiveOrder(std::uint32_t aSlot) const;
+  bool IsProvenGone(const VmIncarnation& aOwner) const;
+  bool MayTake(std::uint32_t aSlot, TimePoint aNow) const;
+  void TakeOrphans(TimePoint aNow, EffectList& aOut);
+  void AddTake(std::uint32_t aSlot, StoreTxn& aTxn) const;
+
+  // slots_release.cpp
+  std::optional<VmIncarnation> Successor(std::uint32_t aSlot) const;
+  void StopMisplaced(TimePoint aNow);
+  void StopReleased(TimePoint aNow);
+  void WriteHandovers(TimePoint aNow, EffectList& aOut);
+  void OnHandOverReply(const Result<StoreReply>& aReply,
+                       TimePoint aNow,
+                       EffectList& aOut);
+
   Options mOptions;
   SlotTableHooks mHooks;
+  std::uint32_t mOwnerCount = 8;
+  Duration mTakeoverDelay = std::chrono::seconds(3);
+  std::uint32_t mConfiguredCount = 0;
+  std::uint32_t mRecordedCount = 0;
+  std::int64_t mCountModRevision = 0;
+  std::vector<Slot> mSlots;
+
+  std::uint64_t mNextCall = 1;
+  std::map<std::uint64_t, PendingCall> mCalls;
+
+  /// Processes with a live key.
+  std::set<VmIncarnation> mLive;
+  std::vector<VmId> mCandidates;
+  bool mIsCandidate = false;
+
+  bool mHasView = false;
+  std::int64_t mViewRevision = 0;
+  bool mIsWatching = false;
+  TimePoint mLastNews{};
+  bool mWantsRead = true;
+  TimePoint mLastRead{};
+  Duration mReadBackoff{};
+
+  LeaseState mLeaseState = LeaseState::None;
+  LeaseId mLease = LeaseId::None;
+  TimePoint mLeaseRetry{};
+  TimePoint mLastKeepAlive{};
+  TimePoint mHeldSince{};
+
+  TimePoint mNextEvaluation{};
+  bool mIsReleasing = false;
+  TimePoint mReleaseStart{};
+  TimePoint mLastLoss{};
+  TimePoint mNow{};
 };
 
 } // namespace cranberrywing
--- /dev/null
+++ b/src/libcranberrywing/answer_store.cpp
@@ -0,0 +1,96 @@
+#include "cranberrywing/answer_store.h"
+
+#include <algorithm>
+
+namespace cranberrywing {
+
+namespace {
+
+/// Table entry, order entry and allocation headers of one answer.
+constexpr std::size_t kEntryBytes = 240;
+constexpr std::size_t kHeaderBytes = 64;
+
+std::size_t SizeOf(const AnswerContent& aAnswer)
+{
+  std::size_t bytes = kEntryBytes + aAnswer.mBody.capacity();
+  for (const Header& header : aAnswer.mHeaders) {
+    bytes += kHeaderBytes + header.mName.size() + header.mValue.size();
+  }
+  return bytes;
+}
+
+} // namespace
+
+AnswerStore::AnswerStore(std::size_t aByteLimit)
+  : mByteLimit(aByteLimit)
+{
+}
+
+void AnswerStore::Keep(std::uint32_t aSlot,
+                       const ExecutionId& aExecution,
+                       AnswerContentPtr aAnswer,
+                       TimePoint aNow)
+{
+  const std::size_t bytes = SizeOf(*aAnswer);
+  if (bytes > mByteLimit / 4 || mAnswers.contains(aExecution)) {
+    return;
+  }
+  const std::uint64_t number = mNextNumber++;
+  mAnswers[aExecution] = { .mSlot = aSlot,
+                           .mNumber = number,
+                           .mBytes = bytes,
+                           .mAnswer = std::move(aAnswer) };
+  mArrivals.push_back({ aExecution, number, aNow });
+  mBytes += bytes;
+  while (mBytes > mByteLimit) {
+    DropFirst();
+  }
+}
+
+AnswerContentPtr AnswerStore::Find(const ExecutionId& aExecution) const
+{
+  const auto it = mAnswers.find(aExecution);
+  return it == mAnswers.end() ? nullptr : it->second.mAnswer;
+}
+
+void AnswerStore::Remove(const ExecutionId& aExecution)
+{
+  const auto it = mAnswers.find(aExecution);
+  if (it != mAnswers.end()) {
+    mBytes -= it->second.mBytes;
+    mAnswers.erase(it);
+  }
+}
+
+std::vector<ExecutionId> AnswerStore::OfSlot(std::uint32_t aSlot) const
+{
+  std::vector<ExecutionId> found;
+  for (auto it = mArrivals.rbegin(); it != mArrivals.rend(); ++it) {
+    const auto kept = mAnswers.find(it->mExecution);
+    if (kept != mAnswers.end() && kept->second.mNumber == it->mNumber &&
+        kept->second.mSlot == aSlot) {
+      found.push_back(it->mExecution);
+    }
+  }
+  return found;
+}
+
+void AnswerStore::DropOld(Duration aRetention, TimePoint aNow)
+{
+  while (!mArrivals.empty() && aNow - mArrivals.front().mTime > aRetention) {
+    DropFirst();
+  }
+}
+
+void AnswerStore::DropFirst()
+{
+  const Arrival first = mArrivals.front();
+  mArrivals.pop_front();
+  const auto it = mAnswers.find(first.mExecution);
+  if (it != mAnswers.end() && it->second.mNumber == first.mNumber) {
+    mBytes -= it->second.mBytes;
+    mAnswers.erase(it);
+  }
+}
+
+} // namespace cranberrywing
--- /dev/null
+++ b/src/libcranberrywing/executions.cpp
@@ -0,0 +1,422 @@
+// Where a request has to run, and what becomes of it on arrival.
+#include "cranberrywing/executions.h"
+
+#include <openssl/sha.h>
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+
+namespace cranberrywing {
+
+namespace {
+
+/// Time between looks at requests that wait in a slot's queue.
+constexpr Milliseconds kRestartInterval{ 50 };
+
+void AppendField(std::string& aInput, std::string_view aField)
+{
+  aInput += std::to_string(aField.size());
+  aInput += ':';
+  aInput += aField;
+}
+
+/// The first 128 bits of SHA-256: a caller must not be able to make a key
+/// whose execution collides with that of another client account.
+ExecutionId MakeExecutionId(const std::string& aInput)
+{
+  std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
+  SHA256(reinterpret_cast<const unsigned char*>(aInput.data()),
+         aInput.size(),
+         digest.data());
+  ExecutionId id;
+  std::memcpy(&id.mDigest.mHigh, digest.data(), sizeof(id.mDigest.mHigh));
+  std::memcpy(&id.mDigest.mLow,
+              digest.data() + sizeof(id.mDigest.mHigh),
+              sizeof(id.mDigest.mLow));
+  return id;
+}
+
+ExecutionId ClaimExecution(const ExecutionRequest& aRequest)
+{
+  std::string input = "key";
+  AppendField(input, aRequest.mAccount.mName);
+  AppendField(input, aRequest.mRoute.mName);
+  AppendField(input, aRequest.mIdempotencyKey);
+  return MakeExecutionId(input);
+}
+
+ExecutionId TicketExecution(const TicketFields& aTicket)
+{
+  std::string input = "ticket";
+  AppendField(input, std::to_string(aTicket.mSlot));
+  AppendField(input, std::to_string(aTicket.mEpoch));
+  AppendField(input, std::to_string(aTicket.mNumber));
+  return MakeExecutionId(input);
+}
+
+} // namespace
+
+Executions::Executions(Options aOptions,
+                       ExecutionsHooks aHooks,
+                       SlotTable& aSlots)
+  : mOptions(std::move(aOptions))
+  , mHooks(std::move(aHooks))
+  , mSlots(aSlots)
+  , mRandom(mOptions.mSeed)
+  , mAnswers(mOptions.mKeptBytes)
+{
+}
+
+void Executions::Apply(const SettingsSnapshot& aSettings)
+{
+  const FleetSettings& fleet = aSettings.mFleet;
+  mRetention = fleet.mClaimRetention;
+  mTicketLifetime = fleet.mTicketLifetime;
+  mSigner.SetSecret(fleet.mTicketSecret);
+  const double writesPerSecond =
+    std::max(1.0, fleet.mClaimWriteBudget) / std::max(1u, fleet.mSlotOwners);
+  mCommitInterval = std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(1 / writesPerSecond));
+}
+
+Result<Executions::Attempt> Executions::LocateAttempt(
+  const ExecutionRequest& aRequest) const
+{
+  const bool hasKey = !aRequest.mIdempotencyKey.empty();
+  const bool hasTicket = !aRequest.mTicket.empty();
+  if (hasKey && hasTicket) {
+    return MakeError(ResultCode::ConflictingIdentities,
+                     "an idempotency key and a ticket name two executions");
+  }
+  if (!hasKey && !hasTicket) {
+    return MakeError(ResultCode::IdempotencyKeyRequired,
+                     "the route needs an idempotency key or a ticket");
+  }
+  Attempt attempt{
+    .mRequest = aRequest, .mSlot = 0, .mExecution = {}, .mTicket = std::nullopt
+  };
+  const std::uint32_t count = std::max(1u, mSlots.SlotCount());
+  if (hasKey) {
+    attempt.mExecution = ClaimExecution(aRequest);
+    attempt.mSlot =
+      static_cast<std::uint32_t>(attempt.mExecution.mDigest.mHigh % count);
+    return attempt;
+  }
+  const Result<TicketFields> ticket =
+    mSigner.Verify(aRequest.mTicket, aRequest.mAccount, aRequest.mRoute);
+  if (!ticket) {
+    return tl::unexpected(ticket.error());
+  }
+  if (ticket->mSlot >= count) {
+    return MakeError(ResultCode::InvalidTicket, "ticket of an unknown slot");
+  }
+  attempt.mExecution = TicketExecution(*ticket);
+  attempt.mSlot = ticket->mSlot;
+  attempt.mTicket = *ticket;
+  return attempt;
+}
+
+Result<ExecutionPlace> Executions::Locate(
+  const ExecutionRequest& aRequest) const
+{
+  const Result<Attempt> attempt = LocateAttempt(aRequest);
+  if (!attempt) {
+    return tl::unexpected(attempt.error());
+  }
+  return ExecutionPlace{ .mSlot = attempt->mSlot,
+                         .mExecution = attempt->mExecution,
+                         .mOwner = mSlots.Owner(attempt->mSlot),
+                         .mIsOwnedHere = mSlots.IsOwner(attempt->mSlot) };
+}
+
+void Executions::Begin(const ExecutionRequest& aRequest,
+                       TimePoint aNow,
+                       EffectList& aOut)
+{
+  mWall.Observe(mHooks.mWallSeconds(), aNow);
+  Result<Attempt> attempt = LocateAttempt(aRequest);
+  if (!attempt) {
+    Refuse(aRequest.mRequest,
+           { .mCode = attempt.error().mCode,
+             .mExecution = Execution::NotRun,
+             .mDetail = attempt.error().mMessage });
+    return;
+  }
+  mDeadlines.push({ aRequest.mDeadline, aRequest.mRequest });
+  Start(std::move(*attempt), aNow, aOut);
+}
+
+void Executions::Start(Attempt aAttempt, TimePoint aNow, EffectList& aOut)
+{
+  const auto owned = mOwned.find(aAttempt.mSlot);
+  if (owned == mOwned.end()) {
+    mSlots.Refresh();
+    Refuse(aAttempt.mRequest.mRequest,
+           { .mCode = ResultCode::NotOwner,
+             .mExecution = Execution::Unknown,
+             .mDetail = "the slot has another owner" });
+    return;
+  }
+  const auto active = mActive.find(aAttempt.mExecution);
+  if (active != mActive.end()) {
+    Join(active->second, aAttempt);
+    return;
+  }
+  SlotState& slot = owned->second;
+  if (aAttempt.mTicket) {
+    StartTicket(slot, std::move(aAttempt), aNow, aOut);
+    return;
+  }
+  if (!slot.mIsLoaded || slot.mAwaitsHandover) {
+    Queue(slot, std::move(aAttempt));
+    return;
+  }
+  const auto record = slot.mRecords.find(aAttempt.mExecution);
+  if (record != slot.mRecords.end()) {
+    Repeat(slot, record->second, aAttempt, aNow);
+  } else if (!AcceptsNew(slot, aAttempt.mSlot)) {
+    Queue(slot, std::move(aAttempt));
+  } else {
+    StartClaim(slot, aAttempt, aNow, aOut);
+  }
+}
+
+void Executions::StartClaim(SlotState& aSlot,
+                            const Attempt& aAttempt,
+                            TimePoint aNow,
+                            EffectList& aOut)
+{
+  Active& active = mActive[aAttempt.mExecution];
+  active.mSlot = aAttempt.mSlot;
+  active.mEpoch = aSlot.mEpoch;
+  active.mContent = aAttempt.mRequest.mContent;
+  active.mPhase = Phase::Committing;
+  Join(active, aAttempt);
+  aSlot.mPending.push_back(aAttempt.mExecution);
+  TryCommit(aNow, aOut);
+}
+
+void Executions::Queue(SlotState& aSlot, Attempt aAttempt)
+{
+  mRequests[aAttempt.mRequest.mRequest] = { .mSlot = aAttempt.mSlot,
+                                            .mExecution = std::nullopt };
+  aSlot.mWaiting.push_back(std::move(aAttempt));
+}
+
+void Executions::Join(Active& aActive, const Attempt& aAttempt)
+{
+  const ExecutionRequest& request = aAttempt.mRequest;
+  if (request.mContent != aActive.mContent) {
+    Refuse(request.mRequest,
+           { .mCode = ResultCode::IdempotencyKeyReused,
+             .mExecution = Execution::NotRun,
+             .mDetail = "the key was used for another request" });
+    return;
+  }
+  mRequests[request.mRequest] = { .mSlot = aAttempt.mSlot,
+                                  .mExecution = aAttempt.mExecution };
+  aActive.mWaiters.push_back({ request.mRequest, request.mDeadline });
+}
+
+void Executions::Repeat(SlotState& aSlot,
+                        Record& aRecord,
+                        const Attempt& aAttempt,
+                        TimePoint aNow)
+{
+  const ExecutionRequest& request = aAttempt.mRequest;
+  if (request.mContent != aRecord.mContent) {
+    Refuse(request.mRequest,
+           { .mCode = ResultCode::IdempotencyKeyReused,
+             .mExecution = Execution::NotRun,
+             .mDetail = "the key was used for another request" });
+    return;
+  }
+  if (aRecord.mOutcome == Outcome::NotRun) {
+    if (AcceptsNew(aSlot, aAttempt.mSlot)) {
+      aRecord.mOutcome = Outcome::Unknown;
+      Run(aSlot, aAttempt);
+    } else {
+      Queue(aSlot, aAttempt);
+    }
+    return;
+  }
+  const AnswerContentPtr answer = mAnswers.Find(aAttempt.mExecution);
+  if (answer) {
+    ++mCounters.mReplayed;
+    DecideAnswer(request.mRequest, answer);
+  } else if (aRecord.mOutcome == Outcome::Unknown &&
+             aNow < aSlot.mCopiesUntil) {
+    Queue(aSlot, aAttempt);
+  } else {
+    RefuseKnown(request.mRequest, aRecord.mOutcome);
+  }
+}
+
+void Executions::Run(SlotState& aSlot, const Attempt& aAttempt)
+{
+  const RequestId request = aAttempt.mRequest.mRequest;
+  Active& active = mActive[aAttempt.mExecution];
+  active.mSlot = aAttempt.mSlot;
+  active.mEpoch = aSlot.mEpoch;
+  active.mContent = aAttempt.mRequest.mContent;
+  active.mPhase = Phase::Running;
+  active.mRunner = request;
+  mRunners[request] = aAttempt.mExecution;
+  mRequests.erase(request);
+  mDecisions.push_back(
+    { .mRequest = request, .mRun = true, .mAnswer = nullptr, .mRefusal = {} });
+}
+
+bool Executions::AcceptsNew(const SlotState& aSlot, std::uint32_t aNumber) const
+{
+  return !aSlot.mIsFrozen && !aSlot.mIsFenced && !mSlots.IsStopping(aNumber);
+}
+
+void Executions::Forget(RequestId aRequest)
+{
+  const auto it = mRequests.find(aRequest);
+  if (it != mRequests.end()) {
+    RemoveWaiter(it->second, aRequest);
+    mRequests.erase(aRequest);
+  }
+}
+
+void Executions::Tick(TimePoint aNow, EffectList& aOut)
+{
+  mWall.Observe(mHooks.mWallSeconds(), aNow);
+  DropLostCalls(aNow, aOut);
+  ExpireWaiters(aNow);
+  ReleaseCopied(aNow);
+  for (auto& [number, slot] : mOwned) {
+    ContinueLoad(number, slot, aNow, aOut);
+  }
+  WaitAgain(aNow, aOut);
+  TryCommit(aNow, aOut);
+  TickHandover(aNow, aOut);
+  Clean(aNow, aOut);
+}
+
+void Executions::WaitAgain(TimePoint aNow, EffectList& aOut)
+{
+  if (aNow < mNextRestart) {
+    return;
+  }
+  mNextRestart = aNow + kRestartInterval;
+  for (auto& [number, slot] : mOwned) {
+    if (slot.mAwaitsHandover && aNow >= slot.mHandoverUntil) {
+      slot.mAwaitsHandover = false;
+    }
+    RestartQueue(slot, aNow, aOut);
+  }
+}
+
+void Executions::RestartQueue(SlotState& aSlot,
+                              TimePoint aNow,
+                              EffectList& aOut)
+{
+  std::vector<Attempt> waiting;
+  waiting.swap(aSlot.mWaiting);
+  for (Attempt& attempt : waiting) {
+    if (mRequests.erase(attempt.mRequest.mRequest) > 0) {
+      Start(std::move(attempt), aNow, aOut);
+    }
+  }
+}
+
+Executions::SlotState* Executions::FindState(std::uint32_t aSlot,
+                                             std::uint64_t aEpoch)
+{
+  const auto owned = mOwned.find(aSlot);
+  if (owned != mOwned.end() && owned->second.mEpoch == aEpoch) {
+    return &owned->second;
+  }
+  const auto departing = mDeparting.find(aSlot);
+  if (departing != mDeparting.end() &&
+      departing->second.mState.mEpoch == aEpoch) {
+    return &departing->second.mState;
+  }
+  return nullptr;
+}
+
+void Executions::Send(PendingCall aCall,
+                      StoreTxn aTxn,
+                      TimePoint aNow,
+                      EffectList& aOut)
+{
+  const std::uint64_t number = mNextCall++;
+  aCall.mSentAt = aNow;
+  mCalls[number] = std::move(aCall);
+  StoreCall request;
+  request.mTxn = std::move(aTxn);
+  aOut.push_back(effect::CallStore{ .mCall = { Concern::Executions, number },
+                                    .mRequest = std::move(request) });
+}
+
+void Executions::DropLostCalls(TimePoint aNow, EffectList& aOut)
+{
+  std::vector<PendingCall> lost;
+  std::erase_if(mCalls, [&](const auto& aEntry) {
+    if (aNow - aEntry.second.mSentAt < mOptions.mCallTimeout) {
+      return false;
+    }
+    lost.push_back(aEntry.second);
+    return true;
+  });
+  for (const PendingCall& call : lost) {
+    OnReply(
+      call, MakeError(ResultCode::OutcomeUnknown, "no reply"), aNow, aOut);
+  }
+}
+
+void Executions::OnStoreReply(const event::StoreReplied& aReply,
+                              TimePoint aNow,
+                              EffectList& aOut)
+{
+  mWall.Observe(mHooks.mWallSeconds(), aNow);
+  const auto it = mCalls.find(aReply.mCall.mNumber);
+  if (it == mCalls.end()) {
+    return;
+  }
+  const PendingCall call = std::move(it->second);
+  mCalls.erase(it);
+  OnReply(call, aReply.mReply, aNow, aOut);
+}
+
+void Executions::OnReply(const PendingCall& aCall,
+                         const Result<StoreReply>& aReply,
+                         TimePoint aNow,
+                         EffectList& aOut)
+{
+  switch (aCall.mCall) {
+    case Call::Commit:
+      OnCommitReply(aReply, aNow, aOut);
+      return;
+    case Call::ReadBack:
+      OnReadBackReply(aReply, aNow, aOut);
+      return;
+    case Call::Load:
+      OnLoadReply(aCall, aReply, aNow, aOut);
+      return;
+    case Call::Clean:
+      OnCleanReply(aCall, aReply);
+      return;
+  }
+}
+
+bool Executions::IsLoaded(std::uint32_t aSlot) const
+{
+  const auto it = mOwned.find(aSlot);
+  return it != mOwned.end() && it->second.mIsLoaded;
+}
+
+std::size_t Executions::RecordCount() const
+{
+  std::size_t count = 0;
+  for (const auto& [number, slot] : mOwned) {
+    count += slot.mRecords.size();
+  }
+  return count;
+}
+
+} // namespace cranberrywing
--- /dev/null
+++ b/src/libcranberrywing/executions_answers.cpp
@@ -0,0 +1,124 @@
+// Copies of answers in another failure domain.
+#include "cranberrywing/executions.h"
+
+namespace cranberrywing {
+
+namespace {
+
+/// Copies sent in answer to a query carry no number and are not acknowledged.
+constexpr std::uint64_t kUnnumbered = 0;
+
+} // namespace
+
+std::optional<VmId> Executions::CopyTarget(const Active& aActive) const
+{
+  const std::optional<SlotOwner> owner = mSlots.Owner(aActive.mSlot);
+  const bool hasMoved = !mOwned.contains(aActive.mSlot) && owner &&
+                        owner->mProcess.mVm != mOptions.mSelf.mVm;
+  if (hasMoved) {
+    // Repeats go to the new owner.
+    return owner->mProcess.mVm;
+  }
+  return mHooks.mCopyHolder(aActive.mSlot);
+}
+
+void Executions::SendCopy(const ExecutionId& aExecution,
+                          Active& aActive,
+                          TimePoint aNow,
+                          EffectList& aOut)
+{
+  const std::optional<VmId> target = CopyTarget(aActive);
+  if (!target) {
+    ReleaseAnswer(aExecution);
+    return;
+  }
+  aActive.mCopyNumber = mNextCopy++;
+  aActive.mCopyUntil = aNow + mOptions.mCopyWait;
+  mCopies[aActive.mCopyNumber] = aExecution;
+  aOut.push_back(effect::SendMessage{
+    .mTo = *target,
+    .mAddress = "",
+    .mPort = 0,
+    .mTransport = effect::Transport::Stream,
+    .mMessage = message::AnswerCopy{
+      .mNumber = aActive.mCopyNumber,
+      .mAnswer = { aExecution, aActive.mSlot, *aActive.mAnswer } } });
+}
+
+void Executions::ReleaseCopied(TimePoint aNow)
+{
+  std::vector<ExecutionId> late;
+  for (const auto& [number, execution] : mCopies) {
+    if (mActive.at(execution).mCopyUntil <= aNow) {
+      late.push_back(execution);
+    }
+  }
+  for (const ExecutionId& execution : late) {
+    ++mCounters.mCopiesMissed;
+    ReleaseAnswer(execution);
+  }
+}
+
+void Executions::QueryCopies(std::uint32_t aSlot, EffectList& aOut) const
+{
+  for (const VmId& peer : mHooks.mPeers()) {
+    aOut.push_back(effect::SendMessage{
+      .mTo = peer,
+      .mAddress = "",
+      .mPort = 0,
+      .mTransport = effect::Transport::Stream,
+      .mMessage = message::AnswerCopyQuery{ .mSlot = aSlot } });
+  }
+}
+
+void Executions::OnMessage(const VmIncarnation& aFrom,
+                           const message::AnswerCopy& aMessage,
+                           TimePoint aNow,
+                           EffectList& aOut)
+{
+  const KeptAnswer& kept = aMessage.mAnswer;
+  mAnswers.Keep(kept.mSlot,
+                kept.mExecution,
+                std::make_shared<const AnswerContent>(kept.mAnswer),
+                aNow);
+  if (aMessage.mNumber != kUnnumbered) {
+    aOut.push_back(effect::SendMessage{
+      .mTo = aFrom.mVm,
+      .mAddress = "",
+      .mPort = 0,
+      .mTransport = effect::Transport::Stream,
+      .mMessage = message::AnswerCopyAck{ .mNumber = aMessage.mNumber } });
+  }
+}
+
+void Executions::OnMessage(const VmIncarnation&,
+                           const message::AnswerCopyAck& aMessage,
+                           TimePoint,
+                           EffectList&)
+{
+  const auto it = mCopies.find(aMessage.mNumber);
+  if (it != mCopies.end()) {
+    ++mCounters.mCopiesAcknowledged;
+    ReleaseAnswer(ExecutionId(it->second));
+  }
+}
+
+void Executions::OnMessage(const VmIncarnation& aFrom,
+                           const message::AnswerCopyQuery& aMessage,
+                           TimePoint,
+                           EffectList& aOut)
+{
+  for (const ExecutionId& execution : mAnswers.OfSlot(aMessage.mSlot)) {
+    aOut.push_back(effect::SendMessage{
+      .mTo = aFrom.mVm,
+      .mAddress = "",
+      .mPort = 0,
+      .mTransport = effect::Transport::Stream,
+      .mMessage = message::AnswerCopy{
+        .mNumber = kUnnumbered,
+        .mAnswer = {
+          execution, aMessage.mSlot, *mAnswers.Find(execution) } } });
+  }
+}
+
+} // namespace cranberrywing
--- /dev/null
+++ b/src/libcranberrywing/executions_claims.cpp
@@ -0,0 +1,335 @@
+// Group commit of claims under the slots' fences.
+#include <algorithm>
+
+#include "cranberrywing/executions.h"
+
+namespace cranberrywing {
+
+namespace {
+
+/// Slots in one transaction. With two compares and up to two puts each and
+/// one merge, it stays below etcd's 128 operations per list.
+constexpr std::size_t kSlotsPerCommit = 16;
+/// Commits that an owner may make at once after a quiet time.
+constexpr double kCommitBurst = 3;
+constexpr Milliseconds kCommitRetry{ 200 };
+
+std::string Padded(std::uint64_t aNumber)
+{
+  // Keys sort by number; 20 digits hold any 64-bit value.
+  const std::string digits = std::to_string(aNumber);
+  return std::string(20 - digits.size(), '0') + digits;
+}
+
+} // namespace
+
+std::string Executions::SlotPrefix(std::uint32_t aSlot) const
+{
+  return mOptions.mStorePrefix + std::to_string(aSlot) + "/";
+}
+
+std::string Executions::BatchKey(std::uint32_t aSlot,
+                                 std::uint64_t aEpoch,
+                                 std::uint64_t aNumber) const
+{
+  return SlotPrefix(aSlot) + Padded(aEpoch) + "/" + Padded(aNumber);
+}
+
+void Executions::TryCommit(TimePoint aNow, EffectList& aOut)
+{
+  if (mGroup) {
+    if (!mGroup->mIsInFlight && aNow >= mGroup->mRetry) {
+      SendGroup(aNow, aOut);
+    }
+    return;
+  }
+  const bool hasPending =
+    std::any_of(mOwned.begin(), mOwned.end(), [](const auto& aEntry) {
+      return !aEntry.second.mPending.empty();
+    });
+  if (!hasPending || aNow < mCommitRetry || !TakeCommitToken(aNow)) {
+    return;
+  }
+  CommitGroup group = BuildGroup();
+  if (group.mParts.empty()) {
+    mCommitTokens += 1;
+    return;
+  }
+  mGroup = std::move(group);
+  SendGroup(aNow, aOut);
+}
+
+bool Executions::TakeCommitToken(TimePoint aNow)
+{
+  const double elapsed = static_cast<double>((aNow - mTokensAt).count());
+  const double interval = static_cast<double>(mCommitInterval.count());
+  mCommitTokens = std::min(kCommitBurst, mCommitTokens + elapsed / interval);
+  mTokensAt = aNow;
+  if (mCommitTokens < 1) {
+    return false;
+  }
+  mCommitTokens -= 1;
+  return true;
+}
+
+Executions::CommitGroup Executions::BuildGroup()
+{
+  CommitGroup group;
+  // The slots take turns to come first, so that none is left out for long.
+  auto it = mOwned.lower_bound(mNextCommitSlot);
+  for (std::size_t n = 0; n < mOwned.size(); ++n, ++it) {
+    if (it == mOwned.end()) {
+      it = mOwned.begin();
+    }
+    if (group.mParts.size() == kSlotsPerCommit) {
+      break;
+    }
+    if (AddPart(group, it->first, it->second)) {
+      AddMerge(group, it->first, it->second);
+    }
+    mNextCommitSlot = it->first + 1;
+  }
+  return group;
+}
+
+bool Executions::AddPart(CommitGroup& aGroup,
+                         std::uint32_t aNumber,
+                         SlotState& aSlot)
+{
+  if (aSlot.mIsFenced || aSlot.mPending.empty()) {
+    return false;
+  }
+  const std::size_t count = std::min(aSlot.mPending.size(), kMaxBatchClaims);
+  BatchPart part;
+  part.mSlot = aNumber;
+  part.mEpoch = aSlot.mEpoch;
+  const std::int64_t expiry =
+    mWall.ForExpiry() +
+    std::chrono::duration_cast<std::chrono::seconds>(mRetention).count();
+  for (std::size_t n = 0; n < count; ++n) {
+    const auto active = mActive.find(aSlot.mPending[n]);
+    if (active == mActive.end()) {
+      continue;
+    }
+    if (active->second.mWaiters.empty()) {
+      mActive.erase(active);
+      continue;
+    }
+    part.mBatch.mClaims.push_back(
+      { active->first, active->second.mContent, expiry });
+  }
+  aSlot.mPending.erase(aSlot.mPending.begin(),
+                       aSlot.mPending.begin() +
+                         static_cast<std::ptrdiff_t>(count));
+  if (part.mBatch.mClaims.empty()) {
+    return false;
+  }
+  part.mKey = BatchKey(aNumber, aSlot.mEpoch, aSlot.mNextBatch++);
+  aGroup.mTxn.mCompares.push_back(mSlots.Fence(aNumber));
+  // Of several sendings of this batch at most one takes effect.
+  aGroup.mTxn.mCompares.push_back({ .mKey = part.mKey, .mModRevision = 0 });
+  AddPut(aGroup.mTxn, part.mKey, part.mBatch);
+  aGroup.mParts.push_back(std::move(part));
+  return true;
+}
+
+void Executions::AddMerge(CommitGroup& aGroup,
+                          std::uint32_t aNumber,
+                          SlotState& aSlot)
+{
+  if (!aGroup.mMergedKeys.empty()) {
+    return;
+  }
+  std::optional<ClaimLog::Merge> merge = aSlot.mLog.PlanMerge();
+  if (!merge) {
+    return;
+  }
+  aGroup.mMergeSlot = aNumber;
+  aGroup.mMergeEpoch = aSlot.mEpoch;
+  aGroup.mMergeKey = BatchKey(aNumber, aSlot.mEpoch, aSlot.mNextBatch++);
+  aGroup.mMergeBatch.mLevel = merge->mLevel;
+  for (const ExecutionId& id : merge->mExecutions) {
+    // Claims that are no longer in memory have expired.
+    const auto record = aSlot.mRecords.find(id);
+    if (record != aSlot.mRecords.end()) {
+      aGroup.mMergeBatch.mClaims.push_back(
+        { id, record->second.mContent, record->second.mExpirySeconds });
+    }
+  }
+  AddPut(aGroup.mTxn, aGroup.mMergeKey, aGroup.mMergeBatch);
+  for (const std::string& key : merge->mKeys) {
+    aGroup.mTxn.mDeletes.push_back({ .mKey = key, .mRangeEnd = "" });
+  }
+  aGroup.mMergedKeys = std::move(merge->mKeys);
+}
+
+void Executions::AddPut(StoreTxn& aTxn,
+                        const std::string& aKey,
+                        const ClaimBatch& aBatch)
+{
+  aTxn.mPuts.push_back({ .mKey = aKey,
+                         .mValue = EncodeClaimBatch(aBatch),
+                         .mLease = LeaseId::None });
+}
+
+void Executions::SendGroup(TimePoint aNow, EffectList& aOut)
+{
+  ++mCounters.mCommits;
+  mGroup->mIsInFlight = true;
+  PendingCall call;
+  call.mCall = Call::Commit;
+  Send(std::move(call), mGroup->mTxn, aNow, aOut);
+}
+
+void Executions::OnCommitReply(const Result<StoreReply>& aReply,
+                               TimePoint aNow,
+                               EffectList& aOut)
+{
+  if (aReply && aReply->mSucceeded) {
+    CompleteGroup(aNow);
+    TryCommit(aNow, aOut);
+    return;
+  }
+  if (aReply) {
+    ReadBack(aNow, aOut);
+    return;
+  }
+  mGroup->mIsInFlight = false;
+  const bool hadNoEffect = aReply.error().mCode == ResultCode::StoreUnavailable;
+  if (hadNoEffect && !mGroup->mIsUncertain) {
+    AbandonGroup();
+    mCommitRetry = aNow + kCommitRetry;
+    return;
+  }
+  // Repeated unchanged: it takes effect at most once, and a refusal tells
+  // whether an earlier sending did.
+  mGroup->mIsUncertain = true;
+  mGroup->mRetry = aNow + kCommitRetry;
+}
+
+void Executions::ReadBack(TimePoint aNow, EffectList& aOut)
+{
+  StoreTxn txn;
+  for (const StoreCompare& compare : mGroup->mTxn.mCompares) {
+    txn.mReads.push_back(
+      { .mKey = compare.mKey, .mRangeEnd = "", .mLimit = 0 });
+  }
+  PendingCall call;
+  call.mCall = Call::ReadBack;
+  Send(std::move(call), std::move(txn), aNow, aOut);
+}
+
+void Executions::OnReadBackReply(const Result<StoreReply>& aReply,
+                                 TimePoint aNow,
+                                 EffectList& aOut)
+{
+  mGroup->mIsInFlight = false;
+  if (!aReply) {
+    mGroup->mRetry = aNow + kCommitRetry;
+    return;
+  }
+  std::map<std::string, std::int64_t> revisions;
+  for (const StoreEntry& entry : aReply->mEntries) {
+    revisions[entry.mKey] = entry.mModRevision;
+  }
+  // The parts took effect together. A part whose slot was lost may have been
+  // merged by the successor, but then no part's claims are run here unless
+  // another part's record is still there.
+  const bool tookEffect = std::any_of(
+    mGroup->mParts.begin(), mGroup->mParts.end(), [&](const BatchPart& aPart) {
+      return revisions.contains(aPart.mKey);
+    });
+  for (std::size_t n = 0; n < mGroup->mParts.size(); ++n) {
+    const BatchPart& part = mGroup->mParts[n];
+    const StoreCompare& fence = mGroup->mTxn.mCompares[2 * n];
+    SlotState* slot = FindState(part.mSlot, part.mEpoch);
+    if (slot != nullptr && revisions[fence.mKey] != fence.mModRevision) {
+      ++mCounters.mFenceRefusals;
+      slot->mIsFenced = true;
+      mSlots.OnFenceFailed(part.mSlot, aNow, aOut);
+    }
+  }
+  if (tookEffect) {
+    CompleteGroup(aNow);
+  } else {
+    AbandonGroup();
+  }
+  TryCommit(aNow, aOut);
+}
+
+void Executions::CompleteGroup(TimePoint aNow)
+{
+  const CommitGroup group = std::move(*mGroup);
+  mGroup.reset();
+  for (const BatchPart& part : group.mParts) {
+    SlotState* slot = FindState(part.mSlot, part.mEpoch);
+    if (slot == nullptr) {
+      continue;
+    }
+    slot->mLog.Add(part.mKey, part.mBatch);
+    for (const Claim& claim : part.mBatch.mClaims) {
+      CompleteClaim(*slot, part, claim, aNow);
+    }
+  }
+  SlotState* slot = FindState(group.mMergeSlot, group.mMergeEpoch);
+  if (!group.mMergedKeys.empty() && slot != nullptr) {
+    slot->mLog.Remove(group.mMergedKeys);
+    slot->mLog.Add(group.mMergeKey, group.mMergeBatch);
+  }
+}
+
+void Executions::CompleteClaim(SlotState& aSlot,
+                               const BatchPart& aPart,
+                               const Claim& aClaim,
+                               TimePoint aNow)
+{
+  ++mCounters.mClaims;
+  Record& record = aSlot.mRecords[aClaim.mExecution];
+  record.mContent = aClaim.mContent;
+  record.mExpirySeconds = static_cast<std::uint32_t>(aClaim.mExpirySeconds);
+  record.mOutcome = Outcome::NotRun;
+  // An answer can only be that of an earlier use of the key, whose claim has
+  // been removed.
+  mAnswers.Remove(aClaim.mExecution);
+  const auto it = mActive.find(aClaim.mExecution);
+  if (it == mActive.end() || it->second.mPhase != Phase::Committing ||
+      it->second.mEpoch != aPart.mEpoch) {
+    return;
+  }
+  Active& active = it->second;
+  const auto runner =
+    std::find_if(active.mWaiters.begin(),
+                 active.mWaiters.end(),
+                 [aNow](const Waiter& aW) { return aW.mDeadline > aNow; });
+  if (runner == active.mWaiters.end()) {
+    mActive.erase(it);
+    return;
+  }
+  record.mOutcome = Outcome::Unknown;
+  active.mPhase = Phase::Running;
+  active.mRunner = runner->mRequest;
+  active.mWaiters.erase(runner);
+  mRunners[active.mRunner] = aClaim.mExecution;
+  mRequests.erase(active.mRunner);
+  mDecisions.push_back({ .mRequest = active.mRunner,
+                         .mRun = true,
+                         .mAnswer = nullptr,
+                         .mRefusal = {} });
+}
+
+void Executions::AbandonGroup()
+{
+  const CommitGroup group = std::move(*mGroup);
+  mGroup.reset();
+  for (const BatchPart& part : group.mParts) {
+    SlotState* slot = FindState(part.mSlot, part.mEpoch);
+    if (slot == nullptr) {
+      continue;
+    }
+    for (const Claim& claim : part.mBatch.mClaims) {
+      slot->mPending.push_back(claim.mExecution);
+    }
+  }
+}
+
+} // namespace cranberrywing
--- /dev/null
+++ b/src/libcranberrywing/executions_handover.cpp
@@ -0,0 +1,311 @@
+// Gaining and losing slots, and the state passed on in a planned handover.
+#include <algorithm>
+
+#include "cranberrywing/executions.h"
+
+namespace cranberrywing {
+
+namespace {
+
+/// The message is sent twice in case its connection breaks. It never differs,
+/// since nothing runs in the slot any more.
+constexpr int kHandoverSends = 2;
+/// SlotTable waits longer than this before it reports its slots released; see
+/// kHandoverSending in slots_release.cpp.
+constexpr Milliseconds kHandoverRepeat{ 200 };
+/// Answers within the handover message; the others go before it.
+constexpr std::size_t kHandoverAnswerBytes = 1u << 20;
+/// Tickets of more than this many earlier owners have long expired.
+constexpr std::size_t kMostInheritedEpochs = 16;
+
+std::size_t SizeOf(const AnswerContent& aAnswer)
+{
+  std::size_t bytes = aAnswer.mBody.size();
+  for (const Header& header : aAnswer.mHeaders) {
+    bytes += header.mName.size() + header.mValue.size();
+  }
+  return bytes;
+}
+
+effect::RecordTimeline SlotEntry(std::string aName,
+                                 std::uint32_t aSlot,
+                                 std::uint64_t aEpoch)
+{
+  return { .mName = std::move(aName),
+           .mFields = { { "slot", std::to_string(aSlot) },
+                        { "epoch", std::to_string(aEpoch) } } };
+}
+
+} // namespace
+
+void Executions::OnSlotAcquired(std::uint32_t aSlot,
+                                std::uint64_t aEpoch,
+                                TimePoint aNow,
+                                EffectList& aOut)
+{
+  mWall.Observe(mHooks.mWallSeconds(), aNow);
+  aOut.push_back(SlotEntry("slot_acquired", aSlot, aEpoch));
+  mDeparting.erase(aSlot);
+  SlotState& slot = mOwned[aSlot];
+  slot = SlotState{};
+  slot.mEpoch = aEpoch;
+  slot.mCopiesUntil = aNow + mOptions.mCopyQueryWait;
+  QueryCopies(aSlot, aOut);
+  if (mSlots.IsHandedOver(aSlot)) {
+    slot.mAwaitsHandover = true;
+    slot.mHandoverUntil = aNow + mOptions.mHandoverWait;
+  }
+  const auto early = mEarlyHandovers.find(aSlot);
+  if (early != mEarlyHandovers.end()) {
+    const message::SlotHandover handover = std::move(early->second);
+    mEarlyHandovers.erase(early);
+    Adopt(aSlot, slot, handover, aNow, aOut);
+  }
+  ContinueLoad(aSlot, slot, aNow, aOut);
+}
+
+void Executions::OnSlotLost(std::uint32_t aSlot,
+                            TimePoint aNow,
+                            EffectList& aOut)
+{
+  const auto owned = mOwned.find(aSlot);
+  if (owned == mOwned.end()) {
+    return;
+  }
+  SlotState state = std::move(owned->second);
+  mOwned.erase(owned);
+  aOut.push_back(SlotEntry("slot_lost", aSlot, state.mEpoch));
+  const std::optional<SlotOwner> owner = mSlots.Owner(aSlot);
+  // Only the owner of an epoch can mark the next one as handed over.
+  const bool isPlanned =
+    owner && mSlots.IsHandedOver(aSlot) && owner->mEpoch == state.mEpoch + 1;
+  RefuseSlot(aSlot, state, isPlanned);
+  if (isPlanned) {
+    mDeparting[aSlot] = { .mState = std::move(state),
+                          .mSuccessor = owner->mProcess.mVm,
+                          .mSendsLeft = kHandoverSends,
+                          .mNextSend = aNow };
+    TickHandover(aNow, aOut);
+  }
+}
+
+void Executions::RefuseSlot(std::uint32_t aNumber,
+                            SlotState& aSlot,
+                            bool aIsPlanned)
+{
+  // After an unplanned loss a repeat of the request may have run elsewhere.
+  const Refusal refusal{
+    .mCode = ResultCode::NotOwner,
+    .mExecution = aIsPlanned ? Execution::NotRun : Execution::Unknown,
+    .mDetail = "the slot has moved to another owner",
+  };
+  for (const Attempt& attempt : std::exchange(aSlot.mWaiting, {})) {
+    if (mRequests.contains(attempt.mRequest.mRequest)) {
+      Refuse(attempt.mRequest.mRequest, refusal);
+    }
+  }
+  std::vector<ExecutionId> uncommitted;
+  for (const auto& [execution, active] : mActive) {
+    if (active.mSlot == aNumber && active.mPhase == Phase::Committing) {
+      uncommitted.push_back(execution);
+    }
+  }
+  std::sort(uncommitted.begin(), uncommitted.end());
+  for (const ExecutionId& execution : uncommitted) {
+    const auto active = mActive.find(execution);
+    RefuseAll(active->second, refusal);
+    mActive.erase(active);
+  }
+  aSlot.mPending.clear();
+}
+
+bool Executions::HasActive(std::uint32_t aSlot, std::uint64_t aEpoch) const
+{
+  const bool isCommitting =
+    mGroup && std::any_of(mGroup->mParts.begin(),
+                          mGroup->mParts.end(),
+                          [&](const BatchPart& aPart) {
+                            return aPart.mSlot == aSlot &&
+                                   aPart.mEpoch == aEpoch;
+                          });
+  return isCommitting ||
+         std::any_of(mActive.begin(), mActive.end(), [&](const auto& aEntry) {
+           return aEntry.second.mSlot == aSlot &&
+                  aEntry.second.mEpoch == aEpoch;
+         });
+}
+
+bool Executions::IsIdle(std::uint32_t aSlot) const
+{
+  const auto it = mOwned.find(aSlot);
+  return it == mOwned.end() || !HasActive(aSlot, it->second.mEpoch);
+}
+
+message::SlotHandover Executions::Freeze(std::uint32_t aSlot,
+                                         std::uint64_t aEpoch)
+{
+  SlotState* slot = FindState(aSlot, aEpoch);
+  if (slot == nullptr) {
+    message::SlotHandover handover;
+    handover.mSlot = aSlot;
+    handover.mEpoch = aEpoch;
+    return handover;
+  }
+  slot->mIsFrozen = true;
+  return BuildHandover(aSlot, *slot);
+}
+
+message::SlotHandover Executions::BuildHandover(std::uint32_t aNumber,
+                                                const SlotState& aSlot) const
+{
+  message::SlotHandover handover;
+  handover.mSlot = aNumber;
+  handover.mEpoch = aSlot.mEpoch;
+  handover.mInheritedEpochs = aSlot.mInheritedEpochs;
+  for (const auto& [execution, record] : aSlot.mRecords) {
+    // The store's batches give claims the outcome Unknown.
+    if (record.mIsTicket || record.mOutcome != Outcome::Unknown) {
+      handover.mRecords.push_back({ .mExecution = execution,
+                                    .mContent = record.mContent,
+                                    .mExpirySeconds = record.mExpirySeconds,
+                                    .mOutcome = record.mOutcome,
+                                    .mIsTicket = record.mIsTicket });
+    }
+  }
+  return handover;
+}
+
+void Executions::AddAnswers(std::uint32_t aNumber,
+                            message::SlotHandover& aMessage,
+                            std::vector<ExecutionId>& aRest) const
+{
+  std::size_t bytes = 0;
+  for (const ExecutionId& execution : mAnswers.OfSlot(aNumber)) {
+    const AnswerContentPtr answer = mAnswers.Find(execution);
+    bytes += SizeOf(*answer);
+    if (bytes > kHandoverAnswerBytes) {
+      aRest.push_back(execution);
+    } else {
+      aMessage.mAnswers.push_back({ execution, aNumber, *answer });
+    }
+  }
+}
+
+void Executions::TickHandover(TimePoint aNow, EffectList& aOut)
+{
+  for (const auto& [number, slot] : mOwned) {
+    if (mSlots.IsStopping(number) && IsIdle(number)) {
+      mSlots.HandOver(number);
+    }
+  }
+  for (auto& [number, departing] : mDeparting) {
+    if (aNow >= departing.mNextSend &&
+        !HasActive(number, departing.mState.mEpoch)) {
+      SendHandover(number, departing, aNow, aOut);
+    }
+  }
+  std::erase_if(mDeparting, [](const auto& aEntry) {
+    return aEntry.second.mSendsLeft == 0;
+  });
+}
+
+void Executions::SendHandover(std::uint32_t aNumber,
+                              Departing& aDeparting,
+                              TimePoint aNow,
+                              EffectList& aOut)
+{
+  message::SlotHandover handover = BuildHandover(aNumber, aDeparting.mState);
+  std::vector<ExecutionId> rest;
+  AddAnswers(aNumber, handover, rest);
+  const bool isFirst = aDeparting.mSendsLeft == kHandoverSends;
+  for (const ExecutionId& execution : rest) {
+    if (isFirst) {
+      aOut.push_back(effect::SendMessage{
+        .mTo = aDeparting.mSuccessor,
+        .mAddress = "",
+        .mPort = 0,
+        .mTransport = effect::Transport::Stream,
+        .mMessage = message::AnswerCopy{
+          .mNumber = 0,
+          .mAnswer = { execution, aNumber, *mAnswers.Find(execution) } } });
+    }
+  }
+  aOut.push_back(effect::SendMessage{ .mTo = aDeparting.mSuccessor,
+                                      .mAddress = "",
+                                      .mPort = 0,
+                                      .mTransport = effect::Transport::Stream,
+                                      .mMessage = std::move(handover) });
+  if (isFirst) {
+    ++mCounters.mHandoversSent;
+    aOut.push_back(
+      SlotEntry("slot_handed_over", aNumber, aDeparting.mState.mEpoch));
+  }
+  --aDeparting.mSendsLeft;
+  aDeparting.mNextSend = aNow + kHandoverRepeat;
+}
+
+void Executions::OnMessage(const VmIncarnation&,
+                           const message::SlotHandover& aMessage,
+                           TimePoint aNow,
+                           EffectList& aOut)
+{
+  mWall.Observe(mHooks.mWallSeconds(), aNow);
+  const auto owned = mOwned.find(aMessage.mSlot);
+  if (owned != mOwned.end() && owned->second.mEpoch >= aMessage.mEpoch + 1) {
+    Adopt(aMessage.mSlot, owned->second, aMessage, aNow, aOut);
+    return;
+  }
+  message::SlotHandover& early = mEarlyHandovers[aMessage.mSlot];
+  if (aMessage.mEpoch >= early.mEpoch) {
+    early = aMessage;
+  }
+  mSlots.Refresh();
+}
+
+void Executions::Adopt(std::uint32_t aNumber,
+                       SlotState& aSlot,
+                       const message::SlotHandover& aMessage,
+                       TimePoint aNow,
+                       EffectList& aOut)
+{
+  // The predecessor sends its state only after it has stopped for good, so
+  // that its epoch may be treated as this process's own, however late the
+  // message comes.
+  const bool isPredecessor =
+    mSlots.IsHandedOver(aNumber) && aMessage.mEpoch + 1 == aSlot.mEpoch;
+  if (!isPredecessor || aSlot.mHasAdopted) {
+    return;
+  }
+  aSlot.mHasAdopted = true;
+  aSlot.mAwaitsHandover = false;
+  aSlot.mInheritedEpochs = aMessage.mInheritedEpochs;
+  auto& inherited = aSlot.mInheritedEpochs;
+  inherited.insert(inherited.begin(), aMessage.mEpoch);
+  inherited.resize(std::min(inherited.size(), kMostInheritedEpochs));
+  for (const message::ExecutionRecord& record : aMessage.mRecords) {
+    AdoptRecord(aSlot, record);
+  }
+  for (const KeptAnswer& kept : aMessage.mAnswers) {
+    mAnswers.Keep(kept.mSlot,
+                  kept.mExecution,
+                  std::make_shared<const AnswerContent>(kept.mAnswer),
+                  aNow);
+  }
+  ++mCounters.mHandoversTaken;
+  aOut.push_back(SlotEntry("slot_handover_taken", aNumber, aMessage.mEpoch));
+  RestartQueue(aSlot, aNow, aOut);
+}
+
+void Executions::AdoptRecord(SlotState& aSlot,
+                             const message::ExecutionRecord& aRecord)
+{
+  Record& record = aSlot.mRecords[aRecord.mExecution];
+  // A claim loaded from the store is Unknown here and has not been run by
+  // this process, which alone could have changed it.
+  record.mContent = aRecord.mContent;
+  record.mExpirySeconds = static_cast<std::uint32_t>(aRecord.mExpirySeconds);
+  record.mOutcome = aRecord.mOutcome;
+  record.mIsTicket = aRecord.mIsTicket;
+}
+
+} // namespace cranberrywing
--- /dev/null
+++ b/src/libcranberrywing/executions_load.cpp
@@ -0,0 +1,167 @@
+// Loading a slot's claims after a takeover, and removing expired ones.
+#include <algorithm>
+
+#include "cranberrywing/executions.h"
+
+namespace cranberrywing {
+
+namespace {
+
+/// Records per read: at most 330 KB each (kMaxBatchClaims).
+constexpr std::int64_t kRecordsPerRead = 16;
+constexpr Milliseconds kLoadRetry{ 200 };
+/// A record that cannot be decoded needs an operator; look again rarely.
+constexpr Milliseconds kUnreadableRetry{ 10'000 };
+constexpr Milliseconds kCleanInterval{ 60'000 };
+/// One slot is looked through per interval, so that no tick takes long.
+constexpr Milliseconds kPruneInterval{ 1'000 };
+constexpr std::size_t kDeletesPerClean = 64;
+
+} // namespace
+
+void Executions::ContinueLoad(std::uint32_t aNumber,
+                              SlotState& aSlot,
+                              TimePoint aNow,
+                              EffectList& aOut)
+{
+  if (aSlot.mIsLoaded || aSlot.mIsReading || aNow < aSlot.mLoadRetry) {
+    return;
+  }
+  const std::string prefix = SlotPrefix(aNumber);
+  if (aSlot.mLoadFrom.empty()) {
+    aSlot.mLoadFrom = prefix;
+  }
+  aSlot.mIsReading = true;
+  StoreTxn txn;
+  txn.mReads.push_back({ .mKey = aSlot.mLoadFrom,
+                         .mRangeEnd = PrefixRangeEnd(prefix),
+                         .mLimit = kRecordsPerRead });
+  PendingCall call;
+  call.mCall = Call::Load;
+  call.mSlot = aNumber;
+  call.mEpoch = aSlot.mEpoch;
+  Send(std::move(call), std::move(txn), aNow, aOut);
+}
+
+void Executions::OnLoadReply(const PendingCall& aCall,
+                             const Result<StoreReply>& aReply,
+                             TimePoint aNow,
+                             EffectList& aOut)
+{
+  const auto owned = mOwned.find(aCall.mSlot);
+  if (owned == mOwned.end() || owned->second.mEpoch != aCall.mEpoch) {
+    return;
+  }
+  SlotState& slot = owned->second;
+  slot.mIsReading = false;
+  if (!aReply) {
+    // The owners spread their reads when the store comes back.
+    const Milliseconds jitter(mRandom() % kLoadRetry.count());
+    slot.mLoadRetry = aNow + kLoadRetry + jitter;
+    return;
+  }
+  for (const StoreEntry& entry : aReply->mEntries) {
+    if (!LoadEntry(slot, entry)) {
+      // What the record holds may have run: no claim of the slot is taken.
+      slot.mLoadRetry = aNow + kUnreadableRetry;
+      aOut.push_back(effect::RecordTimeline{
+        .mName = "claims_unreadable", .mFields = { { "key", entry.mKey } } });
+      return;
+    }
+    slot.mLoadFrom = entry.mKey + '\0';
+  }
+  if (std::ssize(aReply->mEntries) < kRecordsPerRead) {
+    slot.mIsLoaded = true;
+    aOut.push_back(effect::RecordTimeline{
+      .mName = "slot_loaded",
+      .mFields = { { "slot", std::to_string(aCall.mSlot) },
+                   { "epoch", std::to_string(aCall.mEpoch) },
+                   { "executions", std::to_string(slot.mRecords.size()) } } });
+    RestartQueue(slot, aNow, aOut);
+    return;
+  }
+  ContinueLoad(aCall.mSlot, slot, aNow, aOut);
+}
+
+bool Executions::LoadEntry(SlotState& aSlot, const StoreEntry& aEntry)
+{
+  const Result<ClaimBatch> batch = DecodeClaimBatch(aEntry.mValue);
+  if (!batch) {
+    return false;
+  }
+  aSlot.mLog.Add(aEntry.mKey, *batch);
+  for (const Claim& claim : batch->mClaims) {
+    if (claim.mExpirySeconds <= mWall.ForRemoval()) {
+      continue;
+    }
+    // A handover that came before may know more of the execution.
+    aSlot.mRecords.try_emplace(
+      claim.mExecution,
+      Record{ .mContent = claim.mContent,
+              .mExpirySeconds =
+                static_cast<std::uint32_t>(claim.mExpirySeconds) });
+  }
+  return true;
+}
+
+void Executions::Clean(TimePoint aNow, EffectList& aOut)
+{
+  if (aNow >= mNextPrune) {
+    mNextPrune = aNow + kPruneInterval;
+    PruneNextSlot();
+    mAnswers.DropOld(mRetention, aNow);
+  }
+  if (aNow < mNextClean) {
+    return;
+  }
+  mNextClean = aNow + kCleanInterval;
+  PendingCall call;
+  call.mCall = Call::Clean;
+  StoreTxn txn;
+  for (const auto& [number, slot] : mOwned) {
+    const std::vector<std::string> keys = slot.mLog.Expired(
+      mWall.ForRemoval(), kDeletesPerClean - call.mKeys.size());
+    if (keys.empty() || !slot.mIsLoaded) {
+      continue;
+    }
+    txn.mCompares.push_back(mSlots.Fence(number));
+    for (const std::string& key : keys) {
+      txn.mDeletes.push_back({ .mKey = key, .mRangeEnd = "" });
+    }
+    call.mKeys.insert(call.mKeys.end(), keys.begin(), keys.end());
+  }
+  if (!call.mKeys.empty()) {
+    Send(std::move(call), std::move(txn), aNow, aOut);
+  }
+}
+
+void Executions::PruneNextSlot()
+{
+  auto it = mOwned.upper_bound(mPruneSlot);
+  if (it == mOwned.end()) {
+    it = mOwned.begin();
+  }
+  if (it == mOwned.end()) {
+    return;
+  }
+  mPruneSlot = it->first;
+  const std::int64_t wall = mWall.ForRemoval();
+  boost::unordered::erase_if(it->second.mRecords, [&](const auto& aEntry) {
+    return aEntry.second.mExpirySeconds <= wall &&
+           !mActive.contains(aEntry.first);
+  });
+}
+
+void Executions::OnCleanReply(const PendingCall& aCall,
+                              const Result<StoreReply>& aReply)
+{
+  if (!aReply || !aReply->mSucceeded) {
+    // Tried again with the next cleaning; deletions may be repeated.
+    return;
+  }
+  for (auto& [number, slot] : mOwned) {
+    slot.mLog.Remove(aCall.mKeys);
+  }
+}
+
+} // namespace cranberrywing
--- /dev/null
+++ b/src/libcranberrywing/executions_outcomes.cpp
@@ -0,0 +1,207 @@
+// What callers are told: answers, refusals and expired waits.
+#include <algorithm>
+
+#include "cranberrywing/executions.h"
+
+namespace cranberrywing {
+
+namespace {
+
+/// After this time a caller may repeat a request that did not run.
+constexpr Milliseconds kRepeatAfter{ 1'000 };
+
+Refusal UnknownRefusal(std::string aDetail)
+{
+  return { .mCode = ResultCode::OutcomeUnknown,
+           .mExecution = Execution::Unknown,
+           .mDetail = std::move(aDetail) };
+}
+
+} // namespace
+
+std::vector<ExecutionDecision> Executions::TakeDecisions()
+{
+  return std::exchange(mDecisions, {});
+}
+
+void Executions::Refuse(RequestId aRequest, Refusal aRefusal)
+{
+  mRequests.erase(aRequest);
+  mDecisions.push_back({ .mRequest = aRequest,
+                         .mRun = false,
+                         .mAnswer = nullptr,
+                         .mRefusal = std::move(aRefusal) });
+}
+
+void Executions::DecideAnswer(RequestId aRequest, AnswerContentPtr aAnswer)
+{
+  mRequests.erase(aRequest);
+  mDecisions.push_back({ .mRequest = aRequest,
+                         .mRun = false,
+                         .mAnswer = std::move(aAnswer),
+                         .mRefusal = {} });
+}
+
+void Executions::RefuseAll(const Active& aActive, const Refusal& aRefusal)
+{
+  if (aActive.mPhase != Phase::Committing) {
+    Refuse(aActive.mRunner, aRefusal);
+  }
+  for (const Waiter& waiter : aActive.mWaiters) {
+    Refuse(waiter.mRequest, aRefusal);
+  }
+}
+
+void Executions::RefuseKnown(RequestId aRequest, Outcome aOutcome)
+{
+  if (aOutcome == Outcome::Completed) {
+    Refuse(aRequest,
+           { .mCode = ResultCode::NotAccepted,
+             .mExecution = Execution::Completed,
+             .mDetail = "the request ran; its answer is no longer kept" });
+    return;
+  }
+  ++mCounters.mUnknown;
+  Refuse(aRequest,
+         UnknownRefusal("an earlier request with this identity may have run "
+                        "and will not run again"));
+}
+
+void Executions::ExpireWaiters(TimePoint aNow)
+{
+  while (!mDeadlines.empty() && mDeadlines.top().mTime <= aNow) {
+    const RequestId request = mDeadlines.top().mRequest;
+    mDeadlines.pop();
+    if (mRequests.contains(request)) {
+      ExpireWaiter(request);
+    }
+  }
+}
+
+void Executions::ExpireWaiter(RequestId aRequest)
+{
+  const WaitingPlace place = mRequests.at(aRequest);
+  RemoveWaiter(place, aRequest);
+  if (!place.mExecution) {
+    // Whether an earlier request of the same identity ran is known only
+    // after loading.
+    Refuse(aRequest,
+           { .mCode = ResultCode::DeadlineExceeded,
+             .mExecution = Execution::Unknown,
+             .mDetail = "the slot's executions could not be loaded in time",
+             .mRetryAfter = kRepeatAfter });
+    return;
+  }
+  const auto active = mActive.find(*place.mExecution);
+  if (active == mActive.end() || active->second.mPhase == Phase::Committing) {
+    Refuse(aRequest,
+           { .mCode = ResultCode::StoreUnavailable,
+             .mExecution = Execution::NotRun,
+             .mDetail = "the execution could not be recorded in time",
+             .mRetryAfter = kRepeatAfter });
+    return;
+  }
+  Refuse(aRequest,
+         { .mCode = ResultCode::DeadlineExceeded,
+           .mExecution = Execution::Unknown,
+           .mDetail = "the execution has not finished in time",
+           .mRetryAfter = kRepeatAfter });
+}
+
+void Executions::RemoveWaiter(const WaitingPlace& aPlace, RequestId aRequest)
+{
+  if (!aPlace.mExecution) {
+    const auto slot = mOwned.find(aPlace.mSlot);
+    if (slot != mOwned.end()) {
+      std::erase_if(slot->second.mWaiting, [aRequest](const Attempt& aAttempt) {
+        return aAttempt.mRequest.mRequest == aRequest;
+      });
+    }
+    return;
+  }
+  const auto active = mActive.find(*aPlace.mExecution);
+  if (active != mActive.end()) {
+    std::erase_if(active->second.mWaiters, [aRequest](const Waiter& aWaiter) {
+      return aWaiter.mRequest == aRequest;
+    });
+  }
+}
+
+void Executions::SetOutcome(const Active& aActive,
+                            const ExecutionId& aExecution,
+                            Outcome aOutcome)
+{
+  SlotState* slot = FindState(aActive.mSlot, aActive.mEpoch);
+  if (slot == nullptr) {
+    return;
+  }
+  const auto record = slot->mRecords.find(aExecution);
+  if (record != slot->mRecords.end()) {
+    record->second.mOutcome = aOutcome;
+  }
+}
+
+void Executions::OnAnswered(RequestId aRequest,
+                            AnswerContentPtr aAnswer,
+                            TimePoint aNow,
+                            EffectList& aOut)
+{
+  const auto runner = mRunners.find(aRequest);
+  if (runner == mRunners.end()) {
+    return;
+  }
+  const ExecutionId execution = runner->second;
+  mRunners.erase(runner);
+  Active& active = mActive.at(execution);
+  SetOutcome(active, execution, Outcome::Completed);
+  mAnswers.Keep(active.mSlot, execution, aAnswer, aNow);
+  active.mAnswer = std::move(aAnswer);
+  active.mPhase = Phase::Copying;
+  SendCopy(execution, active, aNow, aOut);
+}
+
+void Executions::ReleaseAnswer(const ExecutionId& aExecution)
+{
+  const auto it = mActive.find(aExecution);
+  const Active active = std::move(it->second);
+  mActive.erase(it);
+  mCopies.erase(active.mCopyNumber);
+  DecideAnswer(active.mRunner, active.mAnswer);
+  for (const Waiter& waiter : active.mWaiters) {
+    ++mCounters.mReplayed;
+    DecideAnswer(waiter.mRequest, active.mAnswer);
+  }
+}
+
+void Executions::OnUnknown(RequestId aRequest, TimePoint, EffectList&)
+{
+  const auto runner = mRunners.find(aRequest);
+  if (runner == mRunners.end()) {
+    return;
+  }
+  const auto it = mActive.find(runner->second);
+  mRunners.erase(runner);
+  const Active active = std::move(it->second);
+  mActive.erase(it);
+  ++mCounters.mUnknown;
+  RefuseAll(active, UnknownRefusal("the request may have run"));
+}
+
+void Executions::OnNotRun(RequestId aRequest,
+                          Refusal aRefusal,
+                          TimePoint,
+                          EffectList&)
+{
+  const auto runner = mRunners.find(aRequest);
+  if (runner == mRunners.end()) {
+    return;
+  }
+  const auto it = mActive.find(runner->second);
+  mRunners.erase(runner);
+  const Active active = std::move(it->second);
+  SetOutcome(active, it->first, Outcome::NotRun);
+  mActive.erase(it);
+  RefuseAll(active, aRefusal);
+}
+
+} // namespace cranberrywing
--- /dev/null
+++ b/src/libcranberrywing/executions_tickets.cpp
@@ -0,0 +1,120 @@
+// Execution by ticket. Only the owner of a ticket's epoch runs it.
+#include <algorithm>
+
+#include "cranberrywing/executions.h"
+
+namespace cranberrywing {
+
+namespace {
+
+/// Time after a ticket's expiry for which its record is kept, so that a late
+/// repeat still gets the answer or a definite outcome.
+constexpr std::chrono::seconds kTicketGrace{ 600 };
+
+} // namespace
+
+Result<std::string> Executions::IssueTicket(const AccountId& aAccount,
+                                            const RouteId& aRoute,
+                                            TimePoint aNow)
+{
+  mWall.Observe(mHooks.mWallSeconds(), aNow);
+  auto it = mOwned.upper_bound(mTicketSlot);
+  for (std::size_t n = 0; n < mOwned.size(); ++n, ++it) {
+    if (it == mOwned.end()) {
+      it = mOwned.begin();
+    }
+    SlotState& slot = it->second;
+    if (!AcceptsNew(slot, it->first)) {
+      continue;
+    }
+    const auto lifetime =
+      std::chrono::duration_cast<std::chrono::seconds>(mTicketLifetime);
+    const TicketFields fields{
+      .mSlot = it->first,
+      .mEpoch = slot.mEpoch,
+      .mNumber = slot.mNextTicket,
+      .mExpirySeconds = mWall.ForExpiry() + lifetime.count(),
+    };
+    Result<std::string> ticket = mSigner.Issue(fields, aAccount, aRoute);
+    if (ticket) {
+      ++slot.mNextTicket;
+      ++mCounters.mTicketsIssued;
+      mTicketSlot = it->first;
+    }
+    return ticket;
+  }
+  return MakeError(ResultCode::NotOwner, "this VM owns no slot");
+}
+
+bool Executions::OwnsEpoch(const SlotState& aSlot, std::uint64_t aEpoch) const
+{
+  const auto& inherited = aSlot.mInheritedEpochs;
+  return aEpoch == aSlot.mEpoch ||
+         std::find(inherited.begin(), inherited.end(), aEpoch) !=
+           inherited.end();
+}
+
+void Executions::StartTicket(SlotState& aSlot,
+                             Attempt aAttempt,
+                             TimePoint aNow,
+                             EffectList&)
+{
+  const auto record = aSlot.mRecords.find(aAttempt.mExecution);
+  if (record != aSlot.mRecords.end()) {
+    Repeat(aSlot, record->second, aAttempt, aNow);
+  } else if (aAttempt.mTicket->mEpoch > aSlot.mEpoch) {
+    mSlots.Refresh();
+    Refuse(aAttempt.mRequest.mRequest,
+           { .mCode = ResultCode::NotOwner,
+             .mExecution = Execution::Unknown,
+             .mDetail = "the ticket's slot has a later owner" });
+  } else if (OwnsEpoch(aSlot, aAttempt.mTicket->mEpoch)) {
+    StartUnseenTicket(aSlot, std::move(aAttempt));
+  } else {
+    StartForeignTicket(aSlot, std::move(aAttempt), aNow);
+  }
+}
+
+void Executions::StartUnseenTicket(SlotState& aSlot, Attempt aAttempt)
+{
+  const std::int64_t expiry = aAttempt.mTicket->mExpirySeconds;
+  if (mWall.ForExpiry() >= expiry) {
+    // A record is removed after the grace time at the earliest: until then
+    // its absence proves that the ticket never ran.
+    const bool isCertain = mWall.ForExpiry() < expiry + kTicketGrace.count();
+    Refuse(aAttempt.mRequest.mRequest,
+           { .mCode = ResultCode::InvalidTicket,
+             .mExecution = isCertain ? Execution::NotRun : Execution::Unknown,
+             .mDetail = "the ticket has expired" });
+    return;
+  }
+  if (!AcceptsNew(aSlot, aAttempt.mSlot)) {
+    Queue(aSlot, std::move(aAttempt));
+    return;
+  }
+  aSlot.mRecords[aAttempt.mExecution] = {
+    .mContent = aAttempt.mRequest.mContent,
+    .mExpirySeconds = static_cast<std::uint32_t>(expiry + kTicketGrace.count()),
+    .mOutcome = Outcome::Unknown,
+    .mIsTicket = true,
+  };
+  ++mCounters.mTicketsRun;
+  Run(aSlot, aAttempt);
+}
+
+void Executions::StartForeignTicket(SlotState& aSlot,
+                                    Attempt aAttempt,
+                                    TimePoint aNow)
+{
+  const AnswerContentPtr answer = mAnswers.Find(aAttempt.mExecution);
+  if (answer) {
+    ++mCounters.mReplayed;
+    DecideAnswer(aAttempt.mRequest.mRequest, answer);
+  } else if (aSlot.mAwaitsHandover || aNow < aSlot.mCopiesUntil) {
+    Queue(aSlot, std::move(aAttempt));
+  } else {
+    RefuseKnown(aAttempt.mRequest.mRequest, Outcome::Unknown);
+  }
+}
+
+} // namespace cranberrywing
--- /dev/null
+++ b/src/libcranberrywing/slots.cpp
@@ -0,0 +1,230 @@
+#include "cranberrywing/slots.h"
+
+#include <algorithm>
+
+namespace cranberrywing {
+
+namespace {
+
+/// Tick runs every 10 ms; owners need a look only this often.
+constexpr Milliseconds kEvaluationInterval{ 250 };
+
+} // namespace
+
+SlotTable::SlotTable(Options aOptions, SlotTableHooks aHooks)
+  : mOptions(std::move(aOptions))
+  , mHooks(std::move(aHooks))
+  , mReadBackoff(mOptions.mRefreshBackoff)
+{
+}
+
+void SlotTable::Apply(const SettingsSnapshot& aSettings)
+{
+  const FleetSettings& fleet = aSettings.mFleet;
+  mOwnerCount = std::max(1u, fleet.mSlotOwners);
+  mTakeoverDelay = fleet.mTakeoverDelay;
+  mConfiguredCount = std::max(1u, fleet.mSlotCount);
+  if (mRecordedCount == 0) {
+    mSlots.resize(mConfiguredCount);
+  }
+}
+
+std::uint32_t SlotTable::SlotCount() const
+{
+  return static_cast<std::uint32_t>(mSlots.size());
+}
+
+std::optional<SlotOwner> SlotTable::Owner(std::uint32_t aSlot) const
+{
+  if (aSlot >= mSlots.size() || !mSlots[aSlot].mRecord) {
+    return std::nullopt;
+  }
+  return mSlots[aSlot].mRecord->mOwner;
+}
+
+bool SlotTable::IsOwner(std::uint32_t aSlot) const
+{
+  return aSlot < mSlots.size() && mSlots[aSlot].mIsHeld;
+}
+
+std::vector<std::uint32_t> SlotTable::OwnedSlots() const
+{
+  std::vector<std::uint32_t> owned;
+  for (std::uint32_t n = 0; n < mSlots.size(); ++n) {
+    if (mSlots[n].mIsHeld) {
+      owned.push_back(n);
+    }
+  }
+  return owned;
+}
+
+bool SlotTable::IsHandedOver(std::uint32_t aSlot) const
+{
+  return aSlot < mSlots.size() && mSlots[aSlot].mRecord &&
+         mSlots[aSlot].mRecord->mIsHandedOver;
+}
+
+StoreCompare SlotTable::Fence(std::uint32_t aSlot) const
+{
+  const std::int64_t revision =
+    aSlot < mSlots.size() ? mSlots[aSlot].mModRevision : 0;
+  return { .mKey = SlotKey(aSlot), .mModRevision = revision };
+}
+
+void SlotTable::OnFenceFailed(std::uint32_t, TimePoint aNow, EffectList& aOut)
+{
+  Read(aNow, aOut);
+}
+
+void SlotTable::Refresh()
+{
+  mWantsRead = true;
+}
+
+void SlotTable::Tick(TimePoint aNow, EffectList& aOut)
+{
+  mNow = aNow;
+  if (mSlots.empty()) {
+    return;
+  }
+  DropLostCalls(aNow, aOut);
+  if (aNow >= mNextEvaluation) {
+    mNextEvaluation = aNow + kEvaluationInterval;
+    Evaluate(aNow, aOut);
+  }
+  TickView(aNow, aOut);
+  TickLease(aNow, aOut);
+  WriteHandovers(aNow, aOut);
+}
+
+void SlotTable::OnStoreReply(const event::StoreReplied& aReply,
+                             TimePoint aNow,
+                             EffectList& aOut)
+{
+  mNow = aNow;
+  const auto it = mCalls.find(aReply.mCall.mNumber);
+  if (it == mCalls.end()) {
+    return;
+  }
+  const Call call = it->second.mCall;
+  mCalls.erase(it);
+  OnReply(call, aReply.mReply, aNow, aOut);
+}
+
+void SlotTable::OnDeath(const VmIncarnation& aProcess,
+                        TimePoint aNow,
+                        EffectList& aOut)
+{
+  mNow = aNow;
+  const bool ownsAny =
+    std::any_of(mSlots.begin(), mSlots.end(), [&](const Slot& aSlot) {
+      return aSlot.mRecord && aSlot.mRecord->mOwner.mProcess == aProcess;
+    });
+  if (ownsAny) {
+    Evaluate(aNow, aOut);
+  }
+}
+
+void SlotTable::Send(Call aCall,
+                     StoreCall aRequest,
+                     TimePoint aNow,
+                     EffectList& aOut)
+{
+  const std::uint64_t number = mNextCall++;
+  mCalls[number] = { .mCall = aCall, .mSentAt = aNow };
+  aOut.push_back(effect::CallStore{ .mCall = { Concern::SlotTable, number },
+                                    .mRequest = std::move(aRequest) });
+}
+
+void SlotTable::SendTxn(Call aCall,
+                        StoreTxn aTxn,
+                        TimePoint aNow,
+                        EffectList& aOut)
+{
+  StoreCall request;
+  request.mTxn = std::move(aTxn);
+  Send(aCall, std::move(request), aNow, aOut);
+}
+
+bool SlotTable::IsPending(Call aCall) const
+{
+  return std::any_of(mCalls.begin(), mCalls.end(), [aCall](const auto& aEntry) {
+    return aEntry.second.mCall == aCall;
+  });
+}
+
+void SlotTable::DropLostCalls(TimePoint aNow, EffectList& aOut)
+{
+  std::vector<Call> lost;
+  std::erase_if(mCalls, [&](const auto& aEntry) {
+    if (aNow - aEntry.second.mSentAt < mOptions.mCallTimeout) {
+      return false;
+    }
+    lost.push_back(aEntry.second.mCall);
+    return true;
+  });
+  for (const Call call : lost) {
+    OnReply(
+      call, MakeError(ResultCode::OutcomeUnknown, "no reply"), aNow, aOut);
+  }
+}
+
+void SlotTable::OnReply(Call aCall,
+                        const Result<StoreReply>& aReply,
+                        TimePoint aNow,
+                        EffectList& aOut)
+{
+  switch (aCall) {
+    case Call::Grant:
+      OnGrantReply(aReply, aNow, aOut);
+      return;
+    case Call::PutLive:
+      OnPutLiveReply(aReply, aNow);
+      return;
+    case Call::KeepAlive:
+      OnKeepAliveReply(aReply);
+      return;
+    case Call::Revoke:
+      return;
+    case Call::HandOver:
+      OnHandOverReply(aReply, aNow, aOut);
+      return;
+    case Call::Read:
+    case Call::Take:
+      break;
+  }
+  if (!aReply) {
+    // Whether a lost transaction took effect shows in the records.
+    mWantsRead = true;
+    return;
+  }
+  ApplyRange(*aReply, aNow, aOut);
+  if (aCall == Call::Read && NeedsLease() && !mIsWatching) {
+    StartWatch(aNow, aOut);
+  }
+}
+
+bool SlotTable::HoldsAny() const
+{
+  return std::any_of(mSlots.begin(), mSlots.end(), [](const Slot& aSlot) {
+    return aSlot.mIsHeld;
+  });
+}
+
+bool SlotTable::NeedsLease() const
+{
+  return HoldsAny() || (mIsCandidate && !mIsReleasing);
+}
+
+std::string SlotTable::SlotKey(std::uint32_t aSlot) const
+{
+  return mOptions.mStorePrefix + std::to_string(aSlot);
+}
+
+std::string SlotTable::LiveKey(const VmIncarnation& aProcess) const
+{
+  return mOptions.mStorePrefix + "live/" + aProcess.mVm.mName + "/" +
+         std::to_string(aProcess.mIncarnation.mNumber);
+}
+
+} // namespace cranberrywing
--- /dev/null
+++ b/src/libcranberrywing/slots_lease.cpp
@@ -0,0 +1,119 @@
+// The lease of an owner or candidate. It is a sign of life only: no decision
+// about safety rests on it.
+#include "cranberrywing/slots.h"
+
+namespace cranberrywing {
+
+namespace {
+
+constexpr Milliseconds kLeaseRetry{ 500 };
+/// Keep-alives per lease time, so that two may be lost.
+constexpr int kKeepAlivesPerLease = 3;
+
+} // namespace
+
+void SlotTable::TickLease(TimePoint aNow, EffectList& aOut)
+{
+  if (!NeedsLease()) {
+    RevokeLease(aNow, aOut);
+    return;
+  }
+  if (aNow < mLeaseRetry) {
+    return;
+  }
+  switch (mLeaseState) {
+    case LeaseState::None:
+      GrantLease(aNow, aOut);
+      return;
+    case LeaseState::Granted:
+      PutLiveKey(aNow, aOut);
+      return;
+    case LeaseState::Held:
+      KeepLeaseAlive(aNow, aOut);
+      return;
+  }
+}
+
+void SlotTable::GrantLease(TimePoint aNow, EffectList& aOut)
+{
+  if (IsPending(Call::Grant)) {
+    return;
+  }
+  StoreCall request;
+  request.mGrant = StoreLeaseGrant{ mOptions.mLeaseTime };
+  Send(Call::Grant, std::move(request), aNow, aOut);
+}
+
+void SlotTable::OnGrantReply(const Result<StoreReply>& aReply,
+                             TimePoint aNow,
+                             EffectList& aOut)
+{
+  if (!aReply || !aReply->mSucceeded) {
+    mLeaseRetry = aNow + kLeaseRetry;
+    return;
+  }
+  mLease = aReply->mLease;
+  mLeaseState = LeaseState::Granted;
+  mLastKeepAlive = aNow;
+  PutLiveKey(aNow, aOut);
+}
+
+void SlotTable::PutLiveKey(TimePoint aNow, EffectList& aOut)
+{
+  if (IsPending(Call::PutLive)) {
+    return;
+  }
+  StoreTxn txn;
+  txn.mPuts.push_back(
+    { .mKey = LiveKey(mOptions.mSelf), .mValue = "", .mLease = mLease });
+  SendTxn(Call::PutLive, std::move(txn), aNow, aOut);
+}
+
+void SlotTable::OnPutLiveReply(const Result<StoreReply>& aReply, TimePoint aNow)
+{
+  if (aReply && aReply->mSucceeded) {
+    mLeaseState = LeaseState::Held;
+    mHeldSince = aNow;
+    mLive.insert(mOptions.mSelf);
+    return;
+  }
+  // The lease may have run out while the put was on its way, which the store
+  // reports as a failed call: start again with a new one.
+  mLeaseState = LeaseState::None;
+  mLeaseRetry = aNow + kLeaseRetry;
+}
+
+void SlotTable::KeepLeaseAlive(TimePoint aNow, EffectList& aOut)
+{
+  const Duration interval = mOptions.mLeaseTime / kKeepAlivesPerLease;
+  if (aNow - mLastKeepAlive < interval || IsPending(Call::KeepAlive)) {
+    return;
+  }
+  mLastKeepAlive = aNow;
+  StoreCall request;
+  request.mKeepAlive = StoreLeaseKeepAlive{ mLease };
+  Send(Call::KeepAlive, std::move(request), aNow, aOut);
+}
+
+void SlotTable::OnKeepAliveReply(const Result<StoreReply>& aReply)
+{
+  if (aReply && !aReply->mSucceeded) {
+    mLeaseState = LeaseState::None;
+    mLive.erase(mOptions.mSelf);
+  }
+}
+
+void SlotTable::RevokeLease(TimePoint aNow, EffectList& aOut)
+{
+  if (mLeaseState == LeaseState::None) {
+    return;
+  }
+  mLeaseState = LeaseState::None;
+  mLive.erase(mOptions.mSelf);
+  StoreCall request;
+  request.mRevoke = StoreLeaseRevoke{ mLease };
+  Send(Call::Revoke, std::move(request), aNow, aOut);
+  mLease = LeaseId::None;
+}
+
+} // namespace cranberrywing
--- /dev/null
+++ b/src/libcranberrywing/slots_ownership.cpp
@@ -0,0 +1,156 @@
+// Which slots this VM takes over, and when.
+#include <algorithm>
+
+#include "cranberrywing/slots.h"
+
+namespace cranberrywing {
+
+namespace {
+
+/// etcd refuses transactions of more than 128 operations in one list; each
+/// slot needs up to two compares, and the count record one more.
+constexpr std::size_t kSlotsPerTake = 32;
+
+} // namespace
+
+void SlotTable::Evaluate(TimePoint aNow, EffectList& aOut)
+{
+  mCandidates = ChooseSlotOwners(mHooks.mCandidates(), mOwnerCount);
+  mIsCandidate =
+    std::find(mCandidates.begin(), mCandidates.end(), mOptions.mSelf.mVm) !=
+    mCandidates.end();
+  UpdateOrphans(aNow);
+  if (!IsViewCurrent(aNow)) {
+    return;
+  }
+  TakeOrphans(aNow, aOut);
+  if (mIsReleasing) {
+    StopReleased(aNow);
+  } else {
+    StopMisplaced(aNow);
+  }
+}
+
+void SlotTable::UpdateOrphans(TimePoint aNow)
+{
+  if (!IsViewCurrent(aNow)) {
+    // What was not seen cannot prove that an owner has gone.
+    for (Slot& slot : mSlots) {
+      slot.mOrphanedSince.reset();
+    }
+    return;
+  }
+  for (Slot& slot : mSlots) {
+    const bool hasLiveOwner =
+      slot.mRecord && IsLive(slot.mRecord->mOwner.mProcess);
+    if (hasLiveOwner) {
+      slot.mOrphanedSince.reset();
+    } else if (!slot.mOrphanedSince) {
+      slot.mOrphanedSince = aNow;
+    }
+  }
+}
+
+bool SlotTable::IsLive(const VmIncarnation& aProcess) const
+{
+  return mLive.contains(aProcess);
+}
+
+bool SlotTable::HasLiveProcess(const VmId& aVm) const
+{
+  const auto it = mLive.lower_bound(VmIncarnation{ aVm, Incarnation{ 0 } });
+  return it != mLive.end() && it->mVm == aVm;
+}
+
+std::vector<VmId> SlotTable::LiveOrder(std::uint32_t aSlot) const
+{
+  std::vector<VmId> live;
+  for (const VmId& vm : mCandidates) {
+    if (HasLiveProcess(vm)) {
+      live.push_back(vm);
+    }
+  }
+  return OrderSlotOwners(aSlot, std::move(live));
+}
+
+bool SlotTable::IsProvenGone(const VmIncarnation& aOwner) const
+{
+  // Of one VM's processes only the latest can be running.
+  const bool isOwnPredecessor =
+    aOwner.mVm == mOptions.mSelf.mVm &&
+    aOwner.mIncarnation < mOptions.mSelf.mIncarnation;
+  return isOwnPredecessor || mHooks.mIsDead(aOwner);
+}
+
+bool SlotTable::MayTake(std::uint32_t aSlot, TimePoint aNow) const
+{
+  const Slot& slot = mSlots[aSlot];
+  if (slot.mIsHeld || slot.mIsUnreadable) {
+    return false;
+  }
+  const bool isGone =
+    slot.mRecord && IsProvenGone(slot.mRecord->mOwner.mProcess);
+  if (!isGone && !slot.mOrphanedSince) {
+    return false;
+  }
+  const std::vector<VmId> order = LiveOrder(aSlot);
+  const auto self = std::find(order.begin(), order.end(), mOptions.mSelf.mVm);
+  if (self == order.end()) {
+    return false;
+  }
+  // A worse candidate waits longer, in case the better ones cannot act.
+  const auto rank = self - order.begin();
+  if (isGone && rank == 0) {
+    return true;
+  }
+  const TimePoint since = slot.mOrphanedSince.value_or(aNow);
+  const Duration wait = slot.mRecord ? mTakeoverDelay : mOptions.mSettleTime;
+  return aNow - since >= wait + rank * mTakeoverDelay;
+}
+
+void SlotTable::TakeOrphans(TimePoint aNow, EffectList& aOut)
+{
+  const bool isReady = mIsCandidate && !mIsReleasing &&
+                       mLeaseState == LeaseState::Held &&
+                       aNow - mHeldSince >= mOptions.mSettleTime;
+  if (!isReady || IsPending(Call::Take)) {
+    return;
+  }
+  StoreTxn txn;
+  for (std::uint32_t n = 0; n < mSlots.size(); ++n) {
+    if (txn.mPuts.size() < kSlotsPerTake && MayTake(n, aNow)) {
+      AddTake(n, txn);
+    }
+  }
+  if (txn.mPuts.empty()) {
+    return;
+  }
+  txn.mCompares.push_back({ .mKey = mOptions.mStorePrefix + "count",
+                            .mModRevision = mCountModRevision });
+  if (mCountModRevision == 0) {
+    txn.mPuts.push_back({ .mKey = mOptions.mStorePrefix + "count",
+                          .mValue = std::to_string(mSlots.size()) });
+  }
+  txn.mReads.push_back(WholeRange());
+  SendTxn(Call::Take, std::move(txn), aNow, aOut);
+}
+
+void SlotTable::AddTake(std::uint32_t aSlot, StoreTxn& aTxn) const
+{
+  const Slot& slot = mSlots[aSlot];
+  SlotRecord next;
+  next.mOwner = { .mProcess = mOptions.mSelf, .mEpoch = 1 };
+  if (slot.mRecord) {
+    const SlotOwner& owner = slot.mRecord->mOwner;
+    next.mOwner.mEpoch = owner.mEpoch + 1;
+    if (!IsProvenGone(owner.mProcess)) {
+      // The owner must show no sign of life at the moment of the takeover.
+      aTxn.mCompares.push_back({ .mKey = LiveKey(owner.mProcess) });
+    }
+  }
+  aTxn.mCompares.push_back(Fence(aSlot));
+  aTxn.mPuts.push_back(
+    { .mKey = SlotKey(aSlot), .mValue = EncodeSlotRecord(next) });
+}
+
+} // namespace cranberrywing
--- /dev/null
+++ b/src/libcranberrywing/slots_release.cpp
@@ -0,0 +1,168 @@
+// Planned handover of slots: for a stop of this VM, or because another VM is
+// the better owner.
+#include <algorithm>
+
+#include "cranberrywing/slots.h"
+
+namespace cranberrywing {
+
+namespace {
+
+constexpr std::size_t kSlotsPerHandover = 32;
+/// Slots on the move at one time for the sake of balance, so that most of
+/// this owner's slots always serve.
+constexpr std::ptrdiff_t kMostRebalanced = 4;
+/// Requests that wait for the handover run in between.
+constexpr Milliseconds kReleaseRetry{ 1'000 };
+/// Without a successor for this long, the slots stay to be taken over later.
+constexpr Milliseconds kSuccessorWait{ 2'000 };
+/// Executions repeats its handover message in this time; see kHandoverRepeat
+/// in executions_handover.cpp.
+constexpr Milliseconds kHandoverSending{ 300 };
+
+} // namespace
+
+bool SlotTable::IsStopping(std::uint32_t aSlot) const
+{
+  return IsOwner(aSlot) && mSlots[aSlot].mRelease != Release::None;
+}
+
+void SlotTable::HandOver(std::uint32_t aSlot)
+{
+  if (IsOwner(aSlot) && mSlots[aSlot].mRelease == Release::Stopping) {
+    mSlots[aSlot].mRelease = Release::Ready;
+  }
+}
+
+void SlotTable::ReleaseAll(TimePoint aNow, EffectList& aOut)
+{
+  mNow = aNow;
+  if (!mIsReleasing) {
+    mIsReleasing = true;
+    mReleaseStart = aNow;
+    Evaluate(aNow, aOut);
+  }
+}
+
+bool SlotTable::IsReleased() const
+{
+  if (!mIsReleasing) {
+    return false;
+  }
+  const bool hasNoSuccessor =
+    std::all_of(mCandidates.begin(),
+                mCandidates.end(),
+                [this](const VmId& aVm) { return aVm == mOptions.mSelf.mVm; });
+  if (HoldsAny()) {
+    return hasNoSuccessor && mNow - mReleaseStart >= kSuccessorWait;
+  }
+  return mLastLoss == TimePoint{} || mNow - mLastLoss >= kHandoverSending;
+}
+
+std::optional<VmIncarnation> SlotTable::Successor(std::uint32_t aSlot) const
+{
+  for (const VmId& vm : LiveOrder(aSlot)) {
+    if (vm == mOptions.mSelf.mVm) {
+      continue;
+    }
+    // The latest process of the VM; an earlier one's key may linger.
+    auto it = mLive.upper_bound(VmIncarnation{ vm, Incarnation{ ~0ull } });
+    return *std::prev(it);
+  }
+  return std::nullopt;
+}
+
+void SlotTable::StopReleased(TimePoint aNow)
+{
+  for (std::uint32_t n = 0; n < mSlots.size(); ++n) {
+    Slot& slot = mSlots[n];
+    if (slot.mIsHeld && slot.mRelease == Release::None &&
+        aNow >= slot.mReleaseRetry && Successor(n)) {
+      slot.mRelease = Release::Stopping;
+    }
+  }
+}
+
+void SlotTable::StopMisplaced(TimePoint aNow)
+{
+  auto moving =
+    std::count_if(mSlots.begin(), mSlots.end(), [](const Slot& aSlot) {
+      return aSlot.mRelease != Release::None;
+    });
+  for (std::uint32_t n = 0; n < mSlots.size(); ++n) {
+    Slot& slot = mSlots[n];
+    if (!slot.mIsHeld || slot.mRelease != Release::None) {
+      continue;
+    }
+    const std::vector<VmId> order = LiveOrder(n);
+    if (order.empty() || order.front() == mOptions.mSelf.mVm) {
+      slot.mMisplacedSince.reset();
+      continue;
+    }
+    if (!slot.mMisplacedSince) {
+      slot.mMisplacedSince = aNow;
+    }
+    if (aNow - *slot.mMisplacedSince >= mOptions.mRebalanceDelay &&
+        aNow >= slot.mReleaseRetry && moving < kMostRebalanced) {
+      slot.mRelease = Release::Stopping;
+      ++moving;
+    }
+  }
+}
+
+void SlotTable::WriteHandovers(TimePoint aNow, EffectList& aOut)
+{
+  if (IsPending(Call::HandOver)) {
+    return;
+  }
+  StoreTxn txn;
+  for (std::uint32_t n = 0; n < mSlots.size(); ++n) {
+    Slot& slot = mSlots[n];
+    if (slot.mRelease != Release::Ready ||
+        txn.mPuts.size() >= kSlotsPerHandover) {
+      continue;
+    }
+    const auto successor = Successor(n);
+    if (!successor) {
+      slot.mRelease = Release::None;
+      slot.mReleaseRetry = aNow + kReleaseRetry;
+      continue;
+    }
+    const SlotRecord next{
+      .mOwner = { *successor, slot.mRecord->mOwner.mEpoch + 1 },
+      .mIsHandedOver = true,
+    };
+    slot.mRelease = Release::Writing;
+    txn.mCompares.push_back(Fence(n));
+    txn.mPuts.push_back(
+      { .mKey = SlotKey(n), .mValue = EncodeSlotRecord(next) });
+  }
+  if (txn.mPuts.empty()) {
+    return;
+  }
+  txn.mReads.push_back(WholeRange());
+  SendTxn(Call::HandOver, std::move(txn), aNow, aOut);
+}
+
+void SlotTable::OnHandOverReply(const Result<StoreReply>& aReply,
+                                TimePoint aNow,
+                                EffectList& aOut)
+{
+  if (aReply) {
+    ApplyRange(*aReply, aNow, aOut);
+  } else {
+    mWantsRead = true;
+  }
+  // Slots still held go on serving until the next attempt. That is safe even
+  // if a lost transaction took effect: the fence refuses further claims, and
+  // the successor runs tickets of this epoch only after this process told it
+  // which ones it has seen.
+  for (Slot& slot : mSlots) {
+    if (slot.mRelease == Release::Writing) {
+      slot.mRelease = Release::None;
+      slot.mReleaseRetry = aNow + kReleaseRetry;
+    }
+  }
+}
+
+} // namespace cranberrywing
--- /dev/null
+++ b/src/libcranberrywing/slots_view.cpp
@@ -0,0 +1,249 @@
+// What this VM knows of the store's slot records: reads, the watch, and the
+// changes of ownership that follow from them.
+#include <algorithm>
+#include <charconv>
+
+#include "cranberrywing/slots.h"
+
+namespace cranberrywing {
+
+namespace {
+
+constexpr std::uint64_t kWatchNumber = 0;
+constexpr std::string_view kCountName = "count";
+constexpr std::string_view kLivePrefix = "live/";
+/// A candidate repeats a failed read after this time.
+constexpr Milliseconds kReadRetry{ 500 };
+/// Keeps a damaged count record from claiming all memory.
+constexpr std::uint32_t kMaxSlotCount = 65'536;
+
+template<class Number>
+std::optional<Number> ParseNumber(std::string_view aText)
+{
+  Number number = 0;
+  const auto [end, ec] =
+    std::from_chars(aText.data(), aText.data() + aText.size(), number);
+  if (ec != std::errc() || end != aText.data() + aText.size()) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+/// Reads `<vm>/<incarnation>`; VM names may hold slashes.
+std::optional<VmIncarnation> ParseLiveName(std::string_view aName)
+{
+  const std::size_t slash = aName.rfind('/');
+  if (slash == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const auto number = ParseNumber<std::uint64_t>(aName.substr(slash + 1));
+  if (!number) {
+    return std::nullopt;
+  }
+  return VmIncarnation{ VmId(aName.substr(0, slash)), Incarnation{ *number } };
+}
+
+} // namespace
+
+StoreRange SlotTable::WholeRange() const
+{
+  return { .mKey = mOptions.mStorePrefix,
+           .mRangeEnd = PrefixRangeEnd(mOptions.mStorePrefix),
+           .mLimit = 0 };
+}
+
+void SlotTable::TickView(TimePoint aNow, EffectList& aOut)
+{
+  if (!NeedsLease() && mIsWatching) {
+    aOut.push_back(effect::CancelWatch{ { Concern::SlotTable, kWatchNumber } });
+    mIsWatching = false;
+  }
+  const Duration sinceRead = aNow - mLastRead;
+  if (NeedsLease()) {
+    const bool isSilent =
+      !mIsWatching || aNow - mLastNews > mOptions.mWatchSilence;
+    if ((isSilent || mWantsRead) && (sinceRead >= kReadRetry || !mHasView)) {
+      mIsWatching = mIsWatching && !isSilent;
+      Read(aNow, aOut);
+    }
+    return;
+  }
+  if (sinceRead >= mOptions.mRefreshInterval) {
+    mReadBackoff = mOptions.mRefreshBackoff;
+    Read(aNow, aOut);
+    return;
+  }
+  const bool isDemanded = mWantsRead || !mHasView || HasUnusableOwner();
+  if (!isDemanded) {
+    mReadBackoff = mOptions.mRefreshBackoff;
+    return;
+  }
+  if (sinceRead >= mReadBackoff || mLastRead == TimePoint{}) {
+    mReadBackoff = std::min(2 * mReadBackoff, mOptions.mRefreshInterval);
+    Read(aNow, aOut);
+  }
+}
+
+void SlotTable::Read(TimePoint aNow, EffectList& aOut)
+{
+  if (IsPending(Call::Read)) {
+    // The pending read may be answered with what is already known.
+    mWantsRead = true;
+    return;
+  }
+  mWantsRead = false;
+  mLastRead = aNow;
+  StoreTxn txn;
+  txn.mReads.push_back(WholeRange());
+  SendTxn(Call::Read, std::move(txn), aNow, aOut);
+}
+
+void SlotTable::StartWatch(TimePoint aNow, EffectList& aOut)
+{
+  mIsWatching = true;
+  mLastNews = aNow;
+  const StoreRange range = WholeRange();
+  aOut.push_back(
+    effect::WatchStore{ .mWatch = { Concern::SlotTable, kWatchNumber },
+                        .mKey = range.mKey,
+                        .mRangeEnd = range.mRangeEnd,
+                        .mFromRevision = mViewRevision + 1 });
+}
+
+bool SlotTable::IsViewCurrent(TimePoint aNow) const
+{
+  return mHasView && mIsWatching && aNow - mLastNews <= mOptions.mWatchSilence;
+}
+
+bool SlotTable::HasUnusableOwner() const
+{
+  return std::any_of(mSlots.begin(), mSlots.end(), [this](const Slot& aSlot) {
+    return !aSlot.mRecord ||
+           !mHooks.mIsUsable(aSlot.mRecord->mOwner.mProcess.mVm);
+  });
+}
+
+void SlotTable::OnWatch(const event::StoreWatchFired& aEvent,
+                        TimePoint aNow,
+                        EffectList& aOut)
+{
+  mNow = aNow;
+  if (!mIsWatching || aEvent.mWatch.mNumber != kWatchNumber) {
+    return;
+  }
+  mLastNews = aNow;
+  for (const StoreEntry& entry : aEvent.mEntries) {
+    ApplyEntry(entry);
+  }
+  mViewRevision = std::max(mViewRevision, aEvent.mStoreRevision);
+  Reconcile(aNow, aOut);
+}
+
+void SlotTable::ApplyRange(const StoreReply& aReply,
+                           TimePoint aNow,
+                           EffectList& aOut)
+{
+  // A reply older than the watch's news must not bring back live keys that
+  // have gone since. Slot records are ordered by their own revisions.
+  if (aReply.mStoreRevision >= mViewRevision) {
+    mLive.clear();
+  }
+  const bool isNewest = aReply.mStoreRevision >= mViewRevision;
+  const std::string livePrefix =
+    mOptions.mStorePrefix + std::string(kLivePrefix);
+  for (const StoreEntry& entry : aReply.mEntries) {
+    if (isNewest || !entry.mKey.starts_with(livePrefix)) {
+      ApplyEntry(entry);
+    }
+  }
+  mHasView = true;
+  mViewRevision = std::max(mViewRevision, aReply.mStoreRevision);
+  Reconcile(aNow, aOut);
+}
+
+void SlotTable::ApplyEntry(const StoreEntry& aEntry)
+{
+  if (!aEntry.mKey.starts_with(mOptions.mStorePrefix)) {
+    return;
+  }
+  std::string_view name = aEntry.mKey;
+  name.remove_prefix(mOptions.mStorePrefix.size());
+  if (name == kCountName) {
+    ApplyCount(aEntry);
+    return;
+  }
+  if (!name.starts_with(kLivePrefix)) {
+    const auto slot = ParseNumber<std::uint32_t>(name);
+    if (slot && *slot < kMaxSlotCount) {
+      ApplySlot(*slot, aEntry);
+    }
+    return;
+  }
+  const auto process = ParseLiveName(name.substr(kLivePrefix.size()));
+  if (process && aEntry.mModRevision > 0) {
+    mLive.insert(*process);
+  } else if (process) {
+    mLive.erase(*process);
+  }
+}
+
+void SlotTable::ApplyCount(const StoreEntry& aEntry)
+{
+  const auto count = ParseNumber<std::uint32_t>(aEntry.mValue);
+  if (!count || *count == 0 || *count > kMaxSlotCount) {
+    return;
+  }
+  mCountModRevision = aEntry.mModRevision;
+  mRecordedCount = *count;
+  mSlots.resize(*count);
+}
+
+void SlotTable::ApplySlot(std::uint32_t aSlot, const StoreEntry& aEntry)
+{
+  if (aSlot >= mSlots.size()) {
+    mSlots.resize(aSlot + 1);
+  }
+  Slot& slot = mSlots[aSlot];
+  if (aEntry.mModRevision <= slot.mModRevision) {
+    return;
+  }
+  slot.mModRevision = aEntry.mModRevision;
+  const Result<SlotRecord> record = DecodeSlotRecord(aEntry.mValue);
+  slot.mIsUnreadable = !record;
+  slot.mRecord = record ? std::optional<SlotRecord>(*record) : std::nullopt;
+}
+
+void SlotTable::Reconcile(TimePoint aNow, EffectList& aOut)
+{
+  for (std::uint32_t n = 0; n < mSlots.size(); ++n) {
+    ReconcileSlot(n, aNow, aOut);
+  }
+}
+
+void SlotTable::ReconcileSlot(std::uint32_t aSlot,
+                              TimePoint aNow,
+                              EffectList& aOut)
+{
+  Slot& slot = mSlots[aSlot];
+  const bool isOwner =
+    slot.mRecord && slot.mRecord->mOwner.mProcess == mOptions.mSelf;
+  const std::uint64_t epoch = isOwner ? slot.mRecord->mOwner.mEpoch : 0;
+  if (epoch == slot.mHeldEpoch) {
+    return;
+  }
+  slot.mRelease = Release::None;
+  slot.mMisplacedSince.reset();
+  if (slot.mIsHeld) {
+    // Also if the slot was lost and won back between two looks.
+    slot.mIsHeld = false;
+    mLastLoss = aNow;
+    mHooks.mOnLost(aSlot, aNow, aOut);
+  }
+  slot.mIsHeld = isOwner;
+  slot.mHeldEpoch = epoch;
+  if (isOwner) {
+    mHooks.mOnAcquired(aSlot, epoch, aNow, aOut);
+  }
+}
+
+} // namespace cranberrywing
