Refresh lookup targets before computing a subset

Cause: the subset was computed from targets that could be out of date. Change: AccountSubset refreshes like Lookup. Conclusion: subsets follow membership.

--- a/src/libcranberrywing/steering.cpp
+++ b/src/libcranberrywing/steering.cpp
@@ -195,8 +195,11 @@
 }
 
 std::vector<VmId> Steering::AccountSubset(const AccountId& aAccount,
-                                          const RegionId& aRegion) const
+                                          const RegionId& aRegion)
 {
+  if (mIsStale) {
+    Refresh();
+  }
   const auto region = mRegions.find(aRegion);
   if (region == mRegions.end()) {
     return {};
