--- a/src/include/cranberrywing/settings_edit.h
+++ b/src/include/cranberrywing/settings_edit.h
@@ -23,6 +23,10 @@
   Revision mBase;
   /// The whole new document in YAML, already validated.
   std::string mDocument;
+  /// Accepts the change although the store holds an older configuration than
+  /// the one in force, as after a restore from a backup. The new revision is
+  /// above both, and mBase names the revision in force.
+  bool mReplacesRestoredStore = false;
 };
 
 } // namespace cranberrywing
