--- a/src/netutil/endpoint.h
+++ b/src/netutil/endpoint.h
@@ -18,6 +18,8 @@
   std::string mAddress;
   std::uint16_t mPort = 0;
 
+  // clang-tidy 14 takes the generated comparison's zero for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Endpoint&) const = default;
 };
 
--- a/src/netutil/http_server.cpp
+++ b/src/netutil/http_server.cpp
@@ -29,6 +29,7 @@
   , mAcceptTimer(aContext)
   , mNow(std::chrono::steady_clock::now())
 {
+  Sweep();
 }
 
 HttpServer::~HttpServer()
@@ -61,7 +62,6 @@
                        ec.message());
   }
   Accept();
-  Sweep();
   return {};
 }
 
--- /dev/null
+++ b/src/netutil/program.cpp
@@ -0,0 +1,33 @@
+#include "netutil/program.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <iostream>
+
+namespace cranberrywing::netutil {
+
+void RunUntilStopped(boost::asio::io_context& aContext,
+                     const std::function<void()>& aOnStop)
+{
+  boost::asio::signal_set signals(aContext, SIGTERM, SIGINT);
+  signals.async_wait([&](boost::system::error_code aError, int) {
+    if (aError) {
+      return;
+    }
+    aOnStop();
+    signals.async_wait([&aContext](boost::system::error_code aSecond, int) {
+      if (!aSecond) {
+        aContext.stop();
+      }
+    });
+  });
+  aContext.run();
+}
+
+int ReportError(std::string_view aProgram, const Error& aError)
+{
+  std::cerr << aProgram << ": " << aError.mMessage << '\n';
+  return ExitStatus(aError.mCode);
+}
+
+} // namespace cranberrywing::netutil
--- /dev/null
+++ b/src/netutil/program.h
@@ -0,0 +1,23 @@
+/// \file
+/// What the programs' main functions share: running an event loop until the
+/// process is told to stop.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <string_view>
+
+#include "cranberrywing/result_code.h"
+
+namespace cranberrywing::netutil {
+
+/// Runs the loop until it is stopped. The first SIGTERM or SIGINT calls
+/// aOnStop, which stops the loop now or later; a second one stops it at once.
+void RunUntilStopped(boost::asio::io_context& aContext,
+                     const std::function<void()>& aOnStop);
+
+/// Prints "program: message" to standard error and returns the exit status
+/// of the error's code.
+int ReportError(std::string_view aProgram, const Error& aError);
+
+} // namespace cranberrywing::netutil
