Test membership on an in-memory fleet; compare member sets in gossip

Two members could know different sets of equal size after a start of the whole fleet. Gossip now carries a hash of the set, and a lasting difference makes a member ask for the whole list.

--- a/src/include/cranberrywing/membership.h
+++ b/src/include/cranberrywing/membership.h
@@ -129,6 +129,10 @@
   void Leave(bool aFinal, TimePoint aNow, EffectList& aOut);
 
 private:
+  /// Messages in a row from senders that know other members, after which the
+  /// whole list is asked for. News of a join or death reaches all before.
+  static constexpr std::uint32_t kLastingDifferences = 24;
+
   /// A probe of this VM that was not answered yet.
   struct PendingProbe
   {
@@ -185,6 +189,7 @@
     std::vector<std::uint32_t> mTroubledDomains;
     /// Other members that are not leaving.
     std::size_t mPeers = 0;
+    std::uint64_t mMembersHash = 0;
   };
 
   // membership.cpp
@@ -234,6 +239,8 @@
                   TimePoint aNow,
                   EffectList& aOut);
   void TakeOwnUpdate(const MemberUpdate& aUpdate, EffectList& aOut);
+  bool WantsList() const;
+  void CompareMembers(const Gossip& aGossip);
   void TakeVersion(const VmId& aFrom,
                    const ConfigurationVersion& aVersion,
                    TimePoint aNow);
@@ -273,6 +280,10 @@
   std::uint32_t mHealthPenalty = 0;
   std::uint32_t mListsThisPeriod = 0;
   TimePoint mNextPeriod{};
+  /// When a message last came from anyone.
+  TimePoint mLastMessage{};
+  /// Messages in a row whose sender knew other members.
+  std::uint32_t mDifferences = 0;
   std::optional<TimePoint> mLastTick;
   bool mDeclaredDead = false;
 
--- a/src/include/cranberrywing/messages/membership.h
+++ b/src/include/cranberrywing/messages/membership.h
@@ -75,6 +75,10 @@
   /// Milliseconds since any VM known to the sender last heard the store
   /// confirm the newest revision.
   std::uint64_t mStoreContactAgeMs = kNoContact;
+  /// Members that the sender knows.
+  std::uint32_t mKnownMembers = 0;
+  /// Exclusive or of a hash of each of them, the sender included.
+  std::uint64_t mMembersHash = 0;
   std::vector<DomainContact> mDomains;
   /// The sender's own update comes first, so that any receiver can answer.
   std::vector<MemberUpdate> mUpdates;
@@ -82,7 +86,12 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mVersion, mStoreContactAgeMs, mDomains, mUpdates);
+    aArchive(mVersion,
+             mStoreContactAgeMs,
+             mKnownMembers,
+             mMembersHash,
+             mDomains,
+             mUpdates);
   }
 };
 
@@ -91,15 +100,14 @@
 struct Probe
 {
   std::uint64_t mSequence = 0;
-  /// Members that the sender knows. A receiver that knows clearly more sends
-  /// its whole list.
-  std::uint32_t mKnownMembers = 0;
+  /// Whether the sender asks for the receiver's whole list.
+  bool mWantsList = false;
   Gossip mGossip;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mSequence, mKnownMembers, mGossip);
+    aArchive(mSequence, mWantsList, mGossip);
   }
 };
 
--- a/src/libcranberrywing/membership.cpp
+++ b/src/libcranberrywing/membership.cpp
@@ -16,6 +16,11 @@
   return static_cast<std::uint32_t>(HashBytes(aDomain.mName));
 }
 
+std::uint64_t ProcessHash(const VmIncarnation& aProcess)
+{
+  return HashBytes(aProcess.mVm.mName, aProcess.mIncarnation.mNumber);
+}
+
 } // namespace
 
 Membership::Membership(Options aOptions, MembershipHooks aHooks)
@@ -93,8 +98,10 @@
   const std::string& domain = mOptions.mSelf.mFailureDomain.mName;
   const std::uint64_t own = RendezvousWeight(domain, Self().mVm.mName);
   std::size_t heavier = 0;
+  mDerived.mMembersHash = ProcessHash(Self());
   for (const auto& [vm, member] : mMembers) {
     const MemberUpdate& update = member.mUpdate;
+    mDerived.mMembersHash ^= ProcessHash(update.mMember);
     const bool isNeighbour = update.mFailureDomain.mName == domain;
     if (IsOutOfReach(update.mState)) {
       mDerived.mTroubledDomains.push_back(DomainHash(update.mFailureDomain));
--- a/src/libcranberrywing/membership_gossip.cpp
+++ b/src/libcranberrywing/membership_gossip.cpp
@@ -95,6 +95,8 @@
     const auto ms = std::chrono::ceil<Milliseconds>(*age);
     aGossip.mStoreContactAgeMs = static_cast<std::uint64_t>(ms.count());
   }
+  aGossip.mKnownMembers = static_cast<std::uint32_t>(mMembers.size());
+  aGossip.mMembersHash = GetDerived().mMembersHash;
   aGossip.mDomains.reserve(mDomainsHeard.size());
   for (const auto& [domain, heard] : mDomainsHeard) {
     aGossip.mDomains.push_back(
@@ -157,6 +159,17 @@
   return gossip;
 }
 
+void Membership::CompareMembers(const Gossip& aGossip)
+{
+  const bool isSame = aGossip.mMembersHash == GetDerived().mMembersHash;
+  mDifferences = isSame ? 0 : mDifferences + 1;
+  // A large gap is a join, which cannot wait; a small one is normal while
+  // news travels.
+  if (std::size_t{ aGossip.mKnownMembers } * 15 > (mMembers.size() + 1) * 16) {
+    mDifferences = std::max(mDifferences, kLastingDifferences);
+  }
+}
+
 void Membership::TakeGossip(const VmIncarnation& aFrom,
                             const Gossip& aGossip,
                             std::optional<TimePoint> aEvidence,
@@ -164,9 +177,11 @@
                             TimePoint aNow,
                             EffectList& aOut)
 {
+  mLastMessage = aNow;
   for (const MemberUpdate& update : aGossip.mUpdates) {
     TakeUpdate(update, aSpread, aNow, aOut);
   }
+  CompareMembers(aGossip);
   TakeVersion(aFrom.mVm, aGossip.mVersion, aNow);
   if (!aEvidence) {
     return;
@@ -281,7 +296,7 @@
   if (aState == MemberState::Suspect) {
     const auto n = static_cast<double>(mMembers.size() + 2);
     const Duration lifetime = std::chrono::duration_cast<Duration>(
-      Scaled(mOptions.mProbePeriod) * 3 * std::log10(n));
+      mOptions.mProbePeriod * 3 * std::log10(n));
     mSuspicions.push_back({ .mMember = update.mMember,
                             .mVersion = update.mVersion,
                             .mExpiresAt = aNow + lifetime });
--- a/src/libcranberrywing/membership_probe.cpp
+++ b/src/libcranberrywing/membership_probe.cpp
@@ -77,6 +77,15 @@
       StartProbe(*target, aNow, aOut);
     }
   }
+  if (mDifferences >= kLastingDifferences) {
+    // The probes of this period asked for lists.
+    mDifferences = 0;
+  }
+}
+
+bool Membership::WantsList() const
+{
+  return mMembers.empty() || mDifferences >= kLastingDifferences;
 }
 
 void Membership::ContactSeeds(TimePoint aNow, EffectList& aOut)
@@ -102,8 +111,7 @@
       .mAddress = seed->mAddress,
       .mPort = seed->mPeerPort,
       .mMessage = message::Probe{ .mSequence = sequence,
-                                  .mKnownMembers =
-                                    static_cast<std::uint32_t>(mMembers.size()),
+                                  .mWantsList = WantsList(),
                                   .mGossip = MakeGossip(&seed->mVm, aNow) } });
   }
 }
@@ -131,8 +139,7 @@
 {
   Send(aTarget,
        message::Probe{ .mSequence = aSequence,
-                       .mKnownMembers =
-                         static_cast<std::uint32_t>(mMembers.size()),
+                       .mWantsList = WantsList(),
                        .mGossip = MakeGossip(&aTarget, aNow) },
        aOut);
 }
@@ -201,7 +208,10 @@
   if (it == mMembers.end() || it->second.mUpdate.mState != MemberState::Alive) {
     return;
   }
-  mHealthPenalty = std::min(mHealthPenalty + 1, mOptions.mMaxHealthPenalty);
+  // Whoever heard nobody at all in the meantime may itself be the cause.
+  if (mLastMessage <= aProbe.mSentAt) {
+    mHealthPenalty = std::min(mHealthPenalty + 1, mOptions.mMaxHealthPenalty);
+  }
   SetState(it->second, MemberState::Suspect, "no_answer", aNow, aOut);
   Spread(aProbe.mTarget);
 }
@@ -288,8 +298,7 @@
                                       .mTarget = Self(),
                                       .mGossip = std::move(gossip) };
   aOut.push_back(std::move(reply));
-  // A sixteenth less is normal while news of joins travels.
-  if (std::size_t{ aMessage.mKnownMembers } * 16 < mMembers.size() * 15) {
+  if (aMessage.mWantsList) {
     SendWholeList(aFrom.mVm, aNow, aOut);
   }
 }
--- /dev/null
+++ b/src/libcranberrywing/membership_test.cpp
@@ -0,0 +1,346 @@
+#include "cranberrywing/membership.h"
+
+#include <catch2/catch.hpp>
+
+#include "testing/membership_fleet.h"
+
+using namespace cranberrywing;
+using namespace cranberrywing::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration kLimit = 5s;
+
+/// Above detection, 1 s probe period and 3 x log10(12) s of suspicion.
+constexpr Duration kDetection = 8s;
+
+MemberState StateAt(MembershipFleet& aFleet, std::size_t aAt, std::size_t aOf)
+{
+  const Member* member = aFleet.Of(aAt).Find(MembershipFleet::NameOf(aOf));
+  return member == nullptr ? MemberState::Dead : member->mUpdate.mState;
+}
+
+std::size_t CountCurrent(MembershipFleet& aFleet)
+{
+  std::size_t count = 0;
+  for (std::size_t i = 0; i < aFleet.Size(); ++i) {
+    const auto& node = aFleet.At(i);
+    const bool runs = node.mRunning && !node.mPaused;
+    count += runs && aFleet.Of(i).IsCurrent(kLimit, aFleet.Now()) ? 1 : 0;
+  }
+  return count;
+}
+
+/// Runs on and tells the least number of current VMs seen.
+std::size_t LeastCurrent(MembershipFleet& aFleet, Duration aDuration)
+{
+  std::size_t least = aFleet.Size();
+  for (Duration passed{}; passed < aDuration; passed += 50ms) {
+    aFleet.RunFor(50ms);
+    least = std::min(least, CountCurrent(aFleet));
+  }
+  return least;
+}
+
+/// The VMs of the first failure domains, as MembershipFleet deals them out.
+std::vector<std::size_t> VmsOfDomains(MembershipFleet& aFleet,
+                                      std::size_t aDomains)
+{
+  std::vector<std::size_t> vms;
+  for (std::size_t i = 0; i < aFleet.Size(); ++i) {
+    if (i % 6 < aDomains) {
+      vms.push_back(i);
+    }
+  }
+  return vms;
+}
+
+} // namespace
+
+// Guards against VMs that never find each other from seeds by address, and
+// against a new VM that waits long for the member list of a large fleet.
+TEST_CASE("members find each other within seconds")
+{
+  MembershipFleet fleet({ .mSize = 115, .mDomains = 19 });
+  fleet.RunFor(20s);
+  for (std::size_t i = 0; i < fleet.Size(); ++i) {
+    REQUIRE(fleet.Of(i).UsableCount() == fleet.Size());
+  }
+  fleet.Start(50);
+  fleet.RunFor(3s);
+  CHECK(fleet.Of(50).UsableCount() == fleet.Size());
+}
+
+// Guards against false suspicions that stick, since a member must be able to
+// refute them, and against refutations that loss keeps from spreading.
+TEST_CASE("a suspicion of a living member is refuted")
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    MembershipFleet fleet({ .mSeed = seed, .mLoss = 0.05 });
+    fleet.RunFor(10s);
+    fleet.Pause(3);
+    fleet.RunFor(4s);
+    std::size_t suspecting = 0;
+    for (std::size_t i = 0; i < fleet.Size(); ++i) {
+      suspecting += StateAt(fleet, i, 3) == MemberState::Suspect ? 1 : 0;
+    }
+    CHECK(suspecting > 0);
+    fleet.Resume(3);
+    fleet.RunFor(8s);
+    for (std::size_t i = 0; i < fleet.Size(); ++i) {
+      if (i != 3) {
+        REQUIRE(StateAt(fleet, i, 3) == MemberState::Alive);
+      }
+    }
+    CHECK(fleet.Of(3).SelfUpdate().mVersion > 0);
+  }
+}
+
+// Guards against a crashed VM that keeps getting work, and against taking
+// its unreachability for a proof of death.
+TEST_CASE("a crashed member is unreachable and not dead")
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    MembershipFleet fleet({ .mSeed = seed, .mLoss = 0.02 });
+    fleet.RunFor(10s);
+    fleet.GiveList({});
+    const VmIncarnation process = fleet.Of(3).Self();
+    fleet.Crash(3);
+    fleet.RunFor(kDetection + 15s);
+    for (std::size_t i = 0; i < fleet.Size(); ++i) {
+      if (i != 3) {
+        REQUIRE(StateAt(fleet, i, 3) == MemberState::Unreachable);
+        REQUIRE_FALSE(fleet.Of(i).IsUsable(process.mVm));
+        REQUIRE_FALSE(fleet.Of(i).IsDead(process));
+        REQUIRE(fleet.At(i).mDeaths.empty());
+      }
+    }
+  }
+}
+
+// Guards against reclaiming what a living process holds because a list lags
+// or flickers, or never had the VM.
+TEST_CASE("a list proves death only of a VM that it had and that is silent")
+{
+  MembershipFleet fleet({});
+  fleet.RunFor(10s);
+  const VmIncarnation process = fleet.Of(3).Self();
+
+  SECTION("a member that answers is not dead, whatever lists say")
+  {
+    fleet.GiveList({});
+    fleet.GiveList({ 3 });
+    fleet.GiveList({ 3 });
+    CHECK_FALSE(fleet.Of(0).IsDead(process));
+  }
+  SECTION("a list that never had the VM proves nothing")
+  {
+    fleet.GiveList({ 3 });
+    fleet.Crash(3);
+    fleet.RunFor(kDetection + 15s);
+    fleet.GiveList({ 3 });
+    fleet.GiveList({ 3 });
+    CHECK_FALSE(fleet.Of(0).IsDead(process));
+  }
+  SECTION("one list without the VM may lag behind its start")
+  {
+    fleet.GiveList({});
+    fleet.Crash(3);
+    fleet.RunFor(kDetection + 15s);
+    fleet.GiveList({ 3 });
+    CHECK_FALSE(fleet.Of(0).IsDead(process));
+    fleet.GiveList({});
+    fleet.GiveList({ 3 });
+    CHECK_FALSE(fleet.Of(0).IsDead(process));
+    fleet.GiveList({ 3 });
+    CHECK(fleet.Of(0).IsDead(process));
+    CHECK(fleet.At(0).mDeaths == std::vector{ process });
+  }
+  SECTION("a proof by one VM's list reaches the others, and a later process "
+          "of the same VM lives")
+  {
+    fleet.GiveList({});
+    fleet.Crash(3);
+    fleet.RunFor(kDetection + 15s);
+    event::VmListReceived list;
+    list.mEntries = { { .mVm = MembershipFleet::NameOf(0) } };
+    for (std::size_t i = 1; i < fleet.Size(); ++i) {
+      if (i != 3) {
+        list.mEntries.push_back({ .mVm = MembershipFleet::NameOf(i) });
+      }
+    }
+    fleet.GiveListTo(0, list);
+    fleet.GiveListTo(0, list);
+    fleet.RunFor(10s);
+    CHECK(fleet.Of(7).IsDead(process));
+    fleet.Start(3);
+    fleet.GiveList({});
+    fleet.RunFor(10s);
+    CHECK_FALSE(fleet.Of(7).IsDead(fleet.Of(3).Self()));
+    CHECK(fleet.Of(7).IsUsable(process.mVm));
+  }
+}
+
+// Guards against fractions and slots of a restarted VM that nobody may take
+// back, and against a stale message reviving the earlier process.
+TEST_CASE("a later process of a VM proves the earlier one dead")
+{
+  MembershipFleet fleet({ .mLoss = 0.02 });
+  fleet.RunFor(10s);
+  const VmIncarnation earlier = fleet.Of(3).Self();
+  const MemberUpdate update = fleet.Of(3).SelfUpdate();
+  fleet.Start(3);
+  fleet.RunFor(10s);
+  EffectList effects;
+  message::Probe stale;
+  stale.mGossip.mUpdates = { update };
+  fleet.Of(0).OnMessage(earlier, stale, fleet.Now(), effects);
+  for (std::size_t i = 0; i < fleet.Size(); ++i) {
+    REQUIRE(fleet.Of(i).IsDead(earlier));
+    REQUIRE_FALSE(fleet.Of(i).IsDead(fleet.Of(3).Self()));
+    if (i != 3) {
+      REQUIRE(fleet.At(i).mDeaths == std::vector{ earlier });
+    }
+  }
+}
+
+// Guards against a process that is proven dead by mistake and goes on using
+// what others have taken over.
+TEST_CASE("a process that others hold for dead learns it")
+{
+  MembershipFleet fleet({});
+  fleet.RunFor(10s);
+  fleet.GiveList({});
+  fleet.Pause(3);
+  fleet.RunFor(kDetection + 15s);
+  fleet.GiveList({ 3 });
+  fleet.GiveList({ 3 });
+  fleet.RunFor(5s);
+  fleet.Resume(3);
+  fleet.RunFor(3s);
+  CHECK(fleet.Of(3).IsDeclaredDead());
+}
+
+// Guards against new work for a VM that stops, against a refutation that
+// brings it back, and against a death proof before its work has ended.
+TEST_CASE("a leaving member stays leaving until it has ended")
+{
+  MembershipFleet fleet({ .mLoss = 0.05 });
+  fleet.RunFor(10s);
+  const VmIncarnation process = fleet.Of(3).Self();
+  fleet.Leave(3, false);
+  fleet.RunFor(6s);
+  for (std::size_t i = 0; i < fleet.Size(); ++i) {
+    REQUIRE_FALSE(fleet.Of(i).IsUsable(process.mVm));
+    REQUIRE_FALSE(fleet.Of(i).IsDead(process));
+  }
+  fleet.Leave(3, true);
+  fleet.Crash(3);
+  fleet.RunFor(10s);
+  for (std::size_t i = 0; i < fleet.Size(); ++i) {
+    if (i != 3) {
+      REQUIRE(fleet.Of(i).IsDead(process));
+    }
+  }
+}
+
+// Guards against keyed traffic that is refused although nobody can accept a
+// withdrawal: the store is down for all.
+TEST_CASE("a store outage alone leaves every VM current")
+{
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    MembershipFleet fleet({ .mSeed = seed, .mLoss = 0.02 });
+    fleet.RunFor(10s);
+    REQUIRE(CountCurrent(fleet) == fleet.Size());
+    fleet.SetStoreGroup(-1);
+    CHECK(LeastCurrent(fleet, 60s) == fleet.Size());
+  }
+}
+
+// Guards against a VM failure during a store outage that stops keyed traffic
+// on all other VMs: its failure domain is still heard through another VM.
+TEST_CASE("one crashed VM in a store outage leaves the others current")
+{
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    MembershipFleet fleet({ .mSeed = seed, .mLoss = 0.02 });
+    fleet.RunFor(10s);
+    fleet.SetStoreGroup(-1);
+    fleet.RunFor(20s);
+    fleet.Crash(3);
+    CHECK(LeastCurrent(fleet, 60s) == fleet.Size() - 1);
+  }
+}
+
+// Guards against withdrawn keys that work on in a part of the fleet that can
+// hear neither the store nor those that may have accepted the withdrawal.
+TEST_CASE("VMs that are cut off from store and peers stop being current")
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    MembershipFleet fleet({ .mSeed = seed });
+    fleet.RunFor(10s);
+    const std::vector<std::size_t> cut = VmsOfDomains(fleet, GENERATE(1, 2, 4));
+    for (const std::size_t vm : cut) {
+      fleet.At(vm).mGroup = 1;
+    }
+    fleet.RunFor(kLimit + 1s);
+    for (std::size_t i = 0; i < fleet.Size(); ++i) {
+      const bool isCut = std::find(cut.begin(), cut.end(), i) != cut.end();
+      REQUIRE(fleet.Of(i).IsCurrent(kLimit, fleet.Now()) == !isCut);
+      REQUIRE(fleet.Of(i).IsCurrent(0s, fleet.Now()));
+    }
+    for (const std::size_t vm : cut) {
+      fleet.At(vm).mGroup = 0;
+    }
+    fleet.RunFor(10s);
+    CHECK(CountCurrent(fleet) == fleet.Size());
+  }
+}
+
+// Guards against a resumed process that takes messages from before its pause
+// for fresh, and against edits taken where nobody hears of them.
+TEST_CASE("a paused or lone VM is not current and takes no edits")
+{
+  MembershipFleet fleet({});
+  fleet.RunFor(10s);
+  fleet.Pause(4);
+  fleet.RunFor(8s);
+  fleet.At(4).mGroup = 1;
+  fleet.Resume(4);
+  CHECK_FALSE(fleet.Of(4).IsCurrent(kLimit, fleet.Now()));
+  fleet.RunFor(500ms);
+  CHECK_FALSE(fleet.Of(4).IsCurrent(kLimit, fleet.Now()));
+  CHECK_FALSE(fleet.Of(4).MayAcceptEdits(kLimit, fleet.Now()));
+  CHECK(fleet.Of(5).MayAcceptEdits(kLimit, fleet.Now()));
+}
+
+// Guards against a VM that hears of a newer configuration, cannot get it and
+// goes on trusting its keys.
+TEST_CASE("a VM that stays behind a heard version is not current")
+{
+  MembershipFleet fleet({ .mSize = 2 });
+  fleet.RunFor(10s);
+  EffectList effects;
+  message::Probe probe;
+  probe.mGossip.mVersion.mRevision.mNumber = 9;
+  auto& node = fleet.At(0);
+  fleet.Of(0).OnMessage(fleet.Of(1).Self(), probe, fleet.Now(), effects);
+  node.mVersion.mRevision.mNumber = 1;
+  fleet.RunFor(kLimit + 1s);
+  node.mVersion.mRevision.mNumber = 1;
+  CHECK_FALSE(fleet.Of(0).IsCurrent(kLimit, fleet.Now()));
+}
+
+// Guards against datagrams that the network would split or drop.
+TEST_CASE("gossip stays within the datagram limit")
+{
+  MembershipFleet fleet(
+    { .mSize = 60, .mDomains = 19, .mLoss = 0.1, .mCountBytes = true });
+  fleet.RunFor(5s);
+  for (std::size_t i = 0; i < 30; ++i) {
+    fleet.Start(i);
+  }
+  fleet.RunFor(5s);
+  CHECK(fleet.LargestDatagram() <= 1200);
+  CHECK(fleet.LargestDatagram() > 900);
+}
