--- /dev/null
+++ b/src/libcranberrywing/rate_limiter_test.cpp
@@ -0,0 +1,214 @@
+#include "cranberrywing/rate_limiter.h"
+
+#include <catch2/catch.hpp>
+
+#include "testing/rate_fleet.h"
+
+using namespace cranberrywing;
+using namespace cranberrywing::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Sums of fractions of tokens are exact only up to rounding.
+constexpr double kRounding = 1e-6;
+
+/// Sends requests to random VMs, mostly to one that changes every 3 s, at
+/// several times the account's rate, so that any loophole is used.
+void Flood(RateFleet& aFleet, std::mt19937_64& aRandom, Duration aDuration)
+{
+  std::uniform_int_distribution<std::size_t> vm(0, aFleet.Size() - 1);
+  std::uniform_int_distribution<int> pause(0, 2'000);
+  std::size_t hot = 0;
+  TimePoint nextHot = aFleet.Queue().Now();
+  const TimePoint end = aFleet.Queue().Now() + aDuration;
+  while (aFleet.Queue().Now() < end) {
+    if (aFleet.Queue().Now() >= nextHot) {
+      hot = vm(aRandom);
+      nextHot += 3s;
+    }
+    aFleet.Arrive(aRandom() % 4 == 0 ? vm(aRandom) : hot);
+    aFleet.RunFor(std::chrono::microseconds(pause(aRandom)));
+  }
+}
+
+void Disturb(RateFleet& aFleet, std::mt19937_64& aRandom)
+{
+  const std::size_t vm = aRandom() % aFleet.Size();
+  switch (aRandom() % 6) {
+    case 0:
+      aFleet.Pause(vm);
+      break;
+    case 1:
+    case 2:
+      aFleet.Resume(vm);
+      break;
+    case 3:
+      aFleet.Start(vm);
+      break;
+    case 4:
+      aFleet.Ledger(vm).Unwant(RateFleet::Account().mName);
+      break;
+    default:
+      aFleet.Ledger(vm).Want(RateFleet::Account().mName);
+      break;
+  }
+}
+
+} // namespace
+
+// Guards against admitting more than rate x time + burst in any window, by
+// any mix of lost, doubled, late and reordered messages, pauses, restarts
+// and changes of fractions.
+TEST_CASE("admissions stay within rate x time + burst in every window")
+{
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    const double burst = seed % 2 == 0 ? 20 : 100;
+    RateFleet fleet({ .mSeed = seed,
+                      .mRate = 200,
+                      .mBurst = burst,
+                      .mLoss = 0.05,
+                      .mDuplicates = 0.1,
+                      .mLate = 0.1,
+                      .mDriftingClocks = true,
+                      .mReviewInterval = 2s });
+    fleet.Store().SetFaults(
+      { .mRequestLost = 0.02, .mAnswerLost = 0.05, .mEffectLate = 0.05 });
+    std::mt19937_64 random(seed);
+    for (int round = 0; round < 60; ++round) {
+      Flood(fleet, random, 500ms);
+      Disturb(fleet, random);
+      fleet.Store().SetOutage(round % 20 > 16);
+    }
+    REQUIRE(fleet.Admissions().size() > 1000);
+    CHECK(GreatestExcess(fleet.Admissions(), 200, burst) <= kRounding);
+  }
+}
+
+// Guards against a limit that is kept by refusing what the account may have.
+TEST_CASE("a flooded account gets nearly all of its rate")
+{
+  RateFleet fleet({ .mRate = 200, .mBurst = 100, .mLoss = 0.01 });
+  std::mt19937_64 random(1);
+  fleet.RunFor(5s);
+  const std::size_t before = fleet.Admissions().size();
+  Flood(fleet, random, 20s);
+  CHECK(fleet.Admissions().size() - before > 0.95 * 200 * 20);
+  CHECK(GreatestExcess(fleet.Admissions(), 200, 100) <= kRounding);
+}
+
+// Guards against tokens made of nothing when a transfer comes twice, late,
+// from another VM than the one asked, or with more than was asked for.
+TEST_CASE("only the first timely transfer of the peer asked is taken")
+{
+  const AccountId account("shops");
+  const VmIncarnation peer{ VmId("vm-2"), Incarnation{ 1 } };
+  const VmIncarnation other{ VmId("vm-3"), Incarnation{ 1 } };
+  SettingsSnapshot settings;
+  settings.mAccounts[account].mRate = 100;
+  settings.mAccounts[account].mBurst = 100;
+  RateLimiter limiter(
+    { .mSeed = 5 },
+    { .mFraction = [](const AccountId&) { return 0u; },
+      .mPeers = [&](const AccountId&) { return std::vector{ peer.mVm }; } });
+  TimePoint now{};
+  limiter.Apply(settings, now);
+  EffectList effects;
+  REQUIRE(limiter.Admit(RequestId{ 1 }, account, now + 1s, now, effects) ==
+          RateDecision::Waiting);
+  const auto& send = std::get<effect::SendMessage>(effects.at(0));
+  const auto request = std::get<message::TokenRequest>(send.mMessage);
+  message::TokenTransfer transfer{ .mNumber = request.mNumber,
+                                   .mAccount = account,
+                                   .mTokens = request.mWanted + 50,
+                                   .mSpare = 0 };
+  const auto admit = [&](std::uint64_t aRequest) {
+    return limiter.Admit(RequestId{ aRequest }, account, now, now, effects);
+  };
+
+  SECTION("in time, a VM without a fraction may use them at once")
+  {
+    now += 499ms;
+    limiter.OnMessage(other, transfer, now, effects);
+    CHECK(limiter.Tokens(account, now) == 0);
+    limiter.OnMessage(peer, transfer, now, effects);
+    limiter.OnMessage(peer, transfer, now, effects);
+    CHECK(limiter.Tokens(account, now) <= request.mWanted);
+    CHECK(limiter.Counters().mTransfersIgnored == 2);
+    CHECK(admit(2) == RateDecision::Admitted);
+    // What a VM without a fraction has no room for ends with the validity.
+    CHECK(limiter.Tokens(account, now + 1ms) == 0);
+  }
+  SECTION("late, they are lost")
+  {
+    now += 500ms;
+    limiter.OnMessage(peer, transfer, now, effects);
+    CHECK(limiter.Tokens(account, now) == 0);
+    CHECK(admit(2) == RateDecision::Refused);
+  }
+}
+
+// Guards against a giver that refills what it lent while it may still be
+// used, and against tokens kept beyond a smaller fraction.
+TEST_CASE("a bucket's capacity shrinks with loans and with its fraction")
+{
+  TimePoint now{};
+  TokenBucket bucket(100, 100, now);
+  CHECK(bucket.Total() == 0);
+  bucket.Advance(kWholeShare / 2, now);
+  CHECK(bucket.Total() == 0);
+  bucket.Advance(kWholeShare / 2, now += 10s);
+  CHECK(bucket.Total() == 50);
+  CHECK(bucket.Lend(30, now + 510ms) == 30);
+  bucket.Advance(kWholeShare / 2, now += 509ms);
+  CHECK(bucket.Total() == 20);
+  bucket.Advance(kWholeShare / 2, now += 1ms);
+  CHECK(bucket.Capacity() == 50);
+  bucket.Advance(kWholeShare / 2, now += 10s);
+  bucket.Advance(kWholeShare / 10, now);
+  CHECK(bucket.Total() == 10);
+  bucket.Advance(kWholeShare, now);
+  CHECK(bucket.Total() == 10);
+}
+
+// Guards against requests that wait beyond 50 ms or their deadline, and
+// against waits that are lost when the settings drop the account.
+TEST_CASE("a wait ends with a decision")
+{
+  const AccountId account("shops");
+  SettingsSnapshot settings;
+  settings.mAccounts[account].mRate = 10;
+  settings.mAccounts[account].mBurst = 10;
+  RateLimiter limiter(
+    {},
+    { .mFraction = [](const AccountId&) { return kWholeShare; },
+      .mPeers = [](const AccountId&) { return std::vector<VmId>{}; } });
+  TimePoint now{};
+  limiter.Apply(settings, now);
+  EffectList effects;
+  const auto wait = [&](std::uint64_t aRequest, Duration aTimeout) {
+    REQUIRE(limiter.Admit(
+              RequestId{ aRequest }, account, now + aTimeout, now, effects) ==
+            RateDecision::Waiting);
+  };
+  wait(1, 1s);
+  wait(2, 20ms);
+  wait(3, 1s);
+  wait(4, 1s);
+  limiter.Cancel(RequestId{ 3 });
+  limiter.Tick(now += 20ms, effects);
+  auto decided = limiter.TakeDecided();
+  REQUIRE(decided.size() == 1);
+  CHECK(decided[0].mRequest == RequestId{ 2 });
+  CHECK_FALSE(decided[0].mAdmitted);
+  limiter.Tick(now += 30ms, effects);
+  CHECK(limiter.TakeDecided().size() == 2);
+  wait(5, 1s);
+  settings.mAccounts.clear();
+  limiter.Apply(settings, now);
+  decided = limiter.TakeDecided();
+  REQUIRE(decided.size() == 1);
+  CHECK_FALSE(decided[0].mAdmitted);
+  CHECK(limiter.Admit(RequestId{ 6 }, account, now + 1s, now, effects) ==
+        RateDecision::Refused);
+}
--- /dev/null
+++ b/src/libcranberrywing/share_ledger_test.cpp
@@ -0,0 +1,187 @@
+#include "cranberrywing/share_ledger.h"
+
+#include <catch2/catch.hpp>
+
+#include "testing/rate_fleet.h"
+
+using namespace cranberrywing;
+using namespace cranberrywing::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string& Name()
+{
+  return RateFleet::Account().mName;
+}
+
+/// Runs on and checks at each step that living processes use at most the
+/// whole and that the record can be read.
+void RunAndCheck(RateFleet& aFleet, Duration aDuration)
+{
+  for (Duration passed{}; passed < aDuration; passed += 10ms) {
+    aFleet.RunFor(10ms);
+    REQUIRE(aFleet.UsedSum() <= kWholeShare);
+    for (const auto& [key, entry] : aFleet.Store().Entries()) {
+      REQUIRE(DecodeShareRecord(entry.mValue).has_value());
+    }
+  }
+}
+
+ShareRecord StoredRecord(RateFleet& aFleet)
+{
+  const auto& entries = aFleet.Store().Entries();
+  return entries.empty() ? ShareRecord{}
+                         : *DecodeShareRecord(entries.begin()->second.mValue);
+}
+
+} // namespace
+
+// Guards against fractions that add up to more than the whole, under races,
+// lost and late writes, outages, pauses, restarts and returns.
+TEST_CASE("fractions in use never exceed the whole")
+{
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    RateFleet fleet({ .mSeed = seed, .mReviewInterval = 2s });
+    fleet.Store().SetFaults(
+      { .mRequestLost = 0.05, .mAnswerLost = 0.1, .mEffectLate = 0.1 });
+    std::mt19937_64 random(seed);
+    std::uniform_real_distribution<double> use(0, 2);
+    for (int round = 0; round < 40; ++round) {
+      const std::size_t vm = random() % fleet.Size();
+      switch (random() % 6) {
+        case 0:
+          fleet.Pause(vm);
+          break;
+        case 1:
+          fleet.Resume(vm);
+          break;
+        case 2:
+          fleet.Start(vm);
+          break;
+        case 3:
+          fleet.Ledger(vm).Unwant(Name());
+          break;
+        case 4:
+          fleet.Ledger(vm).Want(Name());
+          break;
+        default:
+          fleet.Store().SetOutage(random() % 4 == 0);
+          break;
+      }
+      for (std::size_t i = 0; i < fleet.Size(); ++i) {
+        fleet.Ledger(i).ReportUse(Name(), use(random));
+      }
+      RunAndCheck(fleet, 500ms);
+    }
+    // Once the disturbances end, nothing stays unused.
+    fleet.Store().SetFaults({});
+    fleet.Store().SetOutage(false);
+    for (std::size_t i = 0; i < fleet.Size(); ++i) {
+      fleet.Resume(i);
+      fleet.Ledger(i).Want(Name());
+    }
+    RunAndCheck(fleet, 60s);
+    CHECK(fleet.UsedSum() > 0.99 * kWholeShare);
+  }
+}
+
+// Guards against a first grant that waits for a review, and against unequal
+// parts of holders that nobody told of any use.
+TEST_CASE("holders that start together share equally within seconds")
+{
+  RateFleet fleet({});
+  fleet.RunFor(2s);
+  for (std::size_t i = 0; i < fleet.Size(); ++i) {
+    CHECK(fleet.Ledger(i).Fraction(Name()) == EqualFraction(fleet.Size()));
+  }
+}
+
+// Guards against taking the fraction of a process that may still run, however
+// long it is silent and the store is down.
+TEST_CASE("a fraction is taken back only on proof of death")
+{
+  RateFleet fleet({ .mReviewInterval = 2s });
+  fleet.RunFor(10s);
+  const std::uint32_t held = fleet.Ledger(3).Fraction(Name());
+  REQUIRE(held > 0);
+  fleet.Pause(3);
+  fleet.RunFor(300s);
+  CHECK(fleet.Ledger(3).Fraction(Name()) == held);
+  CHECK(fleet.UsedSum() <= kWholeShare);
+  const VmIncarnation ended{ VmId("vm-3"), Incarnation{ 4 } };
+  REQUIRE(StoredRecord(fleet).Find(ended) != nullptr);
+  fleet.Crash(3);
+  fleet.Prove(3, 100ms);
+  fleet.RunFor(500ms);
+  // Tokens that it lent may be in use until the release delay has passed.
+  CHECK(StoredRecord(fleet).Find(ended) != nullptr);
+  fleet.RunFor(5s);
+  CHECK(StoredRecord(fleet).Find(ended) == nullptr);
+  CHECK(fleet.UsedSum() > 0.95 * kWholeShare);
+}
+
+// Guards against a store outage that takes fractions away.
+TEST_CASE("an outage of the store leaves fractions as they are")
+{
+  RateFleet fleet({ .mReviewInterval = 2s });
+  fleet.RunFor(10s);
+  fleet.Store().SetOutage(true);
+  const std::uint64_t calls = fleet.Store().Reads() + fleet.Store().Writes();
+  fleet.RunFor(600s);
+  CHECK(fleet.UsedSum() > 0.99 * kWholeShare);
+  // Each of 11 ledgers tries about every 16 s.
+  CHECK(fleet.Store().Reads() + fleet.Store().Writes() - calls < 600);
+}
+
+// Guards against a planned stop that leaves a fraction with nobody, and
+// against a return that is told before it is done.
+TEST_CASE("a planned stop returns the fraction for others to take")
+{
+  RateFleet fleet({ .mReviewInterval = 2s });
+  fleet.RunFor(10s);
+  EffectList effects;
+  fleet.Ledger(3).ReturnAll(fleet.LocalNow(3), effects);
+  CHECK(fleet.Ledger(3).Fraction(Name()) == 0);
+  CHECK_FALSE(fleet.Ledger(3).IsReturned());
+  RunAndCheck(fleet, 2s);
+  CHECK(fleet.Ledger(3).IsReturned());
+  fleet.Crash(3);
+  RunAndCheck(fleet, 20s);
+  CHECK(fleet.UsedSum() > 0.95 * kWholeShare);
+}
+
+// Guards against fractions that do not follow demand, and against a newcomer
+// that gets none because all is taken.
+TEST_CASE("a holder short of its need gets from holders with a surplus")
+{
+  RateFleet fleet({ .mSize = 4, .mReviewInterval = 2s });
+  fleet.RunFor(5s);
+  for (int second = 0; second < 40; ++second) {
+    for (std::size_t i = 0; i < fleet.Size(); ++i) {
+      fleet.Ledger(i).ReportUse(Name(), i == 0 ? 3 : 0.1);
+    }
+    RunAndCheck(fleet, 1s);
+  }
+  CHECK(fleet.Ledger(0).Fraction(Name()) > kWholeShare / 2);
+  for (std::size_t i = 1; i < fleet.Size(); ++i) {
+    CHECK(fleet.Ledger(i).Fraction(Name()) > 0);
+  }
+}
+
+// Guards against a malformed or overfull record that is built upon.
+TEST_CASE("a damaged share record is refused")
+{
+  const VmIncarnation holder{ VmId("vm-1"), Incarnation{ 1 } };
+  const VmIncarnation other{ VmId("vm-2"), Incarnation{ 1 } };
+  ShareRecord record;
+  record.mEntries = { { .mHolder = holder, .mFraction = 600'000 },
+                      { .mHolder = other, .mFraction = 400'000 } };
+  const std::string bytes = EncodeShareRecord(record);
+  CHECK(DecodeShareRecord(bytes) == record);
+  CHECK_FALSE(DecodeShareRecord(bytes.substr(0, bytes.size() - 1)));
+  record.mEntries[1].mFraction += 1;
+  CHECK_FALSE(DecodeShareRecord(EncodeShareRecord(record)));
+  record.mEntries[1] = { .mHolder = holder };
+  CHECK_FALSE(DecodeShareRecord(EncodeShareRecord(record)));
+}
--- /dev/null
+++ b/src/testing/rate_fleet.h
@@ -0,0 +1,416 @@
+/// \file
+/// A fleet of share ledgers and rate limiters on an in-memory network and
+/// store with virtual time, for tests and benchmarks.
+#pragma once
+
+#include <algorithm>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "cranberrywing/rate_limiter.h"
+#include "cranberrywing/share_ledger.h"
+#include "testing/event_queue.h"
+#include "testing/fake_store.h"
+
+namespace cranberrywing::testing {
+
+/// Not thread-safe. Equal options and calls give equal runs.
+class RateFleet
+{
+public:
+  struct Options
+  {
+    std::size_t mSize = 11;
+    std::uint64_t mSeed = 1;
+    double mRate = 200;
+    double mBurst = 100;
+    bool mTransfers = true;
+    /// Equal fractions that never change, without the ledger.
+    bool mStaticFractions = false;
+    double mLoss = 0;
+    double mDuplicates = 0;
+    /// Chance of a message that comes after its transfer's validity.
+    double mLate = 0;
+    Duration mLeastDelay = std::chrono::microseconds(250);
+    Duration mGreatestDelay = std::chrono::milliseconds(10);
+    /// Whether the VMs' clocks run at up to 1% different rates.
+    bool mDriftingClocks = false;
+    Duration mReviewInterval = std::chrono::seconds(30);
+  };
+
+  explicit RateFleet(Options aOptions)
+    : mOptions(aOptions)
+    , mRandom(aOptions.mSeed)
+    , mStore(mQueue, aOptions.mSeed + 1)
+    , mNodes(aOptions.mSize)
+  {
+    for (std::size_t i = 0; i < mNodes.size(); ++i) {
+      mNodes[i].mClockRate =
+        mOptions.mDriftingClocks ? 1 - Uniform(0, kMaxClockDrift) : 1;
+      Start(i);
+      const Duration phase =
+        std::chrono::microseconds(static_cast<int>(Uniform(0, 10'000)));
+      mQueue.Every(phase, event::kTickInterval, [this, i] { Tick(i); });
+      mQueue.Every(phase + std::chrono::seconds(1),
+                   std::chrono::seconds(1),
+                   [this, i] { ReportUse(i); });
+    }
+  }
+
+  static const AccountId& Account()
+  {
+    static const AccountId sAccount("shops");
+    return sAccount;
+  }
+
+  /// The process's own time, whose rate differs from true time.
+  TimePoint LocalNow(std::size_t aVm) const
+  {
+    const double elapsed =
+      static_cast<double>(mQueue.Now().time_since_epoch().count());
+    return TimePoint(
+      Duration(static_cast<Duration::rep>(elapsed * mNodes[aVm].mClockRate)));
+  }
+
+  EventQueue& Queue() { return mQueue; }
+  FakeStore& Store() { return mStore; }
+  std::size_t Size() const { return mNodes.size(); }
+  ShareLedger& Ledger(std::size_t aVm) { return *mNodes[aVm].mLedger; }
+  RateLimiter& Limiter(std::size_t aVm) { return *mNodes[aVm].mLimiter; }
+  bool Runs(std::size_t aVm) const { return mNodes[aVm].mRunning; }
+  bool IsPaused(std::size_t aVm) const { return mNodes[aVm].mPaused; }
+  std::uint64_t Messages() const { return mMessages; }
+  /// True times of all admissions, in order.
+  const std::vector<TimePoint>& Admissions() const { return mAdmissions; }
+  std::uint64_t Arrivals() const { return mArrivals; }
+  std::uint64_t Refusals() const { return mRefusals; }
+
+  /// Sum of the fractions that living processes use.
+  std::uint64_t UsedSum() const
+  {
+    std::uint64_t sum = 0;
+    for (const Node& node : mNodes) {
+      sum += node.mRunning ? node.mLedger->Fraction(Account().mName) : 0;
+    }
+    return sum;
+  }
+
+  /// Starts a process, as a new incarnation of the VM. An earlier one is
+  /// ended; the others learn of its death after the delay.
+  void Start(std::size_t aVm, Duration aProofDelay = std::chrono::seconds(2))
+  {
+    Node& node = mNodes[aVm];
+    if (node.mStarted) {
+      Crash(aVm);
+      Prove(aVm, aProofDelay);
+    }
+    node.mStarted = true;
+    node.mRunning = true;
+    node.mPaused = false;
+    node.mQueued.clear();
+    node.mSelf = { VmId("vm-" + std::to_string(aVm)),
+                   Incarnation{ ++mIncarnations } };
+    MakeConcerns(aVm);
+  }
+
+  void Crash(std::size_t aVm) { mNodes[aVm].mRunning = false; }
+
+  /// Lets all VMs learn, within the delay, that the VM's last process ended.
+  void Prove(std::size_t aVm, Duration aDelay)
+  {
+    const VmIncarnation ended = mNodes[aVm].mSelf;
+    for (std::size_t i = 0; i < mNodes.size(); ++i) {
+      const auto delay =
+        std::chrono::duration_cast<Duration>(aDelay * Uniform(0, 1));
+      mQueue.After(delay, [this, i, ended] {
+        Node& node = mNodes[i];
+        node.mDead.push_back(ended);
+        if (node.mRunning) {
+          EffectList effects;
+          node.mLedger->OnDeath(ended, LocalNow(i), effects);
+          Carry(i, std::move(effects));
+        }
+      });
+    }
+  }
+
+  void Pause(std::size_t aVm) { mNodes[aVm].mPaused = true; }
+  void Resume(std::size_t aVm)
+  {
+    mNodes[aVm].mPaused = false;
+    std::vector<std::function<void()>> queued;
+    queued.swap(mNodes[aVm].mQueued);
+    for (const auto& deliver : queued) {
+      deliver();
+    }
+  }
+
+  void Arrive(std::size_t aVm)
+  {
+    Node& node = mNodes[aVm];
+    if (!node.mRunning || node.mPaused) {
+      return;
+    }
+    ++mArrivals;
+    EffectList effects;
+    const TimePoint now = LocalNow(aVm);
+    const RateDecision decision =
+      node.mLimiter->Admit(static_cast<RequestId>(mArrivals),
+                           Account(),
+                           now + std::chrono::seconds(10),
+                           now,
+                           effects);
+    Note(decision == RateDecision::Admitted, decision == RateDecision::Refused);
+    Carry(aVm, std::move(effects));
+  }
+
+  /// Sets rate and burst on all VMs; a rate of zero removes the account.
+  void Configure(double aRate, double aBurst)
+  {
+    mOptions.mRate = aRate;
+    mOptions.mBurst = aBurst;
+    for (std::size_t i = 0; i < mNodes.size(); ++i) {
+      if (mNodes[i].mRunning) {
+        mNodes[i].mLimiter->Apply(*Settings(), LocalNow(i));
+      }
+    }
+  }
+
+  void RunFor(Duration aDuration) { mQueue.RunFor(aDuration); }
+
+private:
+  struct Node
+  {
+    VmIncarnation mSelf;
+    bool mStarted = false;
+    bool mRunning = false;
+    bool mPaused = false;
+    double mClockRate = 1;
+    std::unique_ptr<ShareLedger> mLedger;
+    std::unique_ptr<RateLimiter> mLimiter;
+    std::vector<VmIncarnation> mDead;
+    std::vector<std::function<void()>> mQueued;
+  };
+
+  double Uniform(double aLeast, double aGreatest)
+  {
+    return std::uniform_real_distribution<double>(aLeast, aGreatest)(mRandom);
+  }
+
+  SettingsSnapshotPtr Settings() const
+  {
+    auto settings = std::make_shared<SettingsSnapshot>();
+    if (mOptions.mRate > 0) {
+      settings->mAccounts[Account()] = { .mAccount = Account(),
+                                         .mRate = mOptions.mRate,
+                                         .mBurst = mOptions.mBurst,
+                                         .mKeys = {} };
+    }
+    return settings;
+  }
+
+  void MakeConcerns(std::size_t aVm)
+  {
+    Node& node = mNodes[aVm];
+    ShareLedger::Options ledger;
+    ledger.mSelf = node.mSelf;
+    ledger.mSeed = mRandom();
+    ledger.mReviewInterval = mOptions.mReviewInterval;
+    node.mLedger = std::make_unique<ShareLedger>(
+      ledger,
+      ShareLedgerHooks{
+        .mIsDead =
+          [&node](const VmIncarnation& aProcess) {
+            return std::find(node.mDead.begin(), node.mDead.end(), aProcess) !=
+                   node.mDead.end();
+          },
+        .mExpectedHolders =
+          [this](const std::string&) { return mNodes.size(); } });
+    node.mLedger->Want(Account().mName);
+    RateLimiter::Options limiter;
+    limiter.mSeed = mRandom();
+    limiter.mTransfers = mOptions.mTransfers;
+    node.mLimiter = std::make_unique<RateLimiter>(
+      limiter,
+      RateLimiterHooks{
+        .mFraction =
+          [this, &node](const AccountId& aAccount) {
+            return mOptions.mStaticFractions
+                     ? EqualFraction(mNodes.size())
+                     : node.mLedger->Fraction(aAccount.mName);
+          },
+        .mPeers = [this, aVm](const AccountId&) { return PeersOf(aVm); } });
+    node.mLimiter->Apply(*Settings(), LocalNow(aVm));
+  }
+
+  std::vector<VmId> PeersOf(std::size_t aVm) const
+  {
+    std::vector<VmId> peers;
+    for (std::size_t i = 1; i < mNodes.size(); ++i) {
+      peers.push_back(mNodes[(aVm + i) % mNodes.size()].mSelf.mVm);
+    }
+    return peers;
+  }
+
+  void Tick(std::size_t aVm)
+  {
+    Node& node = mNodes[aVm];
+    if (!node.mRunning || node.mPaused) {
+      return;
+    }
+    EffectList effects;
+    if (!mOptions.mStaticFractions) {
+      node.mLedger->Tick(LocalNow(aVm), effects);
+    }
+    node.mLimiter->Tick(LocalNow(aVm), effects);
+    Carry(aVm, std::move(effects));
+  }
+
+  void ReportUse(std::size_t aVm)
+  {
+    Node& node = mNodes[aVm];
+    if (node.mRunning && !node.mPaused) {
+      node.mLedger->ReportUse(Account().mName,
+                              node.mLimiter->TakeUse(Account()));
+    }
+  }
+
+  void Note(bool aAdmitted, bool aRefused)
+  {
+    if (aAdmitted) {
+      mAdmissions.push_back(mQueue.Now());
+    }
+    mRefusals += aRefused ? 1 : 0;
+  }
+
+  void Carry(std::size_t aVm, EffectList aEffects)
+  {
+    for (const RateOutcome& outcome : mNodes[aVm].mLimiter->TakeDecided()) {
+      Note(outcome.mAdmitted, !outcome.mAdmitted);
+    }
+    for (Effect& effect : aEffects) {
+      if (auto* send = std::get_if<effect::SendMessage>(&effect)) {
+        Send(aVm, *send);
+      } else if (auto* call = std::get_if<effect::CallStore>(&effect)) {
+        CallStore(aVm, *call);
+      }
+    }
+  }
+
+  /// Runs the action on the process that the VM has now, unless it has ended
+  /// by then; a paused process runs it when it resumes.
+  void Deliver(std::size_t aVm,
+               Duration aDelay,
+               VmIncarnation aProcess,
+               std::function<void(EffectList&)> aAction)
+  {
+    mQueue.After(aDelay, [this, aVm, aProcess, action = std::move(aAction)] {
+      Node& node = mNodes[aVm];
+      const auto run = [this, aVm, action] {
+        EffectList effects;
+        action(effects);
+        Carry(aVm, std::move(effects));
+      };
+      if (!node.mRunning ||
+          (aProcess != VmIncarnation{} && node.mSelf != aProcess)) {
+        return;
+      }
+      if (node.mPaused) {
+        node.mQueued.push_back(run);
+      } else {
+        run();
+      }
+    });
+  }
+
+  void CallStore(std::size_t aVm, const effect::CallStore& aCall)
+  {
+    const VmIncarnation process = mNodes[aVm].mSelf;
+    const StoreCallId id = aCall.mCall;
+    mStore.Call(
+      *aCall.mRequest.mTxn,
+      [this, aVm, process, id](const Result<StoreReply>& aReply) {
+        Deliver(
+          aVm, Duration(0), process, [this, aVm, id, aReply](EffectList& aOut) {
+            mNodes[aVm].mLedger->OnStoreReply(
+              { .mCall = id, .mReply = aReply }, LocalNow(aVm), aOut);
+          });
+      });
+  }
+
+  Duration NetworkDelay()
+  {
+    if (Uniform(0, 1) < mOptions.mLate) {
+      return std::chrono::milliseconds(static_cast<int>(Uniform(400, 1'500)));
+    }
+    return Duration(static_cast<Duration::rep>(
+      Uniform(static_cast<double>(mOptions.mLeastDelay.count()),
+              static_cast<double>(mOptions.mGreatestDelay.count()))));
+  }
+
+  void Send(std::size_t aFrom, const effect::SendMessage& aSend)
+  {
+    ++mMessages;
+    const std::size_t to = std::stoul(aSend.mTo.mName.substr(3));
+    const std::size_t copies = Uniform(0, 1) < mOptions.mDuplicates ? 2 : 1;
+    for (std::size_t i = 0; i < copies; ++i) {
+      if (Uniform(0, 1) < mOptions.mLoss) {
+        continue;
+      }
+      Deliver(to,
+              NetworkDelay(),
+              VmIncarnation{},
+              [this, to, from = mNodes[aFrom].mSelf, message = aSend.mMessage](
+                EffectList& aOut) { Receive(to, from, message, aOut); });
+    }
+  }
+
+  void Receive(std::size_t aVm,
+               const VmIncarnation& aFrom,
+               const Message& aMessage,
+               EffectList& aOut)
+  {
+    RateLimiter& limiter = *mNodes[aVm].mLimiter;
+    if (const auto* request = std::get_if<message::TokenRequest>(&aMessage)) {
+      limiter.OnMessage(aFrom, *request, LocalNow(aVm), aOut);
+    }
+    if (const auto* transfer = std::get_if<message::TokenTransfer>(&aMessage)) {
+      limiter.OnMessage(aFrom, *transfer, LocalNow(aVm), aOut);
+    }
+  }
+
+  Options mOptions;
+  std::mt19937_64 mRandom;
+  EventQueue mQueue;
+  FakeStore mStore;
+  std::vector<Node> mNodes;
+  std::uint64_t mIncarnations = 0;
+  std::uint64_t mMessages = 0;
+  std::uint64_t mArrivals = 0;
+  std::uint64_t mRefusals = 0;
+  std::vector<TimePoint> mAdmissions;
+};
+
+/// The greatest number by which admissions exceeded rate x time + burst in
+/// any window; at most zero if the limit was kept.
+inline double GreatestExcess(const std::vector<TimePoint>& aAdmissions,
+                             double aRate,
+                             double aBurst)
+{
+  // A window from admission i to j holds j - i + 1 of them, so the excess is
+  // greatest for the i with the least i - rate x time(i) before j.
+  double least = 0;
+  double excess = -aBurst;
+  for (std::size_t j = 0; j < aAdmissions.size(); ++j) {
+    const double seconds =
+      std::chrono::duration<double>(aAdmissions[j].time_since_epoch()).count();
+    const double level = static_cast<double>(j) - aRate * seconds;
+    least = j == 0 ? level : std::min(least, level);
+    excess = std::max(excess, level - least + 1 - aBurst);
+  }
+  return excess;
+}
+
+} // namespace cranberrywing::testing
