Split ejection out of backend health and probe remote servers less often

Servers of other regions are probed 5 times less often: 460 daemons that probe every server every 2 s would put 230 probes a second on each server.

--- a/src/include/cranberrywing/backend_health.h
+++ b/src/include/cranberrywing/backend_health.h
@@ -47,6 +47,12 @@
   TimePoint mLoadTime{};
 
   bool IsDraining() const { return mSettings.mDraining || mClaimsDraining; }
+  /// Its health endpoint says so more than once in a row.
+  bool ClaimsUnhealthy() const;
+  /// Reports and own exchanges agree that it does not work.
+  bool HasFailed() const;
+  /// Recent own exchanges show that it works.
+  bool IsProvenGood(TimePoint aNow) const;
   /// From near 0 for a cold server to 1 for a warm one.
   double Warmth(TimePoint aNow) const;
 };
@@ -62,8 +68,14 @@
     Duration mFirstEjection = std::chrono::seconds(5);
     Duration mLongestEjection = std::chrono::minutes(5);
     /// Least part of a service's servers in a region that stays in use,
-    /// however many look bad.
+    /// however many look bad; only drained servers and those whose reports
+    /// and own failures agree are exempt.
     double mFloor = 0.5;
+    /// Region whose servers are probed at the service's interval; empty for
+    /// all regions.
+    RegionId mRegion;
+    /// Servers of other regions are probed this many times less often.
+    double mRemoteProbeFactor = 5;
     /// Time between comparisons of servers with each other.
     Duration mCompareInterval = std::chrono::seconds(5);
     /// Success rate below the others' mean by this much is an outlier.
@@ -155,7 +167,7 @@
   void EndEjections(TimePoint aNow, EffectList& aOut);
   void Compare(const Group& aGroup, TimePoint aNow, EffectList& aOut);
   void Probe(BackendStatus& aStatus, TimePoint aNow, EffectList& aOut);
-  Duration Jittered(Duration aInterval);
+  Duration Jittered(Duration aInterval, double aFactor);
 
   Options mOptions;
   std::mt19937_64 mRandom;
--- a/src/include/cranberrywing/offers.h
+++ b/src/include/cranberrywing/offers.h
@@ -37,6 +37,8 @@
   };
 
   OfferBook(Options aOptions, OfferBookHooks aHooks);
+  OfferBook(const OfferBook&) = delete;
+  OfferBook& operator=(const OfferBook&) = delete;
 
   void Apply(const SettingsSnapshot& aSettings);
   /// Region that is to carry the service's next request: this VM's own, or
--- a/src/include/cranberrywing/types.h
+++ b/src/include/cranberrywing/types.h
@@ -2,6 +2,9 @@
 /// Small value types that every other header uses: identifiers, monotonic
 /// time, revisions and incarnations.
 ///
+/// NOLINT on defaulted comparisons: clang-tidy 14 takes the zero that a
+/// rewritten comparison contains for a null pointer (modernize-use-nullptr).
+///
 /// All types here are plain values: copying them is safe, and concurrent use
 /// of one object follows the rules of the standard library's containers.
 #pragma once
@@ -29,7 +32,7 @@
   }
 
   bool IsEmpty() const { return mName.empty(); }
-  auto operator<=>(const Id&) const = default;
+  auto operator<=>(const Id&) const = default; // NOLINT
   bool operator==(const Id&) const = default;
 
   template<class Archive>
@@ -92,7 +95,7 @@
 {
   std::uint64_t mNumber = 0;
 
-  auto operator<=>(const Revision&) const = default;
+  auto operator<=>(const Revision&) const = default; // NOLINT
 
   template<class Archive>
   void serialize(Archive& aArchive)
@@ -107,7 +110,7 @@
 {
   std::uint64_t mNumber = 0;
 
-  auto operator<=>(const Incarnation&) const = default;
+  auto operator<=>(const Incarnation&) const = default; // NOLINT
 
   template<class Archive>
   void serialize(Archive& aArchive)
@@ -122,7 +125,7 @@
   VmId mVm;
   Incarnation mIncarnation;
 
-  auto operator<=>(const VmIncarnation&) const = default;
+  auto operator<=>(const VmIncarnation&) const = default; // NOLINT
   bool operator==(const VmIncarnation&) const = default;
 
   template<class Archive>
@@ -153,7 +156,7 @@
   std::uint64_t mHigh = 0;
   std::uint64_t mLow = 0;
 
-  auto operator<=>(const ContentDigest&) const = default;
+  auto operator<=>(const ContentDigest&) const = default; // NOLINT
 
   template<class Archive>
   void serialize(Archive& aArchive)
--- a/src/libcranberrywing/backend_health.cpp
+++ b/src/libcranberrywing/backend_health.cpp
@@ -8,12 +8,13 @@
 
 namespace {
 
-/// Warmth of a server that has just started.
-constexpr double kLeastWarmth = 0.02;
 /// One lost probe is no evidence; two in a row are.
 constexpr std::uint32_t kUnhealthyReports = 2;
-/// Own successes newer than this outweigh a health endpoint's claim.
+/// Own successes newer than this many probe intervals outweigh a health
+/// endpoint's claim.
 constexpr double kOwnEvidenceIntervals = 2;
+/// Warmth of a server that has just started.
+constexpr double kLeastWarmth = 0.02;
 /// Reports of at least this part of the usable servers must be fresh.
 constexpr double kFreshPart = 0.8;
 constexpr double kProbeJitter = 0.2;
@@ -23,44 +24,34 @@
   return std::chrono::duration<double>(aDuration).count();
 }
 
-/// Whether own exchanges show that the server works.
-bool IsProvenGood(const BackendStatus& aStatus, TimePoint aNow)
+} // namespace
+
+double BackendStatus::Warmth(TimePoint aNow) const
 {
-  if (!aStatus.mLastSuccess || aStatus.mConsecutiveFailures > 0) {
-    return false;
+  if (!mColdSince || mSlowStart <= Duration::zero()) {
+    return 1;
   }
-  const Duration age = aNow - *aStatus.mLastSuccess;
-  return Seconds(age) <=
-         kOwnEvidenceIntervals * Seconds(aStatus.mProbeInterval);
+  const double part = Seconds(aNow - *mColdSince) / Seconds(mSlowStart);
+  return std::clamp(part, kLeastWarmth, 1.0);
 }
 
-bool ClaimsUnhealthy(const BackendStatus& aStatus)
+bool BackendStatus::ClaimsUnhealthy() const
 {
-  return aStatus.mUnhealthyReports >= kUnhealthyReports;
+  return mUnhealthyReports >= kUnhealthyReports;
 }
 
-/// Reports and own failures agree, so that the floor does not protect it.
-bool HasFailed(const BackendStatus& aStatus)
+bool BackendStatus::HasFailed() const
 {
-  return ClaimsUnhealthy(aStatus) && aStatus.mConsecutiveFailures > 0;
+  return ClaimsUnhealthy() && mConsecutiveFailures > 0;
 }
 
-effect::RecordTimeline Entry(std::string aName, const BackendStatus& aStatus)
+bool BackendStatus::IsProvenGood(TimePoint aNow) const
 {
-  return { std::move(aName),
-           { { "service", aStatus.mService.mName },
-             { "backend", aStatus.mSettings.mBackend.mName } } };
-}
-
-} // namespace
-
-double BackendStatus::Warmth(TimePoint aNow) const
-{
-  if (!mColdSince || mSlowStart <= Duration::zero()) {
-    return 1;
+  if (!mLastSuccess || mConsecutiveFailures > 0) {
+    return false;
   }
-  const double part = Seconds(aNow - *mColdSince) / Seconds(mSlowStart);
-  return std::clamp(part, kLeastWarmth, 1.0);
+  const Duration age = aNow - *mLastSuccess;
+  return Seconds(age) <= kOwnEvidenceIntervals * Seconds(mProbeInterval);
 }
 
 BackendHealth::BackendHealth(Options aOptions)
@@ -131,14 +122,16 @@
 void BackendHealth::RebuildGroups(const SettingsSnapshot& aSettings)
 {
   mGroups.clear();
-  for (const auto& [id, service] : aSettings.mServices) {
+  for (const auto& item : aSettings.mServices) {
+    const ServiceSettings& service = item.second;
     for (const BackendSettings& backend : service.mBackends) {
       const auto it =
         std::find_if(mGroups.begin(), mGroups.end(), [&](const Group& aGroup) {
-          return aGroup.mService == id && aGroup.mRegion == backend.mRegion;
+          return aGroup.mService == service.mService &&
+                 aGroup.mRegion == backend.mRegion;
         });
       Group& group = it == mGroups.end() ? mGroups.emplace_back() : *it;
-      group.mService = id;
+      group.mService = service.mService;
       group.mRegion = backend.mRegion;
       group.mMembers.push_back(FindMutable(backend.mBackend));
     }
@@ -175,17 +168,20 @@
                           TimePoint aNow,
                           EffectList& aOut)
 {
-  aStatus.mNextProbe = aNow + Jittered(aStatus.mProbeInterval);
+  const bool isRemote = !mOptions.mRegion.IsEmpty() &&
+                        aStatus.mSettings.mRegion != mOptions.mRegion;
+  const double factor = isRemote ? mOptions.mRemoteProbeFactor : 1;
+  aStatus.mNextProbe = aNow + Jittered(aStatus.mProbeInterval, factor);
   aOut.push_back(effect::ProbeBackend{ aStatus.mSettings.mBackend,
                                        aStatus.mSettings.mAddress,
                                        aStatus.mSettings.mPort });
 }
 
-Duration BackendHealth::Jittered(Duration aInterval)
+Duration BackendHealth::Jittered(Duration aInterval, double aFactor)
 {
   std::uniform_real_distribution<double> factor(1 - kProbeJitter,
                                                 1 + kProbeJitter);
-  const double seconds = Seconds(aInterval) * factor(mRandom);
+  const double seconds = Seconds(aInterval) * aFactor * factor(mRandom);
   return std::chrono::duration_cast<Duration>(
     std::chrono::duration<double>(std::max(seconds, 0.01)));
 }
@@ -247,7 +243,7 @@
   ++status->mFailures;
   if (status->mConsecutiveFailures >= mOptions.mConsecutiveFailures) {
     Eject(*status, "consecutive_failures", aNow, aOut);
-  } else if (ClaimsUnhealthy(*status)) {
+  } else if (status->ClaimsUnhealthy()) {
     ReviewGroupOf(*status, aNow, aOut);
   }
 }
@@ -267,7 +263,7 @@
 bool BackendHealth::IsDown(const BackendId& aBackend) const
 {
   const BackendStatus* status = Find(aBackend);
-  return status != nullptr && HasFailed(*status);
+  return status != nullptr && status->HasFailed();
 }
 
 std::optional<BackendHealth::AgedLoad> BackendHealth::Load(
@@ -348,112 +344,4 @@
   return nullptr;
 }
 
-void BackendHealth::ReviewGroupOf(const BackendStatus& aStatus,
-                                  TimePoint aNow,
-                                  EffectList& aOut)
-{
-  const Group* group = FindGroup(aStatus.mService, aStatus.mSettings.mRegion);
-  if (group != nullptr) {
-    Review(*group, aNow, aOut);
-  }
-}
-
-void BackendHealth::Review(const Group& aGroup,
-                           TimePoint aNow,
-                           EffectList& aOut)
-{
-  std::vector<BackendStatus*> doubtful;
-  std::size_t serving = 0;
-  for (BackendStatus* status : aGroup.mMembers) {
-    if (status->IsDraining()) {
-      SetUsable(*status, false, aNow, aOut);
-      continue;
-    }
-    ++serving;
-    const bool isBad =
-      HasFailed(*status) || status->mEjected ||
-      (ClaimsUnhealthy(*status) && !IsProvenGood(*status, aNow));
-    if (isBad) {
-      doubtful.push_back(status);
-    } else {
-      SetUsable(*status, true, aNow, aOut);
-    }
-  }
-  // Worst evidence first: the floor keeps the least suspicious in use.
-  const auto evidence = [](const BackendStatus* aStatus) {
-    return (HasFailed(*aStatus) ? 2 : 0) + (aStatus->mEjected ? 1 : 0);
-  };
-  std::stable_sort(doubtful.begin(),
-                   doubtful.end(),
-                   [&](const auto* aLeft, const auto* aRight) {
-                     if (evidence(aLeft) != evidence(aRight)) {
-                       return evidence(aLeft) > evidence(aRight);
-                     }
-                     return !aLeft->mUsable && aRight->mUsable;
-                   });
-  const auto kept = static_cast<std::size_t>(
-    std::ceil(mOptions.mFloor * static_cast<double>(serving)));
-  std::size_t left = serving;
-  for (BackendStatus* status : doubtful) {
-    const bool mayGo = HasFailed(*status) || left > kept;
-    SetUsable(*status, !mayGo, aNow, aOut);
-    left -= mayGo ? 1 : 0;
-  }
-}
-
-void BackendHealth::SetUsable(BackendStatus& aStatus,
-                              bool aUsable,
-                              TimePoint aNow,
-                              EffectList& aOut)
-{
-  if (aStatus.mUsable == aUsable) {
-    return;
-  }
-  aStatus.mUsable = aUsable;
-  if (aUsable) {
-    aStatus.mColdSince = aNow;
-    aOut.push_back(Entry("backend_usable", aStatus));
-    return;
-  }
-  aOut.push_back(Entry("backend_unusable", aStatus));
-  aOut.push_back(effect::CloseBackendConnections{ aStatus.mSettings.mBackend });
-}
-
-void BackendHealth::Eject(BackendStatus& aStatus,
-                          std::string_view aReason,
-                          TimePoint aNow,
-                          EffectList& aOut)
-{
-  if (aStatus.mEjected) {
-    return;
-  }
-  aStatus.mEjected = true;
-  const std::uint32_t doublings = std::min(aStatus.mEjections, 16u);
-  const Duration time = mOptions.mFirstEjection * (1u << doublings);
-  aStatus.mEjectedUntil = aNow + std::min(time, mOptions.mLongestEjection);
-  ++aStatus.mEjections;
-  mNextWork = std::min(mNextWork, aStatus.mEjectedUntil);
-  effect::RecordTimeline entry = Entry("backend_ejected", aStatus);
-  entry.mFields.push_back({ "reason", std::string(aReason) });
-  aOut.push_back(std::move(entry));
-  ReviewGroupOf(aStatus, aNow, aOut);
-}
-
-void BackendHealth::EndEjections(TimePoint aNow, EffectList& aOut)
-{
-  for (const Group& group : mGroups) {
-    bool changed = false;
-    for (BackendStatus* status : group.mMembers) {
-      if (status->mEjected && aNow >= status->mEjectedUntil) {
-        status->mEjected = false;
-        status->mConsecutiveFailures = 0;
-        changed = true;
-      }
-    }
-    if (changed) {
-      Review(group, aNow, aOut);
-    }
-  }
-}
-
 } // namespace cranberrywing
--- a/src/libcranberrywing/capacity_reservations.cpp
+++ b/src/libcranberrywing/capacity_reservations.cpp
@@ -53,9 +53,10 @@
       continue;
     }
     std::vector<Offer>& offers = mServices[offered.mService].mOffers;
-    auto it = std::find_if(offers.begin(), offers.end(), [&](const Offer& o) {
-      return o.mVm.mVm == aFrom.mVm;
-    });
+    auto it =
+      std::find_if(offers.begin(), offers.end(), [&](const Offer& aOffer) {
+        return aOffer.mVm.mVm == aFrom.mVm;
+      });
     if (it == offers.end()) {
       it = offers.emplace(offers.end());
     }
@@ -195,9 +196,10 @@
       return;
     }
     std::vector<Reservation>& all = aService.mReservations;
-    auto it = std::find_if(all.begin(), all.end(), [&](const Reservation& r) {
-      return r.mVm == offer->mVm;
-    });
+    auto it =
+      std::find_if(all.begin(), all.end(), [&](const Reservation& aItem) {
+        return aItem.mVm == offer->mVm;
+      });
     if (it == all.end()) {
       it = all.emplace(all.end());
       it->mVm = offer->mVm;
--- a/src/libcranberrywing/offers.cpp
+++ b/src/libcranberrywing/offers.cpp
@@ -195,13 +195,13 @@
     mHooks.mShifted ? mHooks.mShifted(aService, aNow)
                     : std::vector<std::pair<RegionId, double>>();
   std::vector<MovedPart> moved;
-  for (const auto& [region, part] : shifted) {
+  for (const auto& shift : shifted) {
     const auto it = std::find_if(
       aTraffic.mMoved.begin(),
       aTraffic.mMoved.end(),
-      [&](const MovedPart& aPart) { return aPart.mRegion == region; });
+      [&](const MovedPart& aPart) { return aPart.mRegion == shift.first; });
     const double credit = it == aTraffic.mMoved.end() ? 0 : it->mCredit;
-    moved.push_back({ region, part, credit });
+    moved.push_back({ shift.first, shift.second, credit });
   }
   aTraffic.mMoved = std::move(moved);
 }
