Add the scenario runner and a first scenario of the whole path

Cause: guarantees are to be proved by scripted scenarios over several reducers. Change: YAML scripts with virtual time, a fake store, list, backend servers and links; every scenario also fails on a second execution, a false not-run, a crossed answer or a missing outcome. Each process gets its own random seed.

--- a/src/libcranberrywing/reducer.cpp
+++ b/src/libcranberrywing/reducer.cpp
@@ -14,10 +14,20 @@
 /// Deadline of a drain when the settings name no route.
 constexpr Duration kDefaultDeadline = std::chrono::seconds(10);
 
+/// Gives each process its own random sequence. Equal sequences would make
+/// VMs probe, retry and choose servers in step.
+Reducer::Options SeedPerProcess(Reducer::Options aOptions)
+{
+  const VmIncarnation& self = aOptions.mSelf.mMember;
+  aOptions.mSeed =
+    HashBytes(self.mVm.mName, aOptions.mSeed ^ self.mIncarnation.mNumber);
+  return aOptions;
+}
+
 } // namespace
 
 Reducer::State::State(Options aOptions)
-  : mOptions(std::move(aOptions))
+  : mOptions(SeedPerProcess(std::move(aOptions)))
   , mCrashGuard({})
   , mRetries({})
   , mHealth({ .mSeed = mOptions.mSeed })
@@ -25,7 +35,8 @@
               mHealth)
   , mQueue({})
   , mConfiguration({ .mStorePrefix = mOptions.mStorePrefix,
-                     .mInitialDocument = mOptions.mInitialDocument },
+                     .mInitialDocument = mOptions.mInitialDocument,
+                     .mSeed = mOptions.mSeed },
                    MakeConfigurationHooks())
   , mMembership({ .mSelf = mOptions.mSelf,
                   .mSeeds = mOptions.mSeeds,
--- a/src/libcranberrywing/reducer_hooks.cpp
+++ b/src/libcranberrywing/reducer_hooks.cpp
@@ -269,6 +269,18 @@
   return audience;
 }
 
+std::vector<VmId> Reducer::State::RegionPeers() const
+{
+  std::vector<VmId> peers;
+  for (const auto& [vm, member] : mMembership.Members()) {
+    const bool isInRegion = member.mUpdate.mRegion == mOptions.mSelf.mRegion;
+    if (isInRegion && mMembership.IsUsable(vm)) {
+      peers.push_back(vm);
+    }
+  }
+  return peers;
+}
+
 ShiftHooks Reducer::State::MakeShiftHooks()
 {
   return {
--- /dev/null
+++ b/testsuite/world_actions.cpp
@@ -0,0 +1,223 @@
+// What the steps of a scenario do.
+#include <stdexcept>
+
+#include "cranberrywing/settings.h"
+#include "world.h"
+
+namespace cranberrywing::scenario {
+
+namespace {
+
+std::string TextOf(const YAML::Node& aNode,
+                   const std::string& aName,
+                   const std::string& aDefault = "")
+{
+  return aNode[aName] ? aNode[aName].as<std::string>() : aDefault;
+}
+
+std::vector<std::string> NamesOf(const YAML::Node& aNode)
+{
+  if (aNode.IsSequence()) {
+    return aNode.as<std::vector<std::string>>();
+  }
+  return { aNode.as<std::string>() };
+}
+
+} // namespace
+
+void World::Act(const Step& aStep)
+{
+  const YAML::Node& arguments = aStep.mArguments;
+  if (aStep.mAction == "start") {
+    for (const std::string& name : NamesOf(arguments)) {
+      Start(mVms.at(name));
+    }
+  } else if (aStep.mAction == "kill") {
+    for (const std::string& name : NamesOf(arguments)) {
+      mVms.at(name).mReducer.reset();
+    }
+  } else if (aStep.mAction == "unlist") {
+    for (const std::string& name : NamesOf(arguments)) {
+      mListed.erase(name);
+    }
+  } else if (aStep.mAction == "pause" || aStep.mAction == "resume") {
+    for (const std::string& name : NamesOf(arguments)) {
+      Vm& vm = mVms.at(name);
+      vm.mIsPaused = aStep.mAction == "pause";
+      for (const Event& held : std::exchange(vm.mHeldBack, {})) {
+        Deliver(vm, held);
+      }
+    }
+  } else if (aStep.mAction == "shutdown") {
+    Deliver(mVms.at(arguments.as<std::string>()), event::ShutdownRequested{});
+  } else if (aStep.mAction == "request") {
+    SendRequest(arguments);
+  } else if (aStep.mAction == "ticket") {
+    Vm& vm = mVms.at(TextOf(arguments, "vm"));
+    const auto id = static_cast<RequestId>(mNextRequest++);
+    mRequestNames[{ vm.mName, id }] = TextOf(arguments, "id");
+    Deliver(
+      vm,
+      event::TicketRequested{ .mRequest = id,
+                              .mKey = TextOf(arguments, "key"),
+                              .mRoute = RouteId(TextOf(arguments, "route")) });
+  } else if (aStep.mAction == "edit") {
+    SendEdit(arguments);
+  } else if (aStep.mAction == "backend") {
+    SetBackend(arguments);
+  } else if (aStep.mAction == "store") {
+    const std::string mode = arguments.as<std::string>();
+    mStoreMode = mode == "down"            ? StoreMode::Down
+                 : mode == "loses_answers" ? StoreMode::LosesAnswers
+                                           : StoreMode::Up;
+  } else if (aStep.mAction == "store_cut" || aStep.mAction == "store_join") {
+    for (const std::string& name : NamesOf(arguments)) {
+      mVms.at(name).mHasStore = aStep.mAction == "store_join";
+    }
+  } else if (aStep.mAction == "cut") {
+    Cut(arguments);
+  } else if (aStep.mAction == "heal") {
+    mCuts.clear();
+  } else if (aStep.mAction == "network") {
+    SetNetwork(arguments);
+  } else {
+    throw std::runtime_error("unknown action \"" + aStep.mAction + "\"");
+  }
+}
+
+void World::Start(Vm& aVm)
+{
+  ++aVm.mStarts;
+  aVm.mIsPaused = false;
+  aVm.mHasExited = false;
+  aVm.mHeldBack.clear();
+  aVm.mWatches.clear();
+  aVm.mWatchPosition.clear();
+  mListed.insert(aVm.mName);
+  aVm.mSelf.mMember.mIncarnation = {
+    static_cast<std::uint64_t>(mNow.time_since_epoch().count()) + aVm.mStarts
+  };
+  std::vector<VmSettings> seeds;
+  for (const auto& [name, other] : mVms) {
+    if (name != aVm.mName) {
+      seeds.push_back({ .mVm = VmId(name),
+                        .mRegion = other.mSelf.mRegion,
+                        .mFailureDomain = other.mSelf.mFailureDomain,
+                        .mSite = other.mSelf.mSite,
+                        .mAddress = other.mSelf.mAddress,
+                        .mCallerPort = other.mSelf.mCallerPort,
+                        .mPeerPort = other.mSelf.mPeerPort });
+    }
+  }
+  aVm.mReducer = std::make_unique<Reducer>(
+    Reducer::Options{ .mSelf = aVm.mSelf,
+                      .mSeeds = seeds,
+                      .mInitialDocument = mScript.mSettings,
+                      .mSeed = mScript.mSeed });
+  CarryOut(aVm, aVm.mReducer->Start(mNow, WallSeconds()));
+}
+
+void World::SendRequest(const YAML::Node& aArguments)
+{
+  Vm& vm = mVms.at(TextOf(aArguments, "vm"));
+  const std::string id = TextOf(aArguments, "id");
+  const auto number = static_cast<RequestId>(mNextRequest++);
+  mRequestNames[{ vm.mName, number }] = id;
+  auto content = std::make_shared<RequestContent>();
+  content->mMethod = TextOf(aArguments, "method", "GET");
+  content->mTarget = TextOf(aArguments, "target");
+  content->mBody = TextOf(aArguments, "body", id);
+  mBodyOf[id] = content->mBody;
+  if (!vm.mReducer) {
+    mOutcomes[id] = { .mCode = ResultCode::PeerUnreachable,
+                      .mExecution = Execution::NotRun,
+                      .mAt = mNow };
+    return;
+  }
+  event::RequestArrived arrived{
+    .mRequest = number,
+    .mCaller = CallerId{},
+    .mKey = TextOf(aArguments, "key"),
+    .mContent = std::move(content),
+    .mIdempotencyKey = TextOf(aArguments, "idempotency_key"),
+  };
+  if (aArguments["ticket_of"]) {
+    arrived.mTicket = mTickets[TextOf(aArguments, "ticket_of")];
+  }
+  if (aArguments["timeout"]) {
+    arrived.mTimeout = ReadDuration(aArguments["timeout"]);
+  }
+  Deliver(vm, arrived);
+}
+
+void World::SendEdit(const YAML::Node& aArguments)
+{
+  Vm& vm = mVms.at(TextOf(aArguments, "vm"));
+  const std::string id = TextOf(aArguments, "id");
+  std::string document = vm.mReducer->GetConfiguration().Document();
+  for (const auto& item : aArguments["set"]) {
+    const auto edited = EditSetting(
+      document, item.first.as<std::string>(), YAML::Dump(item.second));
+    if (!edited) {
+      throw std::runtime_error(edited.error().mMessage);
+    }
+    document = *edited;
+  }
+  const auto number = static_cast<AdminRequestId>(mNextRequest++);
+  mRequestNames[{ vm.mName, static_cast<RequestId>(mNextRequest - 1) }] = id;
+  Deliver(
+    vm,
+    event::EditRequested{
+      .mRequest = number,
+      .mEdit = { .mOperation = OperationId(id),
+                 .mOperator = "operator",
+                 .mBase = vm.mReducer->GetConfiguration().Version().mRevision,
+                 .mDocument = document } });
+}
+
+void World::SetBackend(const YAML::Node& aArguments)
+{
+  for (const std::string& name : NamesOf(aArguments["name"])) {
+    Backend& backend = mBackends[name];
+    const std::string mode = TextOf(aArguments, "mode", "answers");
+    backend.mIsDown = false;
+    backend.mMode = mode == "hangs"     ? BackendMode::Hangs
+                    : mode == "refuses" ? BackendMode::Refuses
+                    : mode == "fails"   ? BackendMode::Fails
+                    : mode == "sheds"   ? BackendMode::Sheds
+                    : mode == "crashes" ? BackendMode::Crashes
+                                        : BackendMode::Answers;
+    if (aArguments["latency"]) {
+      backend.mLatency = ReadDuration(aArguments["latency"]);
+    }
+    if (aArguments["says_healthy"]) {
+      backend.mSaysHealthy = aArguments["says_healthy"].as<bool>();
+    }
+    if (aArguments["reported_rate"]) {
+      backend.mReportedRate = aArguments["reported_rate"].as<double>();
+    }
+  }
+}
+
+void World::SetNetwork(const YAML::Node& aArguments)
+{
+  mDrop = aArguments["drop"] ? aArguments["drop"].as<double>() : 0;
+  mDuplicate =
+    aArguments["duplicate"] ? aArguments["duplicate"].as<double>() : 0;
+  mJitter = aArguments["jitter"] ? ReadDuration(aArguments["jitter"])
+                                 : Duration::zero();
+}
+
+void World::Cut(const YAML::Node& aArguments)
+{
+  const auto left = NamesOf(aArguments[0]);
+  const auto right = NamesOf(aArguments[1]);
+  for (const std::string& one : left) {
+    for (const std::string& other : right) {
+      mCuts.insert({ one, other });
+      mCuts.insert({ other, one });
+    }
+  }
+}
+
+} // namespace cranberrywing::scenario
--- /dev/null
+++ b/testsuite/world_effects.cpp
@@ -0,0 +1,231 @@
+// Carries out the effects of the reducers.
+#include "cranberrywing/message.h"
+#include "world.h"
+
+namespace cranberrywing::scenario {
+
+namespace {
+
+constexpr Duration kLocalDelay = std::chrono::milliseconds(1);
+constexpr Duration kRegionDelay = std::chrono::milliseconds(20);
+constexpr Duration kStoreDelay = std::chrono::milliseconds(3);
+constexpr Duration kConnectFailureDelay = std::chrono::milliseconds(1);
+
+AnswerContentPtr MakeAnswer(std::uint32_t aStatus, std::string aBody)
+{
+  auto answer = std::make_shared<AnswerContent>();
+  answer->mStatus = aStatus;
+  answer->mBody = std::move(aBody);
+  return answer;
+}
+
+bool IsWrite(const StoreCall& aCall)
+{
+  return !aCall.mTxn || !aCall.mTxn->mPuts.empty() ||
+         !aCall.mTxn->mDeletes.empty();
+}
+
+} // namespace
+
+bool World::Happens(double aProbability)
+{
+  // The engine is only asked when chance plays a part, so that a scenario
+  // without loss does not depend on the order of its messages.
+  return aProbability > 0 &&
+         std::uniform_real_distribution<>(0, 1)(mRandom) < aProbability;
+}
+
+void World::CarryOut(Vm& aVm, const EffectList& aEffects)
+{
+  const std::string& vm = aVm.mName;
+  for (const Effect& effect : aEffects) {
+    if (const auto* dispatch = std::get_if<effect::Dispatch>(&effect)) {
+      Run(aVm, *dispatch);
+    } else if (const auto* respond = std::get_if<effect::Respond>(&effect)) {
+      mOutcomes[mRequestNames[{ vm, respond->mRequest }]] = {
+        .mIsAnswered = true,
+        .mIsReplayed = respond->mReplayed,
+        .mBody = respond->mAnswer->mBody,
+        .mAt = mNow
+      };
+    } else if (const auto* refuse = std::get_if<effect::Refuse>(&effect)) {
+      mOutcomes[mRequestNames[{ vm, refuse->mRequest }]] = {
+        .mCode = refuse->mRefusal.mCode,
+        .mExecution = refuse->mRefusal.mExecution,
+        .mBody = refuse->mRefusal.mDetail,
+        .mAt = mNow
+      };
+    } else if (const auto* ticket =
+                 std::get_if<effect::AnswerTicket>(&effect)) {
+      mTickets[mRequestNames[{ vm, ticket->mRequest }]] = ticket->mTicket;
+    } else if (const auto* edit = std::get_if<effect::AnswerEdit>(&effect)) {
+      const auto number = static_cast<RequestId>(edit->mRequest);
+      mEdits[mRequestNames[{ vm, number }]] = *edit;
+    } else if (const auto* send = std::get_if<effect::SendMessage>(&effect)) {
+      Send(aVm, *send);
+    } else if (const auto* call = std::get_if<effect::CallStore>(&effect)) {
+      CallStore(aVm, *call);
+    } else if (const auto* watch = std::get_if<effect::WatchStore>(&effect)) {
+      aVm.mWatches[watch->mWatch] = *watch;
+      aVm.mWatchPosition[watch->mWatch] = 0;
+    } else if (const auto* end = std::get_if<effect::CancelWatch>(&effect)) {
+      aVm.mWatches.erase(end->mWatch);
+    } else if (const auto* probe = std::get_if<effect::ProbeBackend>(&effect)) {
+      Probe(aVm, *probe);
+    } else if (const auto* entry =
+                 std::get_if<effect::RecordTimeline>(&effect)) {
+      std::string line = entry->mName;
+      for (const effect::Field& field : entry->mFields) {
+        line += " " + field.mName + "=" + field.mValue;
+      }
+      mTimeline[vm].push_back(std::move(line));
+    } else if (std::holds_alternative<effect::Exit>(effect)) {
+      aVm.mHasExited = true;
+    }
+  }
+  if (aVm.mHasExited) {
+    aVm.mReducer.reset();
+  }
+}
+
+void World::Run(Vm& aVm, const effect::Dispatch& aDispatch)
+{
+  Backend& backend = mBackends[aDispatch.mBackend.mName];
+  event::BackendFailed failed{ .mRequest = aDispatch.mRequest,
+                               .mAttempt = aDispatch.mAttempt };
+  if (backend.mMode == BackendMode::Refuses || backend.mIsDown) {
+    failed.mStage = event::FailureStage::BeforeFirstByte;
+    failed.mKind = event::FailureKind::Connect;
+    Schedule(aVm, mNow + kConnectFailureDelay, failed);
+    return;
+  }
+  if (backend.mMode == BackendMode::Sheds) {
+    failed.mKind = event::FailureKind::Shed;
+    Schedule(aVm, mNow + backend.mLatency, failed);
+    return;
+  }
+  const std::string& body = aDispatch.mContent->mBody;
+  mRuns.push_back({ .mBackend = aDispatch.mBackend.mName,
+                    .mLabel = body,
+                    .mIsIdempotent = aDispatch.mContent->mMethod == "GET",
+                    .mAt = mNow });
+  const bool isLate = backend.mMode == BackendMode::Hangs ||
+                      backend.mLatency > aDispatch.mTimeout;
+  if (isLate) {
+    failed.mKind = event::FailureKind::Timeout;
+    Schedule(aVm, mNow + aDispatch.mTimeout, failed);
+    return;
+  }
+  const bool isCrash =
+    backend.mMode == BackendMode::Crashes && body.starts_with("crash");
+  if (isCrash) {
+    backend.mIsDown = true;
+    failed.mKind = event::FailureKind::Reset;
+    Schedule(aVm, mNow + backend.mLatency, failed);
+    return;
+  }
+  const bool isError = backend.mMode == BackendMode::Fails;
+  Schedule(aVm,
+           mNow + backend.mLatency,
+           event::BackendResponded{
+             .mRequest = aDispatch.mRequest,
+             .mAttempt = aDispatch.mAttempt,
+             .mAnswer = MakeAnswer(isError ? 500 : 200, "answer to " + body),
+             .mLatency = backend.mLatency });
+}
+
+World::Vm* World::FindReceiver(const effect::SendMessage& aMessage)
+{
+  for (auto& [name, vm] : mVms) {
+    const bool isNamed = aMessage.mTo == vm.mSelf.mMember.mVm;
+    const bool isAddressed =
+      aMessage.mTo.IsEmpty() && aMessage.mPort == vm.mSelf.mPeerPort;
+    if (isNamed || isAddressed) {
+      return &vm;
+    }
+  }
+  return nullptr;
+}
+
+bool World::IsCut(const Vm& aLeft, const Vm& aRight) const
+{
+  return mCuts.contains({ aLeft.mName, aRight.mName });
+}
+
+void World::Send(Vm& aVm, const effect::SendMessage& aMessage)
+{
+  Vm* receiver = FindReceiver(aMessage);
+  if (!receiver) {
+    return;
+  }
+  const bool isStream = aMessage.mTransport == effect::Transport::Stream;
+  const bool isReachable = receiver->mReducer && !IsCut(aVm, *receiver);
+  if (!isReachable) {
+    if (isStream) {
+      Schedule(aVm,
+               mNow + kConnectFailureDelay,
+               event::PeerUnreachable{ receiver->mSelf.mMember.mVm });
+    }
+    return;
+  }
+  if (!isStream && Happens(mDrop)) {
+    return;
+  }
+  const bool isRegional = aVm.mSelf.mRegion == receiver->mSelf.mRegion;
+  const Duration delay = isRegional ? kLocalDelay : kRegionDelay;
+  // Through the codec, so that a field that it forgets shows here.
+  const auto envelope = DecodeEnvelope(EncodeEnvelope(
+    { .mFrom = aVm.mSelf.mMember, .mMessage = aMessage.mMessage }));
+  const event::PeerMessageReceived received{ .mFrom = envelope.value().mFrom,
+                                             .mMessage =
+                                               envelope.value().mMessage };
+  const int copies = !isStream && Happens(mDuplicate) ? 2 : 1;
+  for (int n = 0; n < copies; ++n) {
+    Duration jitter{};
+    if (!isStream && mJitter > Duration::zero()) {
+      jitter = Duration(std::uniform_int_distribution<Duration::rep>(
+        0, mJitter.count())(mRandom));
+    }
+    Schedule(*receiver, mNow + delay + jitter, received);
+  }
+}
+
+void World::CallStore(Vm& aVm, const effect::CallStore& aCall)
+{
+  event::StoreReplied replied{ .mCall = aCall.mCall };
+  if (!aVm.mHasStore || mStoreMode == StoreMode::Down) {
+    replied.mReply =
+      MakeError(ResultCode::StoreUnavailable, "the store is down");
+  } else {
+    StoreReply reply = mStore.Apply(aCall.mRequest, mNow);
+    const bool isLost =
+      mStoreMode == StoreMode::LosesAnswers && IsWrite(aCall.mRequest);
+    if (isLost) {
+      replied.mReply =
+        MakeError(ResultCode::OutcomeUnknown, "the answer was lost");
+    } else {
+      replied.mReply = std::move(reply);
+    }
+  }
+  Schedule(aVm, mNow + kStoreDelay, std::move(replied));
+}
+
+void World::Probe(Vm& aVm, const effect::ProbeBackend& aProbe)
+{
+  const Backend& backend = mBackends[aProbe.mBackend.mName];
+  const bool isUp = backend.mMode != BackendMode::Refuses && !backend.mIsDown;
+  Schedule(aVm,
+           mNow + backend.mLatency,
+           event::HealthReported{ .mBackend = aProbe.mBackend,
+                                  .mHealthy = isUp && backend.mSaysHealthy });
+  if (isUp) {
+    Schedule(aVm,
+             mNow + backend.mLatency,
+             event::LoadReported{
+               .mBackend = aProbe.mBackend,
+               .mReport = { .mUtilization = 0.1,
+                            .mRequestsPerSecond = backend.mReportedRate } });
+  }
+}
+
+} // namespace cranberrywing::scenario
