--- a/src/include/cranberrywing/keys.h
+++ b/src/include/cranberrywing/keys.h
@@ -2,6 +2,7 @@
 /// Maps callers' keys to client accounts without keeping any key.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -21,6 +22,8 @@
   AccountId mAccount;
   /// Public name of the key; empty for routes open to all.
   std::string mKeyName;
+  /// Distinguishes successive keys of one name; zero if it is not known.
+  std::uint64_t mKeyTag = 0;
 
   bool operator==(const CallerIdentity&) const = default;
 };
@@ -49,8 +52,10 @@
   };
 
   std::string mPepper;
-  std::unordered_map<std::string, Entry> mEntries;
-  std::unordered_map<std::string, bool> mValidNames;
+  /// By the beginning of the digest.
+  std::unordered_multimap<std::string, Entry> mEntries;
+  /// Tags of the keys that are not withdrawn, by account and key name.
+  std::unordered_map<std::string, std::uint64_t> mValidTags;
 };
 
 } // namespace cranberrywing
--- a/src/include/cranberrywing/settings.h
+++ b/src/include/cranberrywing/settings.h
@@ -35,9 +35,17 @@
 Result<std::vector<SettingsChange>> CompareSettings(std::string_view aBefore,
                                                     std::string_view aAfter);
 
-/// Sets, or with an empty value removes, one setting in a document and keeps
-/// the rest. The value is YAML. Errors: InvalidArgument, UnknownNode.
+/// Whether an operator may make a change that CompareSettings lists.
 /// Thread-safe.
+bool MayChange(const OperatorSettings& aOperator,
+               const SettingsChange& aChange);
+
+/// Sets, or with an empty value removes, one setting in a document and keeps
+/// the rest, as far as possible with its comments and layout. The value is
+/// YAML. Nodes that are missing on the way are added. An element of a list
+/// goes by its field "name", or else its index, and "-" adds one at the end.
+/// Does not check the new document as ParseSettings does. Errors:
+/// InvalidArgument, UnknownNode. Thread-safe.
 Result<std::string> EditSetting(std::string_view aDocument,
                                 std::string_view aPath,
                                 std::string_view aValue);
--- a/src/libcranberrywing/keys.cpp
+++ b/src/libcranberrywing/keys.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-/// Characters of a digest that index the table. The index narrows the search
-/// to one entry; the whole digest is then compared in constant time. What a
-/// timing observer could learn is a prefix of an HMAC under a secret pepper,
-/// which says nothing about any key.
+/// Characters of a digest that index the table. They narrow the search, and
+/// the whole digest is then compared in constant time. Timing could tell an
+/// observer the beginning of an HMAC under a secret pepper, which says nothing
+/// about any key.
 constexpr std::size_t kIndexLength = 16;
 
 std::string ToHex(const unsigned char* aBytes, std::size_t aSize)
@@ -39,7 +39,13 @@
   return aDigest.mHex.substr(0, kIndexLength);
 }
 
-std::string ValidName(const CallerIdentity& aIdentity)
+/// Never zero, which means that the tag is not known.
+std::uint64_t TagOf(const KeyDigest& aDigest)
+{
+  return HashBytes(aDigest.mHex) | 1;
+}
+
+std::string NameOf(const CallerIdentity& aIdentity)
 {
   return aIdentity.mAccount.mName + '\n' + aIdentity.mKeyName;
 }
@@ -64,14 +70,17 @@
 {
   mPepper = aSettings.mFleet.mKeyPepper;
   mEntries.clear();
-  mValidNames.clear();
+  mValidTags.clear();
   for (const auto& [id, account] : aSettings.mAccounts) {
     for (const KeySettings& key : account.mKeys) {
-      const Entry entry{ .mDigest = key.mDigest,
-                         .mIdentity = { id, key.mName },
-                         .mWithdrawn = key.mWithdrawn };
-      mEntries.insert_or_assign(IndexOf(key.mDigest), entry);
-      mValidNames.insert_or_assign(ValidName(entry.mIdentity), !key.mWithdrawn);
+      const CallerIdentity identity{ .mAccount = id,
+                                     .mKeyName = key.mName,
+                                     .mKeyTag = TagOf(key.mDigest) };
+      if (!key.mWithdrawn) {
+        mValidTags.emplace(NameOf(identity), identity.mKeyTag);
+      }
+      mEntries.emplace(IndexOf(key.mDigest),
+                       Entry{ key.mDigest, identity, key.mWithdrawn });
     }
   }
 }
@@ -82,14 +91,18 @@
     return MakeError(ResultCode::KeyMissing, "the request carries no key");
   }
   const KeyDigest digest = DigestKey(aKey, mPepper);
-  const auto it = mEntries.find(IndexOf(digest));
-  if (it == mEntries.end() || !IsEqual(it->second.mDigest, digest)) {
-    return MakeError(ResultCode::KeyUnknown, "the key is not known");
-  }
-  if (it->second.mWithdrawn) {
-    return MakeError(ResultCode::KeyWithdrawn, "the key was withdrawn");
+  const auto [begin, end] = mEntries.equal_range(IndexOf(digest));
+  for (auto it = begin; it != end; ++it) {
+    const Entry& entry = it->second;
+    if (!IsEqual(entry.mDigest, digest)) {
+      continue;
+    }
+    if (entry.mWithdrawn) {
+      return MakeError(ResultCode::KeyWithdrawn, "the key was withdrawn");
+    }
+    return entry.mIdentity;
   }
-  return it->second.mIdentity;
+  return MakeError(ResultCode::KeyUnknown, "the key is not known");
 }
 
 bool KeyTable::IsValid(const CallerIdentity& aIdentity) const
@@ -98,8 +111,12 @@
   if (aIdentity.mAccount.IsEmpty() && aIdentity.mKeyName.empty()) {
     return true;
   }
-  const auto it = mValidNames.find(ValidName(aIdentity));
-  return it != mValidNames.end() && it->second;
+  const auto it = mValidTags.find(NameOf(aIdentity));
+  if (it == mValidTags.end()) {
+    return false;
+  }
+  // A key that was replaced under its name counts as withdrawn.
+  return aIdentity.mKeyTag == 0 || aIdentity.mKeyTag == it->second;
 }
 
 } // namespace cranberrywing
--- a/src/libcranberrywing/settings_edit.cpp
+++ b/src/libcranberrywing/settings_edit.cpp
@@ -1,14 +1,17 @@
 #include "cranberrywing/settings.h"
 
+#include <algorithm>
 #include <map>
 #include <yaml-cpp/yaml.h>
 
 #include "settings_reader.h"
+#include "settings_text.h"
 
 namespace cranberrywing {
 
 namespace {
 
+using detail::FindChild;
 using Leaves = std::map<std::string, std::string>;
 
 std::string Emit(const YAML::Node& aNode)
@@ -23,12 +26,14 @@
 {
   if (aNode.IsMap() && aNode.size() > 0) {
     for (const auto& pair : aNode) {
-      const std::string name = Emit(pair.first);
+      const std::string name =
+        pair.first.IsScalar() ? pair.first.Scalar() : Emit(pair.first);
       Flatten(pair.second, detail::JoinPath(aPath, name), aOut);
     }
   } else if (aNode.IsSequence() && aNode.size() > 0) {
     for (std::size_t n = 0; n < aNode.size(); ++n) {
-      Flatten(aNode[n], detail::JoinPath(aPath, std::to_string(n)), aOut);
+      const std::string name = detail::ElementName(aNode, n);
+      Flatten(aNode[n], detail::JoinPath(aPath, name), aOut);
     }
   } else {
     aOut[aPath] = Emit(aNode);
@@ -61,23 +66,96 @@
   return names;
 }
 
-/// The part of that name, or an undefined node.
-YAML::Node Child(const YAML::Node& aNode, const std::string& aName)
+tl::unexpected<Error> NoSetting(std::string_view aPath)
 {
-  if (aNode.IsMap()) {
-    for (const auto& pair : aNode) {
-      if (pair.first.IsScalar() && pair.first.Scalar() == aName) {
-        return pair.second;
-      }
+  return MakeError(ResultCode::UnknownNode,
+                   "there is no setting '" + std::string(aPath) + "'");
+}
+
+/// Throws YAML::Exception if the parent cannot have such a part.
+void PutChild(YAML::Node& aParent,
+              const std::string& aName,
+              const YAML::Node& aChild)
+{
+  if (!aParent.IsSequence()) {
+    aParent[aName] = aChild;
+  } else if (const auto index = detail::FindElement(aParent, aName)) {
+    aParent[*index] = aChild;
+  } else if (detail::IsNewElement(aParent, aName)) {
+    aParent.push_back(aChild);
+  } else {
+    throw YAML::Exception(aParent.Mark(),
+                          "a list takes a new element at its end only, as '-'");
+  }
+}
+
+/// The document's tree with one setting set. Throws YAML::Exception if the
+/// path leads through a value that has no parts.
+YAML::Node SetInTree(const YAML::Node& aDocument,
+                     const std::vector<std::string>& aPath,
+                     const YAML::Node& aValue)
+{
+  YAML::Node root = YAML::Clone(aDocument);
+  YAML::Node parent = root;
+  for (std::size_t n = 0; n < aPath.size(); ++n) {
+    const bool isLast = n + 1 == aPath.size();
+    YAML::Node child = FindChild(parent, aPath[n]);
+    if (isLast || !child.IsDefined() || child.IsNull()) {
+      child.reset(isLast ? YAML::Clone(aValue)
+                         : YAML::Node(YAML::NodeType::Map));
+      PutChild(parent, aPath[n], child);
     }
-  } else if (aNode.IsSequence()) {
-    for (std::size_t n = 0; n < aNode.size(); ++n) {
-      if (std::to_string(n) == aName) {
-        return aNode[n];
-      }
+    parent.reset(child);
+  }
+  return root;
+}
+
+YAML::Node RemoveInTree(const YAML::Node& aDocument,
+                        const std::vector<std::string>& aPath)
+{
+  YAML::Node root = YAML::Clone(aDocument);
+  YAML::Node parent = root;
+  for (std::size_t n = 0; n + 1 < aPath.size(); ++n) {
+    parent.reset(FindChild(parent, aPath[n]));
+  }
+  if (parent.IsSequence()) {
+    parent.remove(*detail::FindElement(parent, aPath.back()));
+  } else {
+    parent.remove(aPath.back());
+  }
+  return root;
+}
+
+/// Whether a text holds the same settings as a tree.
+bool HoldsTree(const std::string& aText, const YAML::Node& aTree)
+{
+  const Result<Leaves> found = FlattenDocument(aText);
+  Leaves wanted;
+  Flatten(aTree, "", wanted);
+  return found && *found == wanted;
+}
+
+/// The edited text if it is right, else the tree written anew.
+std::string ChooseText(const std::optional<std::string>& aText,
+                       const YAML::Node& aTree)
+{
+  if (aText && HoldsTree(*aText, aTree)) {
+    return *aText;
+  }
+  return Emit(aTree) + "\n";
+}
+
+bool HasSetting(const YAML::Node& aDocument,
+                const std::vector<std::string>& aPath)
+{
+  YAML::Node node = aDocument;
+  for (const std::string& name : aPath) {
+    node.reset(FindChild(node, name));
+    if (!node.IsDefined()) {
+      return false;
     }
   }
-  return YAML::Node(YAML::NodeType::Undefined);
+  return true;
 }
 
 } // namespace
@@ -112,6 +190,26 @@
   return list;
 }
 
+bool MayChange(const OperatorSettings& aOperator, const SettingsChange& aChange)
+{
+  const auto isBelow = [](std::string_view aPath, std::string_view aNode) {
+    return aNode.empty() || aPath == aNode ||
+           (aPath.starts_with(aNode) && aPath[aNode.size()] == '/');
+  };
+  // Adding the first part of a node or removing its last one shows as a
+  // change of the node above between "no part" and "absent".
+  const auto isEmpty = [](std::string_view aValue) {
+    return aValue.empty() || aValue == "{}" || aValue == "[]" || aValue == "~";
+  };
+  const bool isShell = isEmpty(aChange.mBefore) && isEmpty(aChange.mAfter);
+  return std::any_of(aOperator.mNodes.begin(),
+                     aOperator.mNodes.end(),
+                     [&](const std::string& aNode) {
+                       return isBelow(aChange.mPath, aNode) ||
+                              (isShell && isBelow(aNode, aChange.mPath));
+                     });
+}
+
 Result<std::string> ReadSetting(std::string_view aDocument,
                                 std::string_view aPath)
 {
@@ -122,10 +220,9 @@
   try {
     YAML::Node node = *document;
     for (const std::string& name : SplitPath(aPath)) {
-      node.reset(Child(node, name));
+      node.reset(FindChild(node, name));
       if (!node.IsDefined()) {
-        return MakeError(ResultCode::UnknownNode,
-                         "there is no setting '" + std::string(aPath) + "'");
+        return NoSetting(aPath);
       }
     }
     return Emit(node);
@@ -138,8 +235,8 @@
                                 std::string_view aPath,
                                 std::string_view aValue)
 {
-  const std::vector<std::string> names = SplitPath(aPath);
-  if (names.empty()) {
+  const std::vector<std::string> path = SplitPath(aPath);
+  if (path.empty()) {
     return MakeError(ResultCode::InvalidArgument, "the path is empty");
   }
   const Result<YAML::Node> document = detail::LoadDocument(aDocument);
@@ -149,31 +246,18 @@
                      (document ? value : document).error().mMessage);
   }
   try {
-    YAML::Node parent = *document;
-    for (std::size_t n = 0; n + 1 < names.size(); ++n) {
-      YAML::Node child = Child(parent, names[n]);
-      if (!child.IsDefined() || child.IsNull()) {
-        if (aValue.empty()) {
-          return MakeError(ResultCode::UnknownNode,
-                           "there is no setting '" + std::string(aPath) + "'");
-        }
-        child = YAML::Node(YAML::NodeType::Map);
-        parent[names[n]] = child;
-      }
-      parent.reset(child);
+    if (!aValue.empty()) {
+      return ChooseText(detail::SetInText(aDocument, path, *value),
+                        SetInTree(*document, path, *value));
     }
-    if (aValue.empty() && !Child(parent, names.back()).IsDefined()) {
-      return MakeError(ResultCode::UnknownNode,
-                       "there is no setting '" + std::string(aPath) + "'");
+    if (!HasSetting(*document, path)) {
+      return NoSetting(aPath);
     }
-    if (aValue.empty()) {
-      parent.remove(names.back());
-    } else {
-      parent[names.back()] = *value;
-    }
-    return Emit(*document) + "\n";
+    return ChooseText(detail::RemoveInText(aDocument, path),
+                      RemoveInTree(*document, path));
   } catch (const YAML::Exception& e) {
-    return MakeError(ResultCode::InvalidArgument, e.what());
+    return MakeError(ResultCode::InvalidArgument,
+                     std::string(aPath) + ": " + e.msg);
   }
 }
 
--- a/src/libcranberrywing/settings_reader.cpp
+++ b/src/libcranberrywing/settings_reader.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <charconv>
+#include <sstream>
 #include <unordered_set>
+#include <yaml-cpp/eventhandler.h>
 
 #include "cranberrywing/settings.h"
 
@@ -42,6 +44,71 @@
   return text;
 }
 
+/// Reports aliases: a few nested ones can stand for gigabytes.
+class AliasCheck : public YAML::EventHandler
+{
+public:
+  explicit AliasCheck(ErrorSink& aErrors)
+    : mErrors(aErrors)
+  {
+  }
+
+  void OnDocumentStart(const YAML::Mark&) override {}
+  void OnDocumentEnd() override {}
+  void OnNull(const YAML::Mark&, YAML::anchor_t) override {}
+  void OnAlias(const YAML::Mark& aMark, YAML::anchor_t) override
+  {
+    mErrors.Report(aMark, "document", "aliases are not supported");
+  }
+  void OnScalar(const YAML::Mark&,
+                const std::string&,
+                YAML::anchor_t,
+                const std::string&) override
+  {
+  }
+  void OnSequenceStart(const YAML::Mark&,
+                       const std::string&,
+                       YAML::anchor_t,
+                       YAML::EmitterStyle::value) override
+  {
+  }
+  void OnSequenceEnd() override {}
+  void OnMapStart(const YAML::Mark&,
+                  const std::string&,
+                  YAML::anchor_t,
+                  YAML::EmitterStyle::value) override
+  {
+  }
+  void OnMapEnd() override {}
+
+private:
+  ErrorSink& mErrors;
+};
+
+/// Reports what YAML::Load would pass over or expand without limit. Throws
+/// YAML::Exception for what is not YAML.
+void CheckStream(const std::string& aText, ErrorSink& aErrors)
+{
+  // Parsing twice costs time, so it is done only where it can matter.
+  const bool mayHaveAliases = aText.find('&') != std::string::npos;
+  const bool mayHaveMore = aText.find("\n---") != std::string::npos ||
+                           aText.find("\n...") != std::string::npos;
+  if (!mayHaveAliases && !mayHaveMore) {
+    return;
+  }
+  std::istringstream stream(aText);
+  YAML::Parser parser(stream);
+  AliasCheck check(aErrors);
+  int documents = 0;
+  while (parser.HandleNextDocument(check)) {
+    ++documents;
+  }
+  if (documents > 1) {
+    aErrors.Report(
+      YAML::Mark::null_mark(), "document", "there is more than one document");
+  }
+}
+
 } // namespace
 
 void ErrorSink::Report(const YAML::Mark& aMark,
@@ -304,10 +371,15 @@
 
 Result<YAML::Node> LoadDocument(std::string_view aDocument)
 {
+  ErrorSink errors;
   try {
-    return YAML::Load(std::string(aDocument));
+    const std::string text(aDocument);
+    CheckStream(text, errors);
+    if (errors.HasError()) {
+      return tl::unexpected<Error>(errors.First());
+    }
+    return YAML::Load(text);
   } catch (const YAML::Exception& e) {
-    ErrorSink errors;
     errors.Report(e.mark, "document", e.msg);
     return tl::unexpected<Error>(errors.First());
   }
--- a/src/libcranberrywing/settings_registries.cpp
+++ b/src/libcranberrywing/settings_registries.cpp
@@ -45,6 +45,23 @@
   }
 }
 
+/// Whether a text is a path of names with '/' between, or empty.
+bool IsNodePath(std::string_view aText)
+{
+  while (!aText.empty()) {
+    const std::size_t end = std::min(aText.find('/'), aText.size());
+    const std::string_view name = aText.substr(0, end);
+    if (!IsName(name) && name != "*") {
+      return false;
+    }
+    if (end + 1 == aText.size()) {
+      return false;
+    }
+    aText.remove_prefix(std::min(end + 1, aText.size()));
+  }
+  return true;
+}
+
 KeySettings ReadKey(const ValueReader& aValue)
 {
   KeySettings key;
@@ -309,7 +326,12 @@
     }
     if (const auto nodes = map.Required("nodes")) {
       for (const ValueReader& element : nodes->Elements()) {
-        element.Text(one.mNodes.emplace_back());
+        std::string& node = one.mNodes.emplace_back();
+        element.Text(node);
+        if (!IsNodePath(node)) {
+          element.Report("expected a path such as root/regions/accra, or \"\" "
+                         "for the whole document");
+        }
       }
     }
     map.Finish();
