--- a/src/include/cranberrywing/keys.h
+++ b/src/include/cranberrywing/keys.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -28,6 +29,10 @@
   bool operator==(const CallerIdentity&) const = default;
 };
 
+namespace detail {
+class KeyDigester;
+}
+
 /// Not thread-safe; owned by the reducer.
 class KeyTable
 {
@@ -51,7 +56,8 @@
     bool mWithdrawn = false;
   };
 
-  std::string mPepper;
+  /// Keyed with the pepper; null before the first Apply.
+  std::shared_ptr<detail::KeyDigester> mDigester;
   /// By the beginning of the digest.
   std::unordered_multimap<std::string, Entry> mEntries;
   /// Tags of the keys that are not withdrawn, by account and key name.
--- a/src/libcranberrywing/keys.cpp
+++ b/src/libcranberrywing/keys.cpp
@@ -3,7 +3,7 @@
 #include <array>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
-#include <openssl/hmac.h>
+#include <openssl/params.h>
 
 namespace cranberrywing {
 
@@ -29,7 +29,7 @@
 
 bool IsEqual(const KeyDigest& aLeft, const KeyDigest& aRight)
 {
-  return aLeft.mHex.size() == aRight.mHex.size() &&
+  return !aLeft.mHex.empty() && aLeft.mHex.size() == aRight.mHex.size() &&
          CRYPTO_memcmp(
            aLeft.mHex.data(), aRight.mHex.data(), aLeft.mHex.size()) == 0;
 }
@@ -52,23 +52,64 @@
 
 } // namespace
 
+namespace detail {
+
+/// Computes digests under one pepper. Setting up HMAC takes most of the time
+/// of a digest, so it is done once per pepper.
+class KeyDigester
+{
+public:
+  explicit KeyDigester(std::string_view aPepper)
+    : mMac(EVP_MAC_fetch(nullptr, "HMAC", nullptr))
+    , mContext(EVP_MAC_CTX_new(mMac.get()))
+  {
+    std::string digest = "SHA256";
+    const std::array parameters{ OSSL_PARAM_construct_utf8_string(
+                                   "digest", digest.data(), 0),
+                                 OSSL_PARAM_construct_end() };
+    // An empty key is given as such: a null one would mean "the last key".
+    const auto* pepper = reinterpret_cast<const unsigned char*>(
+      aPepper.empty() ? "" : aPepper.data());
+    mUsable = EVP_MAC_init(
+                mContext.get(), pepper, aPepper.size(), parameters.data()) == 1;
+  }
+
+  /// An empty digest, which matches no key, if the library fails.
+  KeyDigest Digest(std::string_view aKey)
+  {
+    std::array<unsigned char, EVP_MAX_MD_SIZE> bytes{};
+    std::size_t size = 0;
+    const auto* key = reinterpret_cast<const unsigned char*>(aKey.data());
+    const bool isDone =
+      mUsable && EVP_MAC_init(mContext.get(), nullptr, 0, nullptr) == 1 &&
+      EVP_MAC_update(mContext.get(), key, aKey.size()) == 1 &&
+      EVP_MAC_final(mContext.get(), bytes.data(), &size, bytes.size()) == 1;
+    return { isDone ? ToHex(bytes.data(), size) : std::string() };
+  }
+
+private:
+  struct Free
+  {
+    void operator()(EVP_MAC* aMac) const { EVP_MAC_free(aMac); }
+    void operator()(EVP_MAC_CTX* aContext) const { EVP_MAC_CTX_free(aContext); }
+  };
+
+  std::unique_ptr<EVP_MAC, Free> mMac;
+  std::unique_ptr<EVP_MAC_CTX, Free> mContext;
+  bool mUsable = false;
+};
+
+} // namespace detail
+
 KeyDigest DigestKey(std::string_view aKey, std::string_view aPepper)
 {
-  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-  unsigned int size = 0;
-  HMAC(EVP_sha256(),
-       aPepper.data(),
-       static_cast<int>(aPepper.size()),
-       reinterpret_cast<const unsigned char*>(aKey.data()),
-       aKey.size(),
-       digest.data(),
-       &size);
-  return { ToHex(digest.data(), size) };
+  return detail::KeyDigester(aPepper).Digest(aKey);
 }
 
 void KeyTable::Apply(const SettingsSnapshot& aSettings)
 {
-  mPepper = aSettings.mFleet.mKeyPepper;
+  mDigester =
+    std::make_shared<detail::KeyDigester>(aSettings.mFleet.mKeyPepper);
   mEntries.clear();
   mValidTags.clear();
   for (const auto& [id, account] : aSettings.mAccounts) {
@@ -90,7 +131,7 @@
   if (aKey.empty()) {
     return MakeError(ResultCode::KeyMissing, "the request carries no key");
   }
-  const KeyDigest digest = DigestKey(aKey, mPepper);
+  const KeyDigest digest = mDigester ? mDigester->Digest(aKey) : KeyDigest();
   const auto [begin, end] = mEntries.equal_range(IndexOf(digest));
   for (auto it = begin; it != end; ++it) {
     const Entry& entry = it->second;
--- /dev/null
+++ b/src/libcranberrywing/settings_scan.h
@@ -0,0 +1,51 @@
+/// \file
+/// Finds where the parts of a settings document are in its text. Internal to
+/// the settings sources.
+#pragma once
+
+#include <optional>
+#include <string_view>
+#include <yaml-cpp/yaml.h>
+
+namespace cranberrywing::detail {
+
+/// A stretch of the text.
+struct Extent
+{
+  std::size_t mBegin;
+  std::size_t mEnd;
+};
+
+inline std::size_t Position(const YAML::Mark& aMark)
+{
+  return static_cast<std::size_t>(aMark.pos);
+}
+
+inline std::size_t Column(const YAML::Mark& aMark)
+{
+  return static_cast<std::size_t>(aMark.column);
+}
+
+inline bool IsFlow(const YAML::Node& aNode)
+{
+  return aNode.Style() == YAML::EmitterStyle::Flow;
+}
+
+inline bool IsCollection(const YAML::Node& aNode)
+{
+  return aNode.IsMap() || aNode.IsSequence();
+}
+
+std::size_t EndOfLine(std::string_view aText, std::size_t aPos);
+std::size_t StartOfLine(std::string_view aText, std::size_t aPos);
+std::size_t SkipBlanks(std::string_view aText, std::size_t aPos);
+
+/// What a node's own text takes up. Nullopt for layouts that are not known,
+/// such as scalars over several lines.
+std::optional<Extent> ExtentOf(std::string_view aText, const YAML::Node& aNode);
+
+/// One past the colon after a key.
+std::optional<std::size_t> EndOfColon(std::string_view aText,
+                                      const YAML::Node& aKey);
+
+} // namespace cranberrywing::detail
