Make the rate tests drain buckets right after loans

A flooded account keeps its buckets empty, so that a giver that restored its capacity early went unnoticed. The test now lets buckets fill, makes one VM borrow and drains all.

--- a/src/libcranberrywing/rate_limiter_test.cpp
+++ b/src/libcranberrywing/rate_limiter_test.cpp
@@ -32,6 +32,24 @@
   }
 }
 
+/// Lets buckets fill, makes one VM borrow, and soon after drains all buckets
+/// at once: what was lent must not be there twice.
+void DrainAfterLoans(RateFleet& aFleet, std::mt19937_64& aRandom)
+{
+  std::uniform_int_distribution<int> pause(0, 600);
+  aFleet.RunFor(1s);
+  const std::size_t hot = aRandom() % aFleet.Size();
+  for (int i = 0; i < 60; ++i) {
+    aFleet.Arrive(hot);
+    aFleet.RunFor(2ms);
+  }
+  aFleet.RunFor(std::chrono::milliseconds(pause(aRandom)));
+  for (int i = 0; i < 400; ++i) {
+    aFleet.Arrive(aRandom() % 3 == 0 ? hot : aRandom() % aFleet.Size());
+    aFleet.RunFor(100us);
+  }
+}
+
 void Disturb(RateFleet& aFleet, std::mt19937_64& aRandom)
 {
   const std::size_t vm = aRandom() % aFleet.Size();
@@ -76,7 +94,11 @@
       { .mRequestLost = 0.02, .mAnswerLost = 0.05, .mEffectLate = 0.05 });
     std::mt19937_64 random(seed);
     for (int round = 0; round < 60; ++round) {
-      Flood(fleet, random, 500ms);
+      if (random() % 2 == 0) {
+        Flood(fleet, random, 500ms);
+      } else {
+        DrainAfterLoans(fleet, random);
+      }
       Disturb(fleet, random);
       fleet.Store().SetOutage(round % 20 > 16);
     }
@@ -169,6 +191,10 @@
   CHECK(bucket.Total() == 10);
   bucket.Advance(kWholeShare, now);
   CHECK(bucket.Total() == 10);
+  // Of a change between two calls, the smaller fraction counts.
+  bucket.Advance(kWholeShare / 10, now);
+  bucket.Advance(kWholeShare, now += 100ms);
+  CHECK(bucket.Total() == Approx(11));
 }
 
 // Guards against requests that wait beyond 50 ms or their deadline, and
--- a/src/libcranberrywing/share_ledger_test.cpp
+++ b/src/libcranberrywing/share_ledger_test.cpp
@@ -35,6 +35,58 @@
                          : *DecodeShareRecord(entries.begin()->second.mValue);
 }
 
+/// A ledger whose store calls the test answers by hand.
+struct ManualLedger
+{
+  TimePoint mNow{};
+  EffectList mEffects;
+  StoreEntry mStored{ .mKey = "/cw/shares/a", .mValue = "" };
+  ShareLedger mLedger{
+    { .mSelf = { VmId("vm-1"), Incarnation{ 1 } } },
+    { .mIsDead = [](const VmIncarnation&) { return false; },
+      .mExpectedHolders = [](const std::string&) { return std::size_t{ 1 }; } }
+  };
+
+  /// The next call to the store.
+  effect::CallStore NextCall()
+  {
+    for (;;) {
+      for (const Effect& effect : mEffects) {
+        if (const auto* call = std::get_if<effect::CallStore>(&effect)) {
+          const effect::CallStore found = *call;
+          mEffects.clear();
+          return found;
+        }
+      }
+      mEffects.clear();
+      mLedger.Tick(mNow += 10ms, mEffects);
+    }
+  }
+
+  /// Answers the call, with effect.
+  void Answer(const effect::CallStore& aCall)
+  {
+    const StoreTxn& txn = *aCall.mRequest.mTxn;
+    if (!txn.mPuts.empty()) {
+      mStored.mValue = txn.mPuts.front().mValue;
+      ++mStored.mModRevision;
+    }
+    StoreReply reply{ .mSucceeded = true, .mEntries = {} };
+    if (mStored.mModRevision > 0) {
+      reply.mEntries.push_back(mStored);
+    }
+    mLedger.OnStoreReply({ aCall.mCall, reply }, mNow, mEffects);
+  }
+
+  void Lose(const effect::CallStore& aCall)
+  {
+    mLedger.OnStoreReply(
+      { aCall.mCall, MakeError(ResultCode::OutcomeUnknown, "answer lost") },
+      mNow,
+      mEffects);
+  }
+};
+
 } // namespace
 
 // Guards against fractions that add up to more than the whole, under races,
@@ -169,6 +221,31 @@
   }
 }
 
+// Guards against using a fraction whose return was written, whose answer was
+// lost, and which may yet take effect in the store.
+TEST_CASE("a lost write that may still land counts as landed")
+{
+  ManualLedger manual;
+  manual.mLedger.Want("a");
+  manual.Answer(manual.NextCall());
+  manual.Answer(manual.NextCall());
+  REQUIRE(manual.mLedger.Fraction("a") == kWholeShare);
+  manual.mLedger.Unwant("a");
+  manual.Answer(manual.NextCall());
+  const effect::CallStore removal = manual.NextCall();
+  REQUIRE_FALSE(removal.mRequest.mTxn->mPuts.empty());
+  manual.Lose(removal);
+  manual.mLedger.Want("a");
+  // The record is unchanged, so the lost removal may still come.
+  manual.Answer(manual.NextCall());
+  CHECK(manual.mLedger.Fraction("a") == 0);
+  // A write of its own, which makes the lost one fail, settles it.
+  const effect::CallStore overtaking = manual.NextCall();
+  REQUIRE_FALSE(overtaking.mRequest.mTxn->mPuts.empty());
+  manual.Answer(overtaking);
+  CHECK(manual.mLedger.Fraction("a") == kWholeShare);
+}
+
 // Guards against a malformed or overfull record that is built upon.
 TEST_CASE("a damaged share record is refused")
 {
