--- a/src/testing/rate_fleet.h
+++ b/src/testing/rate_fleet.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "cranberrywing/rate_limiter.h"
@@ -86,6 +87,8 @@
   const std::vector<TimePoint>& Admissions() const { return mAdmissions; }
   std::uint64_t Arrivals() const { return mArrivals; }
   std::uint64_t Refusals() const { return mRefusals; }
+  /// Waits of the requests that were admitted after one.
+  const std::vector<Duration>& Waits() const { return mWaits; }
 
   /// Sum of the fractions that living processes use.
   std::uint64_t UsedSum() const
@@ -162,7 +165,11 @@
                            now + std::chrono::seconds(10),
                            now,
                            effects);
-    Note(decision == RateDecision::Admitted, decision == RateDecision::Refused);
+    if (decision == RateDecision::Waiting) {
+      mWaiting[static_cast<RequestId>(mArrivals)] = mQueue.Now();
+    } else {
+      Note(decision == RateDecision::Admitted);
+    }
     Carry(aVm, std::move(effects));
   }
 
@@ -277,18 +284,29 @@
     }
   }
 
-  void Note(bool aAdmitted, bool aRefused)
+  void Note(bool aAdmitted)
   {
     if (aAdmitted) {
       mAdmissions.push_back(mQueue.Now());
+    } else {
+      ++mRefusals;
+    }
+  }
+
+  void NoteOutcome(const RateOutcome& aOutcome)
+  {
+    const auto it = mWaiting.find(aOutcome.mRequest);
+    if (aOutcome.mAdmitted) {
+      mWaits.push_back(mQueue.Now() - it->second);
     }
-    mRefusals += aRefused ? 1 : 0;
+    mWaiting.erase(it);
+    Note(aOutcome.mAdmitted);
   }
 
   void Carry(std::size_t aVm, EffectList aEffects)
   {
     for (const RateOutcome& outcome : mNodes[aVm].mLimiter->TakeDecided()) {
-      Note(outcome.mAdmitted, !outcome.mAdmitted);
+      NoteOutcome(outcome);
     }
     for (Effect& effect : aEffects) {
       if (auto* send = std::get_if<effect::SendMessage>(&effect)) {
@@ -391,6 +409,8 @@
   std::uint64_t mArrivals = 0;
   std::uint64_t mRefusals = 0;
   std::vector<TimePoint> mAdmissions;
+  std::unordered_map<RequestId, TimePoint> mWaiting;
+  std::vector<Duration> mWaits;
 };
 
 /// The greatest number by which admissions exceeded rate x time + burst in
