Let borrowers tell givers when a transfer has ended

A giver's capacity stayed lowered for the whole validity, 510 ms, and its refill was lost meanwhile. The borrower now keeps what fits into its own capacity and tells the giver once nothing else is left, with its next request or after 20 ms.

--- a/src/include/cranberrywing/messages/rates.h
+++ b/src/include/cranberrywing/messages/rates.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <vector>
 
 #include "cranberrywing/types.h"
 
@@ -13,12 +14,17 @@
   /// Number of the request, unique per sender's incarnation.
   std::uint64_t mNumber = 0;
   AccountId mAccount;
+  /// Zero if the message only tells of ended transfers.
   double mWanted = 0;
+  /// Numbers of the receiver's transfers whose tokens the sender has used or
+  /// holds within its own capacity, so that the receiver may count its
+  /// capacity as whole again before their validity ends.
+  std::vector<std::uint64_t> mEnded;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mNumber, mAccount, mWanted);
+    aArchive(mNumber, mAccount, mWanted, mEnded);
   }
 };
 
--- a/src/include/cranberrywing/rate_limiter.h
+++ b/src/include/cranberrywing/rate_limiter.h
@@ -129,6 +129,14 @@
     TimePoint mAskedUntil{};
   };
 
+  /// A transfer that was taken and whose end its giver should learn.
+  struct TakenTransfer
+  {
+    std::uint64_t mNumber = 0;
+    VmId mGiver;
+    TimePoint mTakenAt{};
+  };
+
   struct Account
   {
     TokenBucket mBucket;
@@ -143,6 +151,7 @@
     TimePoint mUseSince{};
     /// Tokens asked for and not yet answered.
     double mAsked = 0;
+    std::vector<TakenTransfer> mTaken{};
     /// Set once the settings lack the account. It is kept until its transfers
     /// have ended, so that a return of the account does not forget them.
     std::optional<TimePoint> mRemovedAt{};
@@ -188,6 +197,12 @@
                double aWanted,
                TimePoint aNow,
                EffectList& aOut);
+  static std::vector<std::uint64_t> TakeEnded(Account& aAccount,
+                                              const VmId& aGiver);
+  void TellEnded(const AccountId& aId,
+                 Account& aAccount,
+                 TimePoint aNow,
+                 EffectList& aOut);
   void ForgetAsks(TimePoint aNow);
   static PeerSpare& SpareOf(Account& aAccount, const VmId& aVm);
   static void NoteSpare(Account& aAccount,
--- a/src/include/cranberrywing/token_bucket.h
+++ b/src/include/cranberrywing/token_bucket.h
@@ -1,14 +1,15 @@
 /// \file
 /// One VM's part of a client account's token bucket (design 3.3).
 ///
-/// Over all VMs of an account, tokens held plus tokens lent and not yet
-/// returned to their giver's capacity never exceed the burst:
+/// Over all VMs of an account, tokens held plus tokens in transfers never
+/// exceed the burst:
 ///
-/// - a bucket holds at most its fraction of the burst, less what it has lent
-///   and whose validity has not ended;
-/// - borrowed tokens end with the validity of their transfer, before the
-///   giver's capacity is restored, except for those that fit into the
-///   borrower's own free capacity.
+/// - a bucket holds at most its fraction of the burst, less what it has lent;
+/// - a loan ends with its validity, or when the borrower tells that nothing
+///   of it is left outside of the borrower's own capacity;
+/// - borrowed tokens that do not fit into the borrower's own free capacity
+///   are lost when the validity ends, which by the borrower's clock is before
+///   the giver's capacity is restored.
 #pragma once
 
 #include <cstdint>
@@ -18,6 +19,15 @@
 
 namespace cranberrywing {
 
+/// Names a transfer: the process that asked for it and its number there.
+struct TransferId
+{
+  VmIncarnation mAsker;
+  std::uint64_t mNumber = 0;
+
+  bool operator==(const TransferId&) const = default;
+};
+
 /// Not thread-safe. Times never decrease. Starts empty.
 class TokenBucket
 {
@@ -37,9 +47,15 @@
   bool Take();
   /// Takes up to aWanted own tokens for a transfer that ends at aEnd, by this
   /// VM's clock with the margin for clock drift. Returns the tokens taken.
-  double Lend(double aWanted, TimePoint aEnd);
-  /// Adds tokens of a transfer that is valid until aEnd.
-  void Borrow(double aTokens, TimePoint aEnd);
+  double Lend(const TransferId& aTransfer, double aWanted, TimePoint aEnd);
+  /// The borrower holds nothing more of the transfer outside of its own
+  /// capacity.
+  void EndLoan(const TransferId& aTransfer);
+  /// Adds tokens of a transfer that is valid until aEnd, as own ones as far
+  /// as there is room.
+  void Borrow(std::uint64_t aNumber, double aTokens, TimePoint aEnd);
+  /// Whether something of the transfer is left outside of the own capacity.
+  bool HoldsBorrowed(std::uint64_t aNumber) const;
 
   /// Own tokens, which may be lent.
   double Own() const { return mOwn; }
@@ -52,13 +68,23 @@
   TimePoint LastAdvance() const { return mLastAdvance; }
 
 private:
-  struct Part
+  struct Loan
+  {
+    TransferId mTransfer;
+    double mTokens = 0;
+    TimePoint mEnd{};
+  };
+
+  struct Borrowed
   {
+    std::uint64_t mNumber = 0;
     double mTokens = 0;
     TimePoint mEnd{};
   };
 
-  void EndLoans(TimePoint aNow);
+  void SumUp();
+  void KeepBorrowed();
+  void EndTransfers(TimePoint aNow);
 
   double mRate = 0;
   double mBurst = 0;
@@ -67,8 +93,8 @@
   double mBorrowed = 0;
   double mLent = 0;
   TimePoint mLastAdvance{};
-  std::vector<Part> mBorrowedParts;
-  std::vector<Part> mLentParts;
+  std::vector<Borrowed> mBorrowedParts;
+  std::vector<Loan> mLoans;
 };
 
 } // namespace cranberrywing
--- a/src/libcranberrywing/rate_limiter.cpp
+++ b/src/libcranberrywing/rate_limiter.cpp
@@ -216,6 +216,7 @@
       Advance(id, account, aNow);
       Serve(account, aNow);
       AskPeers(id, account, aNow, aOut);
+      TellEnded(id, account, aNow, aOut);
     }
   }
 }
--- a/src/libcranberrywing/rate_limiter_test.cpp
+++ b/src/libcranberrywing/rate_limiter_test.cpp
@@ -181,7 +181,7 @@
   CHECK(bucket.Total() == 0);
   bucket.Advance(kWholeShare / 2, now += 10s);
   CHECK(bucket.Total() == 50);
-  CHECK(bucket.Lend(30, now + 510ms) == 30);
+  CHECK(bucket.Lend({}, 30, now + 510ms) == 30);
   bucket.Advance(kWholeShare / 2, now += 509ms);
   CHECK(bucket.Total() == 20);
   bucket.Advance(kWholeShare / 2, now += 1ms);
--- a/src/libcranberrywing/rate_limiter_transfers.cpp
+++ b/src/libcranberrywing/rate_limiter_transfers.cpp
@@ -15,7 +15,9 @@
 /// A peer that keeps answering without tokens is believed up to this many
 /// times longer, which bounds the messages of an account beyond its rate.
 constexpr std::uint32_t kMostPatience = 8;
-constexpr std::size_t kMostAskedAtOnce = 3;
+constexpr std::size_t kMostAskedAtOnce = 8;
+/// Time for which the end of a transfer waits for a request to go with.
+constexpr Duration kEndedWait = std::chrono::milliseconds(20);
 constexpr std::size_t kMostPeers = 16;
 /// Smaller transfers are not worth a message.
 constexpr double kLeastTransfer = 0.01;
@@ -154,10 +156,55 @@
   send.mTo = aPeer;
   send.mMessage = message::TokenRequest{ .mNumber = number,
                                          .mAccount = aId,
-                                         .mWanted = aWanted };
+                                         .mWanted = aWanted,
+                                         .mEnded = TakeEnded(aAccount, aPeer) };
   aOut.push_back(std::move(send));
 }
 
+std::vector<std::uint64_t> RateLimiter::TakeEnded(Account& aAccount,
+                                                  const VmId& aGiver)
+{
+  std::vector<std::uint64_t> ended;
+  std::erase_if(aAccount.mTaken, [&](const TakenTransfer& aTaken) {
+    const bool hasEnded = aTaken.mGiver == aGiver &&
+                          !aAccount.mBucket.HoldsBorrowed(aTaken.mNumber);
+    if (hasEnded) {
+      ended.push_back(aTaken.mNumber);
+    }
+    return hasEnded;
+  });
+  return ended;
+}
+
+void RateLimiter::TellEnded(const AccountId& aId,
+                            Account& aAccount,
+                            TimePoint aNow,
+                            EffectList& aOut)
+{
+  std::erase_if(aAccount.mTaken, [&](const TakenTransfer& aTaken) {
+    return aNow - aTaken.mTakenAt >= mOptions.mTransferValidity;
+  });
+  std::vector<VmId> givers;
+  for (const TakenTransfer& taken : aAccount.mTaken) {
+    const bool isKnown =
+      std::find(givers.begin(), givers.end(), taken.mGiver) != givers.end();
+    if (!isKnown && aNow - taken.mTakenAt >= kEndedWait) {
+      givers.push_back(taken.mGiver);
+    }
+  }
+  for (const VmId& giver : givers) {
+    message::TokenRequest request{ .mAccount = aId,
+                                   .mEnded = TakeEnded(aAccount, giver) };
+    if (request.mEnded.empty()) {
+      continue;
+    }
+    effect::SendMessage send;
+    send.mTo = giver;
+    send.mMessage = std::move(request);
+    aOut.push_back(std::move(send));
+  }
+}
+
 void RateLimiter::ForgetAsks(TimePoint aNow)
 {
   for (auto it = mAsks.begin(); it != mAsks.end();) {
@@ -186,6 +233,9 @@
   if (found != nullptr) {
     Account& account = *found;
     Advance(aMessage.mAccount, account, aNow);
+    for (const std::uint64_t number : aMessage.mEnded) {
+      account.mBucket.EndLoan({ .mAsker = aFrom, .mNumber = number });
+    }
     Serve(account, aNow);
     const double kept = static_cast<double>(account.mWaiters.size()) +
                         Demand(account, aNow) * Seconds(mOptions.mReserve);
@@ -195,10 +245,14 @@
       // From here on, the validity that the asker counts from its earlier
       // request ends before this one, for clocks within the drift margin.
       const TimePoint end = aNow + WithDriftMargin(mOptions.mTransferValidity);
-      transfer.mTokens = account.mBucket.Lend(wanted, end);
+      transfer.mTokens = account.mBucket.Lend(
+        { .mAsker = aFrom, .mNumber = aMessage.mNumber }, wanted, end);
     }
     transfer.mSpare = std::max(0.0, spare - transfer.mTokens);
   }
+  if (aMessage.mWanted <= 0) {
+    return;
+  }
   ++mCounters.mTransfersSent;
   effect::SendMessage send;
   send.mTo = aFrom.mVm;
@@ -231,7 +285,10 @@
   if (aNow >= end) {
     ++mCounters.mTransfersIgnored;
   } else if (aMessage.mTokens > 0) {
-    account.mBucket.Borrow(std::min(aMessage.mTokens, ask.mWanted), end);
+    const double tokens = std::min(aMessage.mTokens, ask.mWanted);
+    account.mBucket.Borrow(aMessage.mNumber, tokens, end);
+    account.mTaken.push_back(
+      { .mNumber = aMessage.mNumber, .mGiver = aFrom.mVm, .mTakenAt = aNow });
   }
   Serve(account, aNow);
   AskPeers(ask.mAccount, account, aNow, aOut);
--- a/src/libcranberrywing/token_bucket.cpp
+++ b/src/libcranberrywing/token_bucket.cpp
@@ -1,7 +1,6 @@
 #include "cranberrywing/token_bucket.h"
 
 #include <algorithm>
-#include <numeric>
 
 #include "cranberrywing/share_ledger.h"
 
@@ -11,9 +10,6 @@
 
 /// Sums of fractions of tokens may fall short of a whole by rounding.
 constexpr double kRounding = 1e-9;
-/// Borrowed tokens are kept as own ones, if there is room, this long before
-/// their end; longer than two ticks.
-constexpr Duration kKeepMargin = std::chrono::milliseconds(25);
 
 double Fraction(std::uint32_t aMillionths)
 {
@@ -46,24 +42,43 @@
   return Fraction(mFraction) * mRate;
 }
 
-void TokenBucket::EndLoans(TimePoint aNow)
+void TokenBucket::SumUp()
 {
-  const auto end = [aNow](std::vector<Part>& aParts) {
-    std::erase_if(aParts,
-                  [aNow](const Part& aPart) { return aPart.mEnd <= aNow; });
-    // Summed anew rather than subtracted, so that rounding cannot add up.
-    return std::accumulate(
-      aParts.begin(), aParts.end(), 0.0, [](double aSum, const Part& aPart) {
-        return aSum + aPart.mTokens;
-      });
+  // Summed anew rather than kept up, so that rounding cannot add up.
+  const auto sum = [](const auto& aParts) {
+    double tokens = 0;
+    for (const auto& part : aParts) {
+      tokens += part.mTokens;
+    }
+    return tokens;
   };
-  mLent = end(mLentParts);
-  mBorrowed = end(mBorrowedParts);
+  mLent = sum(mLoans);
+  mBorrowed = sum(mBorrowedParts);
+}
+
+void TokenBucket::EndTransfers(TimePoint aNow)
+{
+  const auto isOver = [aNow](const auto& aPart) { return aPart.mEnd <= aNow; };
+  std::erase_if(mLoans, isOver);
+  std::erase_if(mBorrowedParts, isOver);
+  SumUp();
+}
+
+void TokenBucket::KeepBorrowed()
+{
+  for (Borrowed& part : mBorrowedParts) {
+    const double kept = std::clamp(Capacity() - mOwn, 0.0, part.mTokens);
+    part.mTokens -= kept;
+    mOwn += kept;
+  }
+  std::erase_if(mBorrowedParts,
+                [](const Borrowed& aPart) { return aPart.mTokens <= 0; });
+  SumUp();
 }
 
 void TokenBucket::Advance(std::uint32_t aFraction, TimePoint aNow)
 {
-  EndLoans(aNow);
+  EndTransfers(aNow);
   const std::uint32_t counted = std::min(aFraction, mFraction);
   mFraction = aFraction;
   if (aNow > mLastAdvance) {
@@ -72,14 +87,8 @@
     mLastAdvance = aNow;
   }
   mOwn = std::min(mOwn, Capacity());
-  for (Part& part : mBorrowedParts) {
-    if (part.mEnd - aNow > kKeepMargin) {
-      continue;
-    }
-    const double kept = std::min(part.mTokens, Capacity() - mOwn);
-    part.mTokens -= kept;
-    mBorrowed -= kept;
-    mOwn += kept;
+  if (!mBorrowedParts.empty()) {
+    KeepBorrowed();
   }
 }
 
@@ -89,37 +98,52 @@
     return false;
   }
   double missing = 1.0;
-  for (Part& part : mBorrowedParts) {
+  for (Borrowed& part : mBorrowedParts) {
     const double taken = std::min(part.mTokens, missing);
     part.mTokens -= taken;
     missing -= taken;
   }
-  std::erase_if(mBorrowedParts,
-                [](const Part& aPart) { return aPart.mTokens <= 0; });
-  mBorrowed = mBorrowedParts.empty() ? 0 : mBorrowed - (1.0 - missing);
   mOwn = std::max(0.0, mOwn - missing);
+  if (!mBorrowedParts.empty()) {
+    KeepBorrowed();
+  }
   return true;
 }
 
-double TokenBucket::Lend(double aWanted, TimePoint aEnd)
+double TokenBucket::Lend(const TransferId& aTransfer,
+                         double aWanted,
+                         TimePoint aEnd)
 {
   const double tokens = std::clamp(aWanted, 0.0, mOwn);
   if (tokens <= 0) {
     return 0;
   }
   mOwn -= tokens;
-  mLent += tokens;
-  mLentParts.push_back({ .mTokens = tokens, .mEnd = aEnd });
+  mLoans.push_back({ .mTransfer = aTransfer, .mTokens = tokens, .mEnd = aEnd });
+  SumUp();
   return tokens;
 }
 
-void TokenBucket::Borrow(double aTokens, TimePoint aEnd)
+void TokenBucket::EndLoan(const TransferId& aTransfer)
 {
-  if (aTokens <= 0) {
-    return;
-  }
-  mBorrowed += aTokens;
-  mBorrowedParts.push_back({ .mTokens = aTokens, .mEnd = aEnd });
+  std::erase_if(
+    mLoans, [&](const Loan& aLoan) { return aLoan.mTransfer == aTransfer; });
+  SumUp();
+}
+
+void TokenBucket::Borrow(std::uint64_t aNumber, double aTokens, TimePoint aEnd)
+{
+  mBorrowedParts.push_back(
+    { .mNumber = aNumber, .mTokens = aTokens, .mEnd = aEnd });
+  KeepBorrowed();
+}
+
+bool TokenBucket::HoldsBorrowed(std::uint64_t aNumber) const
+{
+  return std::any_of(
+    mBorrowedParts.begin(), mBorrowedParts.end(), [&](const Borrowed& aPart) {
+      return aPart.mNumber == aNumber;
+    });
 }
 
 } // namespace cranberrywing
