Give the test fleets of configuration and executions their own names

Cause: two test headers defined cranberrywing::testing::Fleet, so the linked test program mixed them and 30 tests ended in a segmentation fault. Change: rename the configuration fleet, its store and its VM. Conclusion: the one-definition rule holds again in the test program.

--- a/src/libcranberrywing/configuration_test.cpp
+++ b/src/libcranberrywing/configuration_test.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-std::uint64_t RevisionAt(Fleet& aFleet, const std::string& aVm)
+std::uint64_t RevisionAt(ConfigurationFleet& aFleet, const std::string& aVm)
 {
   return aFleet.At(aVm).Current()->mRevision.mNumber;
 }
@@ -21,12 +21,12 @@
 // documents where deltas suffice.
 TEST_CASE("an accepted change is in force on every VM by deltas")
 {
-  Fleet fleet({ "a", "b", "c" });
+  ConfigurationFleet fleet({ "a", "b", "c" });
   CHECK(fleet.EditNow("b", "op1", 0, "5s") == ResultCode::Ok);
   CHECK(fleet.EditNow("b", "op2", 1, "6s") == ResultCode::Ok);
   for (const std::string vm : { "a", "b", "c" }) {
     CHECK(RevisionAt(fleet, vm) == 2);
-    CHECK(fleet.At(vm).Document() == Fleet::Document("6s"));
+    CHECK(fleet.At(vm).Document() == ConfigurationFleet::Document("6s"));
   }
   CHECK(fleet.mWholeBodies == 2);
   CHECK(fleet.mDeltas >= 2);
@@ -35,7 +35,7 @@
 // Guards against a lost update when two operators edit at once.
 TEST_CASE("of two racing changes one is accepted and one conflicts")
 {
-  Fleet fleet({ "a", "b" });
+  ConfigurationFleet fleet({ "a", "b" });
   fleet.Edit("a", "op1", 0, "5s");
   fleet.Edit("b", "op2", 0, "6s");
   fleet.Deliver();
@@ -44,13 +44,13 @@
   CHECK(fleet.mVms["a"].mAnswers[0].mCode == ResultCode::Ok);
   CHECK(fleet.mVms["b"].mAnswers[0].mCode == ResultCode::RevisionConflict);
   CHECK(fleet.mVms["b"].mAnswers[0].mRevision == Revision{ 1 });
-  CHECK(fleet.At("b").Document() == Fleet::Document("5s"));
+  CHECK(fleet.At("b").Document() == ConfigurationFleet::Document("5s"));
 }
 
 // Guards against a guess when the answer to a write is lost.
 TEST_CASE("a lost answer is settled by what the store holds")
 {
-  Fleet fleet({ "a", "b" });
+  ConfigurationFleet fleet({ "a", "b" });
   SECTION("the write took effect")
   {
     fleet.mStore.mMode = StoreMode::LoseAnswer;
@@ -62,7 +62,7 @@
     fleet.mStore.mMode = StoreMode::LoseWrite;
     fleet.mOnLostWrite = [&fleet] { fleet.Edit("b", "op2", 0, "6s"); };
     CHECK(fleet.EditNow("a", "op1", 0, "5s") == ResultCode::NotAccepted);
-    CHECK(fleet.At("a").Document() == Fleet::Document("6s"));
+    CHECK(fleet.At("a").Document() == ConfigurationFleet::Document("6s"));
   }
   SECTION("no change was accepted, so that the write is repeated once")
   {
@@ -93,7 +93,7 @@
 // restored from a backup, and against overwriting the latter silently.
 TEST_CASE("an older configuration in the store never reverts a VM")
 {
-  Fleet fleet({ "a", "b" });
+  ConfigurationFleet fleet({ "a", "b" });
   fleet.mWatchers = { "a" };
   CHECK(fleet.EditNow("a", "op1", 0, "5s") == ResultCode::Ok);
   const auto backup = fleet.mStore.mEntries;
@@ -132,7 +132,7 @@
 // change that only the watch tells of.
 TEST_CASE("a working watch replaces reads and brings changes")
 {
-  Fleet fleet({ "a", "b" });
+  ConfigurationFleet fleet({ "a", "b" });
   fleet.mWatchers = { "a" };
   fleet.Run(std::chrono::seconds(1));
   int calls = 0;
@@ -153,11 +153,11 @@
 // Guards against a silent watch that hides changes.
 TEST_CASE("a silent watch is replaced by reads")
 {
-  Fleet fleet({ "a" });
+  ConfigurationFleet fleet({ "a" });
   fleet.mWatchers = { "a" };
   fleet.Run(std::chrono::seconds(1));
   REQUIRE(fleet.mVms["a"].mWatch);
-  Fleet other({ "x" });
+  ConfigurationFleet other({ "x" });
   CHECK(other.EditNow("x", "op1", 0, "5s") == ResultCode::Ok);
   fleet.mStore.mEntries = other.mStore.mEntries;
   fleet.Run(std::chrono::seconds(6));
@@ -168,12 +168,12 @@
 // Guards against a corrupt configuration coming into force.
 TEST_CASE("a damaged delta is replaced by the whole document")
 {
-  Fleet fleet({ "a", "b" });
+  ConfigurationFleet fleet({ "a", "b" });
   CHECK(fleet.EditNow("a", "op1", 0, "5s") == ResultCode::Ok);
   fleet.mDamageDeltas = true;
   const int whole = fleet.mWholeBodies;
   CHECK(fleet.EditNow("a", "op2", 1, "6s") == ResultCode::Ok);
-  CHECK(fleet.At("b").Document() == Fleet::Document("6s"));
+  CHECK(fleet.At("b").Document() == ConfigurationFleet::Document("6s"));
   CHECK(fleet.mWholeBodies == whole + 1);
 }
 
@@ -181,10 +181,10 @@
 // configuration, or with none.
 TEST_CASE("a new VM in a store outage takes its peers' highest revision")
 {
-  Fleet fleet({ "a", "b" });
+  ConfigurationFleet fleet({ "a", "b" });
   CHECK(fleet.EditNow("a", "op1", 0, "5s") == ResultCode::Ok);
   fleet.mStore.mMode = StoreMode::Down;
-  Fleet newer({ "x" });
+  ConfigurationFleet newer({ "x" });
   newer.mStore.mEntries = fleet.mStore.mEntries;
   CHECK(newer.EditNow("x", "op2", 1, "6s") == ResultCode::Ok);
 
@@ -204,7 +204,7 @@
 // Guards against history that grows without bound or is lost.
 TEST_CASE("the store keeps the last fifty documents")
 {
-  Fleet fleet({ "a" });
+  ConfigurationFleet fleet({ "a" });
   for (std::uint64_t n = 0; n < 60; ++n) {
     fleet.Edit("a", "op" + std::to_string(n), n, std::to_string(n + 1) + "s");
     fleet.Deliver();
@@ -214,7 +214,7 @@
   const auto oldest = DecodeRecord(
     fleet.mStore.mEntries.at(ConfigurationHistoryKey("/cw/", { 11 })).mValue);
   REQUIRE(oldest.has_value());
-  CHECK(oldest->mDocument == Fleet::Document("11s"));
+  CHECK(oldest->mDocument == ConfigurationFleet::Document("11s"));
 }
 
 // Guards against line edits that do not give the document back.
--- a/src/libcranberrywing/configuration_test_fleet.h
+++ b/src/libcranberrywing/configuration_test_fleet.h
@@ -28,7 +28,7 @@
 };
 
 /// The store as the core sees it: transactions over keys.
-class FakeStore
+class FakeConfigurationStore
 {
 public:
   StoreReply Run(const StoreTxn& aTxn)
@@ -67,7 +67,7 @@
   StoreMode mMode = StoreMode::Up;
 };
 
-struct Vm
+struct ConfigurationVm
 {
   std::unique_ptr<Configuration> mConfiguration;
   std::optional<StoreCallId> mWatch;
@@ -76,10 +76,10 @@
 };
 
 /// VMs, a store and the messages between them.
-class Fleet
+class ConfigurationFleet
 {
 public:
-  explicit Fleet(const std::vector<std::string>& aNames)
+  explicit ConfigurationFleet(const std::vector<std::string>& aNames)
   {
     for (const std::string& name : aNames) {
       Add(name);
@@ -200,9 +200,9 @@
     }
   }
 
-  FakeStore mStore;
+  FakeConfigurationStore mStore;
   std::set<std::string> mWatchers;
-  std::map<std::string, Vm> mVms;
+  std::map<std::string, ConfigurationVm> mVms;
   bool mDamageDeltas = false;
   bool mPeersReach = true;
   int mCalls = 0;
@@ -222,7 +222,7 @@
 
   void Carry(const std::string& aVm, const Effect& aEffect, EffectList& aOut)
   {
-    Vm& vm = mVms.at(aVm);
+    ConfigurationVm& vm = mVms.at(aVm);
     if (const auto* call = std::get_if<effect::CallStore>(&aEffect)) {
       vm.mConfiguration->OnStoreReply(
         { call->mCall, Call(*call->mRequest.mTxn) }, mNow, aOut);
