Add the daemon around the reducer

Modules for callers, backend servers, peers, store, VM list, time line, metrics and administration feed one event loop. Effects are carried out in order and events that arise meanwhile are queued.

--- /dev/null
+++ b/src/cranberrywingd/admin_server.cpp
@@ -0,0 +1,210 @@
+#include "cranberrywingd/admin_server.h"
+
+#include <charconv>
+
+#include "cranberrywingd/lookup_api.h"
+#include "netutil/problem.h"
+
+namespace cranberrywing::daemon {
+
+namespace json = boost::json;
+
+namespace {
+
+/// Above the largest document that is accepted, so that its error is clear.
+constexpr std::size_t kBodyBytes = 4 * 1024 * 1024;
+
+AnswerContentPtr Text(std::string aBody, std::string_view aType)
+{
+  AnswerContent answer;
+  answer.mStatus = 200;
+  answer.mHeaders = { { "Content-Type", std::string(aType) } };
+  answer.mBody = std::move(aBody);
+  return std::make_shared<const AnswerContent>(std::move(answer));
+}
+
+} // namespace
+
+std::string AdminServer::Call::Parameter(std::string_view aName) const
+{
+  const std::string* value = mTarget.Find(aName);
+  return value ? *value : std::string();
+}
+
+AdminServer::AdminServer(boost::asio::io_context& aContext,
+                         AdminSources aSources,
+                         EventSink aSink)
+  : mSources(std::move(aSources))
+  , mSink(std::move(aSink))
+  , mServer(aContext,
+            { .mBodyBytes = kBodyBytes },
+            { .mOnRequest =
+                [this](const ExchangeId& aExchange, RequestContent&& aRequest) {
+                  OnRequest(aExchange, std::move(aRequest));
+                },
+              .mOnAborted = [](const ExchangeId&) {} })
+{
+}
+
+Result<void> AdminServer::Listen(const netutil::Endpoint& aEndpoint)
+{
+  return mServer.Listen(aEndpoint);
+}
+
+const std::vector<AdminServer::Route>& AdminServer::Routes()
+{
+  static const std::vector<Route> sRoutes{
+    { "GET", "/v1/status", &AdminServer::GetStatus, false },
+    { "GET", "/v1/members", &AdminServer::GetMembers, false },
+    { "GET", "/metrics", &AdminServer::GetMetrics, false },
+    { "GET", "/v1/lookup", &AdminServer::GetLookup, false },
+    { "GET", "/v1/timeline", &AdminServer::GetTimeline, true },
+    { "GET", "/v1/explain", &AdminServer::GetExplain, true },
+    { "GET", "/v1/settings", &AdminServer::GetSettings, true },
+    { "PUT", "/v1/settings", &AdminServer::PutSettings, true },
+    { "POST", "/v1/settings/check", &AdminServer::CheckSettings, true },
+    { "GET", "/v1/settings/history", &AdminServer::GetHistory, true },
+    { "GET", "/v1/settings/revision", &AdminServer::GetRevision, true },
+    { "POST", "/v1/keys", &AdminServer::PostKey, true },
+  };
+  return sRoutes;
+}
+
+void AdminServer::OnRequest(const ExchangeId& aExchange,
+                            RequestContent&& aRequest)
+{
+  auto target = netutil::ParseTarget(aRequest.mTarget);
+  Call call{ .mExchange = aExchange,
+             .mRequest = std::move(aRequest),
+             .mTarget = {} };
+  if (!target) {
+    Answer(call, netutil::ProblemOf(target.error()));
+    return;
+  }
+  call.mTarget = std::move(*target);
+  Dispatch(call);
+}
+
+void AdminServer::Dispatch(const Call& aCall)
+{
+  for (const Route& route : Routes()) {
+    if (route.mMethod != aCall.mRequest.mMethod ||
+        route.mPath != aCall.mTarget.mPath) {
+      continue;
+    }
+    if (route.mNeedsOperator) {
+      const auto identity =
+        IdentifyOperator(*InForce().mSnapshot, TokenOf(aCall.mRequest));
+      if (!identity) {
+        Answer(aCall, netutil::ProblemOf(identity.error()));
+        return;
+      }
+    }
+    (this->*route.mHandler)(aCall);
+    return;
+  }
+  Fail(aCall,
+       ResultCode::UnknownRoute,
+       "there is no " + aCall.mRequest.mMethod + " " + aCall.mTarget.mPath);
+}
+
+void AdminServer::Answer(const Call& aCall, AnswerContentPtr aAnswer)
+{
+  mServer.Answer(aCall.mExchange, std::move(aAnswer), {});
+}
+
+void AdminServer::Fail(const Call& aCall,
+                       ResultCode aCode,
+                       std::string aMessage)
+{
+  Answer(aCall, netutil::ProblemOf(Error{ aCode, std::move(aMessage) }));
+}
+
+DocumentInForce AdminServer::InForce() const
+{
+  const Configuration& configuration = mSources.mReducer.GetConfiguration();
+  return { configuration.Current(), configuration.Document() };
+}
+
+void AdminServer::GetStatus(const Call& aCall)
+{
+  Answer(aCall,
+         netutil::JsonAnswer(200, StatusView(mSources.mReducer, ReadClock())));
+}
+
+void AdminServer::GetMembers(const Call& aCall)
+{
+  Answer(aCall,
+         netutil::JsonAnswer(200, MembersView(mSources.mReducer, ReadClock())));
+}
+
+void AdminServer::GetTimeline(const Call& aCall)
+{
+  const std::string since = aCall.Parameter("since");
+  std::uint64_t number = 0;
+  const char* const last = since.data() + since.size();
+  const auto [end, error] = std::from_chars(since.data(), last, number);
+  if (!since.empty() && (error != std::errc() || end != last)) {
+    Fail(aCall, ResultCode::InvalidArgument, "since must be a number");
+    return;
+  }
+  Answer(aCall,
+         netutil::JsonAnswer(200, TimelineView(mSources.mTimeline, number)));
+}
+
+void AdminServer::GetMetrics(const Call& aCall)
+{
+  MetricsWriter writer;
+  WriteMetrics(mSources.mMetrics, writer);
+  WriteCoreMetrics(mSources.mReducer, ReadClock(), writer);
+  Answer(aCall, Text(writer.Take(), "text/plain; version=0.0.4"));
+}
+
+void AdminServer::GetExplain(const Call& aCall)
+{
+  const auto sources = ExplainPolicy(InForce().mDocument,
+                                     RegionId(aCall.Parameter("region")),
+                                     ServiceId(aCall.Parameter("service")),
+                                     AccountId(aCall.Parameter("account")),
+                                     RouteId(aCall.Parameter("route")));
+  if (!sources) {
+    Answer(aCall, netutil::ProblemOf(sources.error()));
+    return;
+  }
+  json::object body;
+  body["revision"] = InForce().mSnapshot->mRevision.mNumber;
+  body["policy"] = PolicyView(*sources);
+  Answer(aCall, netutil::JsonAnswer(200, body));
+}
+
+void AdminServer::GetLookup(const Call& aCall)
+{
+  auto query = ReadLookup(aCall.mRequest.mTarget,
+                          mServer.RemoteAddress(aCall.mExchange.mConnection));
+  if (!query) {
+    Answer(aCall, netutil::ProblemOf(query.error()));
+    return;
+  }
+  const RequestId id{ mNextLookup++ };
+  mLookups[id] = aCall.mExchange;
+  query->mLookup.mLookup = id;
+  mSink(std::move(query->mLookup));
+}
+
+void AdminServer::Carry(const effect::AnswerLookup& aEffect)
+{
+  const auto it = mLookups.find(aEffect.mLookup);
+  if (it == mLookups.end()) {
+    return;
+  }
+  mServer.Answer(it->second, EncodeLookup(aEffect, nullptr), {});
+  mLookups.erase(it);
+}
+
+void AdminServer::Finish()
+{
+  mServer.StopAccepting();
+  mServer.CloseAllAfterAnswers();
+}
+
+} // namespace cranberrywing::daemon
--- /dev/null
+++ b/src/cranberrywingd/admin_server_settings.cpp
@@ -0,0 +1,223 @@
+#include <charconv>
+#include <openssl/rand.h>
+
+#include "cranberrywing/keys.h"
+#include "cranberrywingd/admin_server.h"
+#include "netutil/json.h"
+#include "netutil/problem.h"
+
+namespace cranberrywing::daemon {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t kKeyBytes = 24;
+constexpr std::size_t kOperationBytes = 16;
+constexpr std::size_t kShortestKey = 16;
+
+AnswerContentPtr DocumentAnswer(std::string_view aDocument, Revision aRevision)
+{
+  AnswerContent answer;
+  answer.mStatus = 200;
+  answer.mHeaders = { { "Content-Type", "application/yaml" },
+                      { "ETag", EntityTag(aRevision) } };
+  answer.mBody = HideSecrets(aDocument);
+  return std::make_shared<const AnswerContent>(std::move(answer));
+}
+
+json::array HistoryView(const ConfigurationRecord& aRecord)
+{
+  json::array changes;
+  for (const AcceptedChange& change : aRecord.mChanges) {
+    json::object view;
+    view["revision"] = change.mRevision.mNumber;
+    view["operator"] = change.mOperator;
+    view["summary"] = change.mSummary;
+    view["operation"] = change.mOperation.mName;
+    changes.push_back(std::move(view));
+  }
+  return changes;
+}
+
+} // namespace
+
+std::string RandomHex(std::size_t aBytes)
+{
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::vector<unsigned char> bytes(aBytes);
+  if (RAND_bytes(bytes.data(), static_cast<int>(bytes.size())) != 1) {
+    // A key from predictable bytes would be worse than no process.
+    std::abort();
+  }
+  std::string text;
+  for (const unsigned char byte : bytes) {
+    text += kDigits[byte >> 4];
+    text += kDigits[byte & 15];
+  }
+  return text;
+}
+
+void AdminServer::GetSettings(const Call& aCall)
+{
+  const DocumentInForce inForce = InForce();
+  Answer(aCall,
+         DocumentAnswer(inForce.mDocument, inForce.mSnapshot->mRevision));
+}
+
+void AdminServer::PutSettings(const Call& aCall)
+{
+  const DocumentInForce inForce = InForce();
+  const Duration limit = inForce.mSnapshot->mFleet.mIsolationLimit;
+  if (limit > Duration::zero() &&
+      !mSources.mReducer.GetMembership().MayAcceptEdits(limit, ReadClock())) {
+    Fail(aCall,
+         ResultCode::Isolated,
+         "no peer answers this VM, so that others could miss the change; use "
+         "another VM");
+    return;
+  }
+  PreparedEdit prepared =
+    PrepareEdit(aCall.mRequest, inForce, RandomHex(kOperationBytes));
+  if (prepared.mRefusal) {
+    Answer(aCall, prepared.mRefusal);
+    return;
+  }
+  const AdminRequestId id{ mNextEdit++ };
+  mEdits[id] = { aCall.mExchange, prepared.mEdit.mDocument };
+  mSink(
+    event::EditRequested{ .mRequest = id, .mEdit = std::move(prepared.mEdit) });
+}
+
+void AdminServer::Carry(const effect::AnswerEdit& aEffect)
+{
+  const auto it = mEdits.find(aEffect.mRequest);
+  if (it == mEdits.end()) {
+    return;
+  }
+  const PendingEdit edit = std::move(it->second);
+  mEdits.erase(it);
+  if (aEffect.mCode == ResultCode::RevisionConflict) {
+    mServer.Answer(edit.mExchange,
+                   ConflictAnswer(edit.mDocument, InForce(), aEffect.mMessage),
+                   {});
+    return;
+  }
+  if (aEffect.mCode != ResultCode::Ok) {
+    mServer.Answer(edit.mExchange,
+                   netutil::ProblemOf(Error{ aEffect.mCode, aEffect.mMessage }),
+                   {});
+    return;
+  }
+  json::object body;
+  body["revision"] = aEffect.mRevision.mNumber;
+  mServer.Answer(
+    edit.mExchange,
+    netutil::JsonAnswer(200, body),
+    { .mCloseAfter = false,
+      .mExtraHeaders = { { "ETag", EntityTag(aEffect.mRevision) } } });
+}
+
+void AdminServer::CheckSettings(const Call& aCall)
+{
+  const auto checked = CheckDocument(aCall.mRequest.mBody, InForce());
+  if (!checked) {
+    Answer(aCall, netutil::ProblemOf(checked.error()));
+    return;
+  }
+  json::object body;
+  body["revision"] = InForce().mSnapshot->mRevision.mNumber;
+  body["changes"] = EncodeChanges(checked->mChanges);
+  Answer(aCall, netutil::JsonAnswer(200, body));
+}
+
+void AdminServer::ReadRecord(
+  const Call& aCall,
+  std::string aKey,
+  std::function<void(const ConfigurationRecord&)> aHandler)
+{
+  StoreTxn txn;
+  txn.mReads.push_back(
+    { .mKey = std::move(aKey), .mRangeEnd = {}, .mLimit = 0 });
+  mSources.mStore.Call(
+    StoreCall{
+      .mTxn = std::move(txn), .mGrant = {}, .mKeepAlive = {}, .mRevoke = {} },
+    [this, call = aCall, handler = std::move(aHandler)](
+      Result<StoreReply> aReply) {
+      if (!aReply) {
+        Answer(call, netutil::ProblemOf(aReply.error()));
+        return;
+      }
+      if (aReply->mEntries.empty()) {
+        Fail(call, ResultCode::UnknownNode, "the store has no such revision");
+        return;
+      }
+      const auto record = DecodeRecord(aReply->mEntries.front().mValue);
+      if (!record) {
+        Answer(call, netutil::ProblemOf(record.error()));
+        return;
+      }
+      handler(*record);
+    });
+}
+
+void AdminServer::GetHistory(const Call& aCall)
+{
+  ReadRecord(aCall,
+             ConfigurationRootKey(mSources.mStorePrefix),
+             [this, call = aCall](const ConfigurationRecord& aRecord) {
+               json::object body;
+               body["changes"] = HistoryView(aRecord);
+               Answer(call, netutil::JsonAnswer(200, body));
+             });
+}
+
+void AdminServer::GetRevision(const Call& aCall)
+{
+  const std::string text = aCall.Parameter("number");
+  Revision revision;
+  const char* const last = text.data() + text.size();
+  const auto [end, error] =
+    std::from_chars(text.data(), last, revision.mNumber);
+  if (error != std::errc() || end != last) {
+    Fail(aCall, ResultCode::InvalidArgument, "number must be a revision");
+    return;
+  }
+  ReadRecord(aCall,
+             ConfigurationHistoryKey(mSources.mStorePrefix, revision),
+             [this, call = aCall](const ConfigurationRecord& aRecord) {
+               Answer(
+                 call,
+                 DocumentAnswer(aRecord.mDocument, aRecord.mVersion.mRevision));
+             });
+}
+
+void AdminServer::PostKey(const Call& aCall)
+{
+  const std::string& pepper = InForce().mSnapshot->mFleet.mKeyPepper;
+  if (pepper.empty()) {
+    Fail(aCall, ResultCode::InvalidSettings, "fleet/key_pepper is not set");
+    return;
+  }
+  std::string key = RandomHex(kKeyBytes);
+  if (!aCall.mRequest.mBody.empty()) {
+    const auto body = netutil::ParseObject(aCall.mRequest.mBody);
+    if (!body) {
+      Answer(aCall, netutil::ProblemOf(body.error()));
+      return;
+    }
+    key = netutil::FindString(*body, "key");
+  }
+  if (key.size() < kShortestKey) {
+    Fail(aCall,
+         ResultCode::InvalidArgument,
+         "a key or token has at least 16 characters");
+    return;
+  }
+  json::object body;
+  body["key"] = key;
+  body["digest"] = DigestKey(key, pepper).mHex;
+  Answer(aCall, netutil::JsonAnswer(200, body));
+}
+
+} // namespace cranberrywing::daemon
--- /dev/null
+++ b/src/cranberrywingd/backend_client.cpp
@@ -0,0 +1,171 @@
+#include "cranberrywingd/backend_client.h"
+
+#include <charconv>
+
+#include "cranberrywingd/caller_request.h"
+#include "netutil/headers.h"
+
+namespace cranberrywing::daemon {
+
+namespace {
+
+constexpr std::uint32_t kServiceUnavailable = 503;
+constexpr std::string_view kNotRunHeader = "Cranberrywing-Not-Run";
+constexpr std::int64_t kLongestRetryAfterSeconds = 3600;
+
+Duration ReadRetryAfter(const AnswerContent& aAnswer)
+{
+  const std::string* text =
+    netutil::FindHeader(aAnswer.mHeaders, "Retry-After");
+  std::int64_t seconds = 0;
+  if (!text) {
+    return {};
+  }
+  const char* const last = text->data() + text->size();
+  const auto [end, error] = std::from_chars(text->data(), last, seconds);
+  // The other allowed form is a date, which the sender's clock would decide.
+  if (error != std::errc() || end != last || seconds < 0) {
+    return {};
+  }
+  return std::chrono::seconds(std::min(seconds, kLongestRetryAfterSeconds));
+}
+
+std::string_view NameOf(event::FailureKind aKind)
+{
+  switch (aKind) {
+    case event::FailureKind::Connect:
+      return "connect";
+    case event::FailureKind::Timeout:
+      return "timeout";
+    case event::FailureKind::Reset:
+      return "reset";
+    case event::FailureKind::MalformedAnswer:
+      return "malformed_answer";
+    case event::FailureKind::Shed:
+      return "shed";
+    case event::FailureKind::ServerError:
+      break;
+  }
+  return "server_error";
+}
+
+} // namespace
+
+ShedStatement ReadShedStatement(const AnswerContent& aAnswer)
+{
+  const std::string* notRun =
+    netutil::FindHeader(aAnswer.mHeaders, kNotRunHeader);
+  const bool isShed =
+    aAnswer.mStatus == kServiceUnavailable && notRun && *notRun == "1";
+  if (!isShed) {
+    return {};
+  }
+  return { .mIsShed = true, .mRetryAfter = ReadRetryAfter(aAnswer) };
+}
+
+event::BackendFailed DescribeFailure(const netutil::ExchangeFailure& aFailure)
+{
+  using netutil::ExchangeFailureKind;
+  event::BackendFailed failed;
+  failed.mStage = aFailure.mWasSent ? event::FailureStage::AfterFirstByte
+                                    : event::FailureStage::BeforeFirstByte;
+  switch (aFailure.mKind) {
+    case ExchangeFailureKind::Connect:
+      failed.mKind = event::FailureKind::Connect;
+      break;
+    case ExchangeFailureKind::Timeout:
+      failed.mKind = event::FailureKind::Timeout;
+      break;
+    case ExchangeFailureKind::Reset:
+      failed.mKind = event::FailureKind::Reset;
+      break;
+    case ExchangeFailureKind::Malformed:
+      failed.mKind = event::FailureKind::MalformedAnswer;
+      break;
+  }
+  return failed;
+}
+
+BackendClient::BackendClient(boost::asio::io_context& aContext,
+                             DaemonMetrics& aMetrics,
+                             EventSink aSink)
+  : mMetrics(aMetrics)
+  , mSink(std::move(aSink))
+  , mPool(aContext, {})
+{
+}
+
+void BackendClient::Carry(const effect::Dispatch& aEffect)
+{
+  ++mMetrics.mBackendExchanges;
+  const AttemptId id{ aEffect.mRequest, aEffect.mAttempt };
+  const netutil::Endpoint endpoint{ aEffect.mAddress, aEffect.mPort };
+  mEndpoints[aEffect.mBackend] = endpoint;
+  const auto left = std::chrono::floor<Milliseconds>(aEffect.mTimeout);
+  std::vector<Header> headers{ { "X-Request-Deadline-Ms",
+                                 std::to_string(left.count()) } };
+  const bool isHead = aEffect.mContent->mMethod == "HEAD";
+  mAttempts[id] =
+    mPool.Start(endpoint,
+                aEffect.mContent,
+                std::move(headers),
+                aEffect.mTimeout,
+                [this, id, isHead, dispatched = ReadClock()](
+                  netutil::ExchangeResult aResult) {
+                  OnResult(id, dispatched, isHead, std::move(aResult));
+                });
+}
+
+void BackendClient::OnResult(const AttemptId& aId,
+                             TimePoint aDispatched,
+                             bool aIsHead,
+                             netutil::ExchangeResult aResult)
+{
+  mAttempts.erase(aId);
+  const TimePoint now = ReadClock();
+  event::BackendFailed failed;
+  if (aResult) {
+    const ShedStatement shed = ReadShedStatement(*aResult);
+    if (!shed.mIsShed) {
+      mMetrics.mBackendLatency.Add(now - aDispatched, now);
+      CleanAnswer(*aResult, aIsHead);
+      mSink(event::BackendResponded{
+        .mRequest = aId.mRequest,
+        .mAttempt = aId.mAttempt,
+        .mAnswer = std::make_shared<const AnswerContent>(std::move(*aResult)),
+        .mLatency = now - aDispatched,
+      });
+      return;
+    }
+    failed.mKind = event::FailureKind::Shed;
+    failed.mRetryAfter = shed.mRetryAfter;
+  } else {
+    failed = DescribeFailure(aResult.error());
+  }
+  ++mMetrics.mBackendFailures[std::string(NameOf(failed.mKind))];
+  failed.mRequest = aId.mRequest;
+  failed.mAttempt = aId.mAttempt;
+  mSink(std::move(failed));
+}
+
+void BackendClient::Carry(const effect::CancelDispatch& aEffect)
+{
+  const auto it = mAttempts.find({ aEffect.mRequest, aEffect.mAttempt });
+  if (it == mAttempts.end()) {
+    return;
+  }
+  it->second->Close();
+  mAttempts.erase(it);
+}
+
+void BackendClient::Carry(const effect::CloseBackendConnections& aEffect)
+{
+  const auto it = mEndpoints.find(aEffect.mBackend);
+  if (it == mEndpoints.end()) {
+    return;
+  }
+  mPool.CloseIdle(it->second);
+  mEndpoints.erase(it);
+}
+
+} // namespace cranberrywing::daemon
--- /dev/null
+++ b/src/cranberrywingd/backend_prober.cpp
@@ -0,0 +1,97 @@
+#include "cranberrywingd/backend_prober.h"
+
+#include <cmath>
+
+#include "netutil/json.h"
+
+namespace cranberrywing::daemon {
+
+namespace {
+
+/// A probe takes about 6 ms; a server that needs a second is not healthy.
+constexpr std::chrono::seconds kProbeTimeout{ 1 };
+constexpr std::uint32_t kReportBytes = 64 * 1024;
+
+/// A number that may be used in comparisons and sums.
+double Usable(std::optional<double> aNumber)
+{
+  return aNumber && std::isfinite(*aNumber) && *aNumber > 0 ? *aNumber : 0;
+}
+
+} // namespace
+
+event::HealthReported ReadHealth(const BackendId& aBackend,
+                                 const netutil::ExchangeResult& aResult)
+{
+  event::HealthReported report;
+  report.mBackend = aBackend;
+  if (!aResult) {
+    return report;
+  }
+  report.mHealthy = aResult->mStatus == 200;
+  if (const auto body = netutil::ParseObject(aResult->mBody)) {
+    report.mDraining = netutil::FindString(*body, "status") == "draining";
+  }
+  return report;
+}
+
+std::optional<event::LoadReport> ReadLoad(
+  const netutil::ExchangeResult& aResult)
+{
+  if (!aResult || aResult->mStatus != 200) {
+    return std::nullopt;
+  }
+  const auto body = netutil::ParseObject(aResult->mBody);
+  if (!body || !netutil::FindNumber(*body, "cpu_utilization")) {
+    return std::nullopt;
+  }
+  event::LoadReport report;
+  report.mUtilization = Usable(netutil::FindNumber(*body, "cpu_utilization"));
+  report.mRequestsPerSecond =
+    Usable(netutil::FindNumber(*body, "rps_fractional"));
+  if (const auto* metrics = netutil::FindObject(*body, "named_metrics")) {
+    const double inFlight = Usable(netutil::FindNumber(*metrics, "in_flight"));
+    report.mInFlight = static_cast<std::uint32_t>(std::min(inFlight, 1e9));
+  }
+  return report;
+}
+
+BackendProber::BackendProber(boost::asio::io_context& aContext, EventSink aSink)
+  : mSink(std::move(aSink))
+  , mPool(
+      aContext,
+      { .mClient = { .mHeaderBytes = kReportBytes, .mBodyBytes = kReportBytes },
+        .mIdleLimit = 2,
+        .mIdleTime = std::chrono::seconds(30) })
+{
+}
+
+void BackendProber::Carry(const effect::ProbeBackend& aEffect)
+{
+  const netutil::Endpoint endpoint{ aEffect.mAddress, aEffect.mPort };
+  const BackendId backend = aEffect.mBackend;
+  Ask(endpoint, "/healthz", [this, backend](netutil::ExchangeResult aResult) {
+    mSink(ReadHealth(backend, aResult));
+  });
+  Ask(endpoint, "/load", [this, backend](netutil::ExchangeResult aResult) {
+    if (const auto report = ReadLoad(aResult)) {
+      mSink(event::LoadReported{ .mBackend = backend, .mReport = *report });
+    }
+  });
+}
+
+void BackendProber::Ask(const netutil::Endpoint& aEndpoint,
+                        const std::string& aTarget,
+                        netutil::ExchangeHandler aHandler)
+{
+  RequestContent request;
+  request.mMethod = "GET";
+  request.mTarget = aTarget;
+  mPool.Start(aEndpoint,
+              std::make_shared<const RequestContent>(std::move(request)),
+              {},
+              kProbeTimeout,
+              std::move(aHandler));
+}
+
+} // namespace cranberrywing::daemon
--- /dev/null
+++ b/src/cranberrywingd/metrics.h
@@ -0,0 +1,113 @@
+/// \file
+/// Counters and latency quantiles in Prometheus' text format.
+#pragma once
+
+#include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "cranberrywing/types.h"
+
+namespace cranberrywing::daemon {
+
+/// Quantiles of durations over the last one to two windows. Not thread-safe.
+class LatencySummary
+{
+public:
+  static constexpr std::array<double, 3> kQuantiles{ 0.5, 0.99, 0.999 };
+
+  explicit LatencySummary(Duration aWindow = std::chrono::seconds(30));
+
+  void Add(Duration aLatency, TimePoint aNow);
+  /// Seconds, for an index into kQuantiles; NaN with too few samples.
+  double Quantile(std::size_t aIndex) const;
+  std::uint64_t Count() const { return mCount; }
+  double SumSeconds() const { return mSum; }
+
+private:
+  using Accumulator = boost::accumulators::accumulator_set<
+    double,
+    boost::accumulators::stats<boost::accumulators::tag::count,
+                               boost::accumulators::tag::extended_p_square>>;
+
+  static Accumulator MakeAccumulator();
+
+  Duration mWindow;
+  TimePoint mWindowStart{};
+  Accumulator mCurrent;
+  Accumulator mPrevious;
+  std::uint64_t mCount = 0;
+  double mSum = 0;
+};
+
+/// Label of a metric's sample.
+struct MetricLabel
+{
+  std::string mName;
+  std::string mValue;
+};
+
+/// Writes metrics as Prometheus text. Not thread-safe.
+class MetricsWriter
+{
+public:
+  void Counter(std::string_view aName,
+               std::string_view aHelp,
+               double aValue,
+               const std::vector<MetricLabel>& aLabels = {});
+  void Gauge(std::string_view aName,
+             std::string_view aHelp,
+             double aValue,
+             const std::vector<MetricLabel>& aLabels = {});
+  void Summary(std::string_view aName,
+               std::string_view aHelp,
+               const LatencySummary& aSummary);
+  std::string Take() { return std::move(mText); }
+
+private:
+  void Head(std::string_view aName,
+            std::string_view aHelp,
+            std::string_view aType);
+  void Sample(std::string_view aName,
+              const std::vector<MetricLabel>& aLabels,
+              double aValue);
+
+  std::string mText;
+  std::string mLastHead;
+};
+
+/// What the I/O modules count. Plain values, written by their owners.
+struct DaemonMetrics
+{
+  std::uint64_t mRequests = 0;
+  std::uint64_t mLookups = 0;
+  std::uint64_t mTickets = 0;
+  std::uint64_t mCallersGone = 0;
+  std::map<unsigned, std::uint64_t> mAnswersByStatus;
+  std::uint64_t mBackendExchanges = 0;
+  std::map<std::string, std::uint64_t> mBackendFailures;
+  std::uint64_t mStoreCalls = 0;
+  std::uint64_t mStoreFailures = 0;
+  std::uint64_t mDatagramsSent = 0;
+  std::uint64_t mDatagramsReceived = 0;
+  std::uint64_t mDatagramBytesSent = 0;
+  std::uint64_t mStreamBytesSent = 0;
+  std::uint64_t mPeerMessagesMalformed = 0;
+  std::uint64_t mPeerMessagesDropped = 0;
+  std::uint64_t mEvents = 0;
+  LatencySummary mRequestLatency;
+  LatencySummary mBackendLatency;
+  LatencySummary mStoreLatency;
+};
+
+/// Adds what the I/O modules counted. Not thread-safe.
+void WriteMetrics(const DaemonMetrics& aMetrics, MetricsWriter& aOut);
+
+} // namespace cranberrywing::daemon
--- a/src/netutil/http_server.cpp
+++ b/src/netutil/http_server.cpp
@@ -121,12 +121,7 @@
 void HttpServer::Sweep()
 {
   mNow = std::chrono::steady_clock::now();
-  std::vector<SessionPtr> sessions;
-  sessions.reserve(mSessions.size());
-  for (const auto& [id, session] : mSessions) {
-    sessions.push_back(session);
-  }
-  for (const SessionPtr& session : sessions) {
+  for (const SessionPtr& session : AllSessions()) {
     session->CheckLimits();
   }
   mSweepTimer.expires_after(kSweepInterval);
@@ -200,13 +195,28 @@
 
 void HttpServer::AbortAll()
 {
+  for (const SessionPtr& session : AllSessions()) {
+    session->Abort();
+  }
+}
+
+void HttpServer::CloseAllAfterAnswers()
+{
+  for (const SessionPtr& session : AllSessions()) {
+    session->CloseAfterAnswers();
+  }
+}
+
+std::vector<HttpServer::SessionPtr> HttpServer::AllSessions() const
+{
+  // Sessions leave the map while they are closed, so callers loop over a
+  // copy.
   std::vector<SessionPtr> sessions;
+  sessions.reserve(mSessions.size());
   for (const auto& [id, session] : mSessions) {
     sessions.push_back(session);
   }
-  for (const SessionPtr& session : sessions) {
-    session->Abort();
-  }
+  return sessions;
 }
 
 std::string HttpServer::RemoteAddress(ConnectionId aConnection) const
--- a/src/netutil/http_server.h
+++ b/src/netutil/http_server.h
@@ -104,12 +104,15 @@
   /// Closes after the answers that are due. An idle connection closes at
   /// once.
   void CloseAfterAnswers(ConnectionId aConnection);
+  void CloseAllAfterAnswers();
   /// Closes without answering.
   void Abort(ConnectionId aConnection);
   void AbortAll();
   /// Address of the connection's other end; empty if it has ended.
   std::string RemoteAddress(ConnectionId aConnection) const;
   std::size_t ConnectionCount() const { return mSessions.size(); }
+  /// Applies to requests whose header is read from now on.
+  void SetBodyLimit(std::size_t aBytes) { mOptions.mBodyBytes = aBytes; }
 
 private:
   friend class HttpSession;
@@ -119,6 +122,7 @@
   void OnAccepted(boost::asio::ip::tcp::socket aSocket);
   void PauseAccepting();
   void Sweep();
+  std::vector<SessionPtr> AllSessions() const;
   /// Called by a session when its socket is closed.
   void OnEnded(ConnectionId aConnection);
   SessionPtr Find(ConnectionId aConnection) const;
--- a/src/netutil/http_session.cpp
+++ b/src/netutil/http_session.cpp
@@ -39,6 +39,11 @@
 
 void HttpSession::Start()
 {
+  boost::system::error_code ec;
+  const auto endpoint = mSocket.remote_endpoint(ec);
+  if (!ec) {
+    mRemoteAddress = endpoint.address().to_string();
+  }
   Read();
 }
 
@@ -48,13 +53,6 @@
   End();
 }
 
-std::string HttpSession::RemoteAddress() const
-{
-  boost::system::error_code ec;
-  const auto endpoint = mSocket.remote_endpoint(ec);
-  return ec ? std::string() : endpoint.address().to_string();
-}
-
 bool HttpSession::IsInRequest() const
 {
   return mParser.has_value() || mBuffer.size() > 0;
--- a/src/netutil/http_session.h
+++ b/src/netutil/http_session.h
@@ -36,7 +36,7 @@
   void Abort();
   /// Ends the connection if one of its time limits has passed.
   void CheckLimits();
-  std::string RemoteAddress() const;
+  const std::string& RemoteAddress() const { return mRemoteAddress; }
 
 private:
   using Clock = std::chrono::steady_clock;
@@ -79,6 +79,7 @@
   HttpServer* mServer;
   boost::asio::ip::tcp::socket mSocket;
   ConnectionId mId;
+  std::string mRemoteAddress;
   boost::beast::flat_buffer mBuffer;
   std::optional<Parser> mParser;
   std::deque<Pending> mPending;
