Check a configuration record's digest before decoding it

A damaged length in a record made cereal allocate as much memory as it said: under AddressSanitizer a random change of one record asked for 773 GB.

--- a/src/libcranberrywing/configuration_record.cpp
+++ b/src/libcranberrywing/configuration_record.cpp
@@ -80,12 +80,18 @@
 
 std::string EncodeRecord(const ConfigurationRecord& aRecord)
 {
-  std::ostringstream stream;
+  std::ostringstream body;
   {
-    cereal::PortableBinaryOutputArchive archive(stream);
-    archive(kRecordFormat, aRecord);
+    cereal::PortableBinaryOutputArchive archive(body);
+    archive(aRecord);
   }
-  return std::move(stream).str();
+  const std::string bytes = std::move(body).str();
+  std::ostringstream head;
+  {
+    cereal::PortableBinaryOutputArchive archive(head);
+    archive(kRecordFormat, DigestContent(bytes));
+  }
+  return std::move(head).str() + bytes;
 }
 
 Result<ConfigurationRecord> DecodeRecord(std::string_view aBytes)
@@ -95,13 +101,22 @@
     std::istringstream stream{ std::string(aBytes) };
     cereal::PortableBinaryInputArchive archive(stream);
     std::uint8_t format = 0;
-    archive(format);
+    ContentDigest digest;
+    archive(format, digest);
     if (format != kRecordFormat) {
       return MakeError(ResultCode::Malformed,
                        "configuration record of format " +
                          std::to_string(format));
     }
-    archive(record);
+    // Checked first: a damaged length would make cereal allocate as much
+    // memory as it says.
+    const auto begin = static_cast<std::size_t>(stream.tellg());
+    if (DigestContent(aBytes.substr(begin)) != digest) {
+      return MakeError(ResultCode::Malformed,
+                       "configuration record: it is damaged");
+    }
+    cereal::PortableBinaryInputArchive body(stream);
+    body(record);
   } catch (const std::exception& e) {
     return MakeError(ResultCode::Malformed,
                      std::string("configuration record: ") + e.what());
--- a/src/libcranberrywing/configuration_test.cpp
+++ b/src/libcranberrywing/configuration_test.cpp
@@ -217,6 +217,23 @@
   CHECK(oldest->mDocument == Fleet::Document("11s"));
 }
 
+// Guards against a damaged record in the store that is taken, or whose lengths
+// make a VM run out of memory.
+TEST_CASE("a damaged record is refused")
+{
+  ConfigurationRecord record;
+  record.mDocument = Fleet::Document("5s");
+  record.mVersion = { { 3 }, DigestContent(record.mDocument) };
+  const std::string bytes = EncodeRecord(record);
+  REQUIRE(DecodeRecord(bytes).has_value());
+  for (std::size_t n = 0; n < bytes.size(); ++n) {
+    std::string damaged = bytes;
+    damaged[n] = static_cast<char>(damaged[n] ^ 0x40);
+    CHECK_FALSE(DecodeRecord(damaged).has_value());
+    CHECK_FALSE(DecodeRecord(bytes.substr(0, n)).has_value());
+  }
+}
+
 // Guards against line edits that do not give the document back.
 TEST_CASE("line edits turn one document into the other")
 {
