Return unused borrowed tokens and ask in proportion to the burst

Tokens asked for ahead of need were lost at the end of their validity, and for accounts of a small burst most of the burst was on the way. What is unused after half of the validity now goes back to its giver, and requests ahead of need cover at most a quarter of the burst. A peer without tokens is asked again after 20 ms rather than 300 ms, doubled with each empty answer.

--- a/src/bench/rates_bench.cpp
+++ b/src/bench/rates_bench.cpp
@@ -59,6 +59,8 @@
 {
   double mRate;
   double mBurst;
+  /// VMs with a fraction where transfers are on; the others borrow.
+  std::size_t mHolders;
 };
 
 struct Outcome
@@ -100,6 +102,9 @@
   options.mBurst = aAccount.mBurst;
   options.mTransfers =
     aMode == Mode::Transfers || aMode == Mode::StaticTransfers;
+  if (options.mTransfers) {
+    options.mHolders = aAccount.mHolders;
+  }
   options.mStaticFractions =
     aMode == Mode::Static || aMode == Mode::StaticTransfers;
   return options;
@@ -177,18 +182,20 @@
     std::snprintf(text, sizeof text, " %.3f", outcome.RefusedPercent());
     bySeed += text;
   }
-  std::printf("%-25s %6.0f %6.0f %9.4f %8.2f %8.1f %9.1f %7.1f %8.1f  %s\n",
-              ToString(aMode),
-              aAccount.mRate,
-              aAccount.mBurst,
-              total.RefusedPercent(),
-              100.0 * static_cast<double>(total.mWaits.size()) /
-                static_cast<double>(total.mArrivals),
-              QuantileMs(total.mWaits, 0.99),
-              static_cast<double>(total.mMessages) / total.mSeconds / kVms,
-              1e6 * total.mProcessorSeconds / total.mSeconds / kVms,
-              total.mExcess,
-              bySeed.c_str());
+  std::printf(
+    "%-25s %6.0f %6.0f %7zu %9.4f %8.2f %8.1f %9.1f %7.1f %8.1f  %s\n",
+    ToString(aMode),
+    aAccount.mRate,
+    aAccount.mBurst,
+    aAccount.mHolders,
+    total.RefusedPercent(),
+    100.0 * static_cast<double>(total.mWaits.size()) /
+      static_cast<double>(total.mArrivals),
+    QuantileMs(total.mWaits, 0.99),
+    static_cast<double>(total.mMessages) / total.mSeconds / kVms,
+    1e6 * total.mProcessorSeconds / total.mSeconds / kVms,
+    total.mExcess,
+    bySeed.c_str());
 }
 
 } // namespace
@@ -204,10 +211,11 @@
               static_cast<long long>(kOrderPeriod / std::chrono::seconds(1)),
               static_cast<unsigned long long>(kSeeds),
               seconds);
-  std::printf("%-25s %6s %6s %9s %8s %8s %9s %7s %8s  %s\n",
+  std::printf("%-25s %6s %6s %7s %9s %8s %8s %9s %7s %8s  %s\n",
               "mode",
               "rate",
               "burst",
+              "holders",
               "refused%",
               "waited%",
               "p99 ms",
@@ -216,7 +224,10 @@
               "excess",
               "refused% by seed");
   constexpr Account kAccounts[] = {
-    { 200, 100 }, { 1000, 500 }, { 200, 20 }, { 20, 10 }, { 50, 5 },
+    { 200, 100, 11 }, { 200, 100, 4 }, { 200, 100, 2 }, { 1000, 500, 11 },
+    { 200, 20, 11 },  { 200, 20, 4 },  { 200, 20, 2 },  { 200, 20, 1 },
+    { 20, 10, 11 },   { 20, 10, 4 },   { 20, 10, 2 },   { 20, 10, 1 },
+    { 50, 5, 4 },     { 50, 5, 2 },    { 50, 5, 1 },
   };
   for (const Account account : kAccounts) {
     for (const Mode mode : kModes) {
--- a/src/include/cranberrywing/messages/rates.h
+++ b/src/include/cranberrywing/messages/rates.h
@@ -7,7 +7,25 @@
 
 #include "cranberrywing/types.h"
 
-namespace cranberrywing::message {
+namespace cranberrywing {
+
+/// A transfer of which the asker holds nothing more outside of its own
+/// capacity: its tokens are used, kept there or returned.
+struct EndedTransfer
+{
+  /// Number of the TokenRequest that the transfer answered.
+  std::uint64_t mNumber = 0;
+  /// Unused tokens that go back to the giver.
+  double mReturned = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mNumber, mReturned);
+  }
+};
+
+namespace message {
 
 struct TokenRequest
 {
@@ -16,10 +34,9 @@
   AccountId mAccount;
   /// Zero if the message only tells of ended transfers.
   double mWanted = 0;
-  /// Numbers of the receiver's transfers whose tokens the sender has used or
-  /// holds within its own capacity, so that the receiver may count its
-  /// capacity as whole again before their validity ends.
-  std::vector<std::uint64_t> mEnded;
+  /// Transfers of the receiver that have ended before their validity, so
+  /// that it may count its capacity as whole again.
+  std::vector<EndedTransfer> mEnded;
 
   template<class Archive>
   void serialize(Archive& aArchive)
@@ -45,4 +62,5 @@
   }
 };
 
-} // namespace cranberrywing::message
+} // namespace message
+} // namespace cranberrywing
--- a/src/include/cranberrywing/rate_limiter.h
+++ b/src/include/cranberrywing/rate_limiter.h
@@ -71,7 +71,7 @@
     double mLowWater = 0.25;
     /// Turns transfers off, for measuring against static division.
     bool mTransfers = true;
-    /// Demand that a request for tokens covers.
+    /// Longest time whose demand a request for tokens covers.
     Duration mAskAhead = std::chrono::milliseconds(150);
     /// Own demand for which a VM keeps tokens when others ask.
     Duration mReserve = std::chrono::milliseconds(100);
@@ -183,6 +183,7 @@
   static double Demand(const Account& aAccount, TimePoint aNow);
   void Serve(Account& aAccount, TimePoint aNow);
   std::size_t QueueLimit(const Account& aAccount) const;
+  Duration AskAhead(const Account& aAccount) const;
   double Shortage(const Account& aAccount, TimePoint aNow) const;
   std::vector<Candidate> Candidates(const AccountId& aId,
                                     const Account& aAccount,
@@ -197,8 +198,9 @@
                double aWanted,
                TimePoint aNow,
                EffectList& aOut);
-  static std::vector<std::uint64_t> TakeEnded(Account& aAccount,
-                                              const VmId& aGiver);
+  std::vector<EndedTransfer> TakeEnded(Account& aAccount,
+                                       const VmId& aGiver,
+                                       TimePoint aNow) const;
   void TellEnded(const AccountId& aId,
                  Account& aAccount,
                  TimePoint aNow,
--- a/src/include/cranberrywing/token_bucket.h
+++ b/src/include/cranberrywing/token_bucket.h
@@ -49,13 +49,16 @@
   /// VM's clock with the margin for clock drift. Returns the tokens taken.
   double Lend(const TransferId& aTransfer, double aWanted, TimePoint aEnd);
   /// The borrower holds nothing more of the transfer outside of its own
-  /// capacity.
-  void EndLoan(const TransferId& aTransfer);
+  /// capacity and returns some tokens, which are lost if the loan has ended
+  /// before.
+  void EndLoan(const TransferId& aTransfer, double aReturned);
   /// Adds tokens of a transfer that is valid until aEnd, as own ones as far
   /// as there is room.
   void Borrow(std::uint64_t aNumber, double aTokens, TimePoint aEnd);
   /// Whether something of the transfer is left outside of the own capacity.
   bool HoldsBorrowed(std::uint64_t aNumber) const;
+  /// Takes what is left of the transfer, to return it.
+  double TakeBorrowed(std::uint64_t aNumber);
 
   /// Own tokens, which may be lent.
   double Own() const { return mOwn; }
@@ -63,6 +66,8 @@
   double Total() const { return mOwn + mBorrowed; }
   /// Greatest number of own tokens at present.
   double Capacity() const;
+  /// Burst of the whole account.
+  double Burst() const { return mBurst; }
   /// Tokens per second from this VM's fraction.
   double RefillRate() const;
   TimePoint LastAdvance() const { return mLastAdvance; }
--- a/src/libcranberrywing/rate_limiter_transfers.cpp
+++ b/src/libcranberrywing/rate_limiter_transfers.cpp
@@ -2,6 +2,7 @@
 #include "cranberrywing/rate_limiter.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cranberrywing {
 
@@ -10,11 +11,11 @@
 /// After this time an unanswered request is thought lost and others are
 /// asked; above the round trip between regions, 35 ms in Namibia.
 constexpr Duration kAnswerWait = std::chrono::milliseconds(100);
-/// Time for which a peer's word about its spare tokens is believed.
-constexpr Duration kSpareLifetime = std::chrono::milliseconds(300);
-/// A peer that keeps answering without tokens is believed up to this many
-/// times longer, which bounds the messages of an account beyond its rate.
-constexpr std::uint32_t kMostPatience = 8;
+/// A peer without spare tokens is asked again after this time, doubled with
+/// each answer without a token, which bounds the messages of an account that
+/// is beyond its rate everywhere.
+constexpr Duration kEmptyWait = std::chrono::milliseconds(20);
+constexpr std::uint32_t kMostEmptyDoublings = 5;
 constexpr std::size_t kMostAskedAtOnce = 8;
 /// Time for which the end of a transfer waits for a request to go with.
 constexpr Duration kEndedWait = std::chrono::milliseconds(20);
@@ -56,12 +57,27 @@
   peer.mEmptyAnswers = aMessage.mTokens > 0 ? 0 : peer.mEmptyAnswers + 1;
 }
 
+Duration RateLimiter::AskAhead(const Account& aAccount) const
+{
+  // Tokens on the way or kept ahead of need serve nobody else, so that all
+  // VMs together keep at most a part of the burst in this way.
+  constexpr double kPart = 0.25;
+  if (aAccount.mRate <= 0) {
+    return mOptions.mAskAhead;
+  }
+  const std::chrono::duration<double> part(kPart * aAccount.mBucket.Burst() /
+                                           aAccount.mRate);
+  return std::min(mOptions.mAskAhead,
+                  std::chrono::duration_cast<Duration>(part));
+}
+
 double RateLimiter::Shortage(const Account& aAccount, TimePoint aNow) const
 {
   const TokenBucket& bucket = aAccount.mBucket;
   const double demand = Demand(aAccount, aNow);
   const double waiting = static_cast<double>(aAccount.mWaiters.size());
-  const double target = waiting + demand * Seconds(mOptions.mAskAhead);
+  const double target =
+    waiting + std::floor(demand * Seconds(AskAhead(aAccount)));
   // Two thirds of the demand that a request covers, so that requests are few.
   const double lowWater =
     std::max(mOptions.mLowWater * bucket.Capacity(), target * 2 / 3);
@@ -94,11 +110,10 @@
     if (aNow < it->mAskedUntil) {
       continue;
     }
-    const std::uint32_t patience =
-      std::clamp(it->mEmptyAnswers, 1u, kMostPatience);
-    if (aNow - it->mHeardAt >= kSpareLifetime * patience) {
-      candidates.push_back({ .mVm = vm });
-    } else if (it->mSpare >= kLeastTransfer) {
+    const std::uint32_t doublings =
+      std::min(it->mEmptyAnswers, kMostEmptyDoublings);
+    const bool isEmpty = it->mSpare < kLeastTransfer;
+    if (!isEmpty || aNow - it->mHeardAt >= kEmptyWait * (1u << doublings)) {
       candidates.push_back({ .mVm = vm, .mSpare = it->mSpare });
     }
   }
@@ -125,14 +140,25 @@
   if (missing <= 0) {
     return;
   }
+  const std::vector<Candidate> candidates = Candidates(aId, aAccount, aNow);
+  // Half of an equal division is expected of a peer of which nothing better
+  // is known.
+  const double guess =
+    aAccount.mBucket.Burst() / 2 / static_cast<double>(candidates.size() + 1);
   std::size_t asked = 0;
-  for (const Candidate& candidate : Candidates(aId, aAccount, aNow)) {
+  for (const Candidate& candidate : candidates) {
     if (asked >= kMostAskedAtOnce || missing < kLeastTransfer) {
       return;
     }
-    const double wanted = std::min(missing, candidate.mSpare.value_or(missing));
-    AskPeer(aId, aAccount, candidate.mVm, wanted, aNow, aOut);
-    missing -= wanted;
+    // Twice what is expected, since the peer has refilled meanwhile.
+    const double expected = std::max(candidate.mSpare.value_or(guess), guess);
+    AskPeer(aId,
+            aAccount,
+            candidate.mVm,
+            std::min(missing, 2 * expected),
+            aNow,
+            aOut);
+    missing -= std::min(missing, expected);
     ++asked;
   }
 }
@@ -154,24 +180,33 @@
   ++mCounters.mRequestsSent;
   effect::SendMessage send;
   send.mTo = aPeer;
-  send.mMessage = message::TokenRequest{ .mNumber = number,
-                                         .mAccount = aId,
-                                         .mWanted = aWanted,
-                                         .mEnded = TakeEnded(aAccount, aPeer) };
+  send.mMessage =
+    message::TokenRequest{ .mNumber = number,
+                           .mAccount = aId,
+                           .mWanted = aWanted,
+                           .mEnded = TakeEnded(aAccount, aPeer, aNow) };
   aOut.push_back(std::move(send));
 }
 
-std::vector<std::uint64_t> RateLimiter::TakeEnded(Account& aAccount,
-                                                  const VmId& aGiver)
+std::vector<EndedTransfer> RateLimiter::TakeEnded(Account& aAccount,
+                                                  const VmId& aGiver,
+                                                  TimePoint aNow) const
 {
-  std::vector<std::uint64_t> ended;
+  TokenBucket& bucket = aAccount.mBucket;
+  std::vector<EndedTransfer> ended;
   std::erase_if(aAccount.mTaken, [&](const TakenTransfer& aTaken) {
-    const bool hasEnded = aTaken.mGiver == aGiver &&
-                          !aAccount.mBucket.HoldsBorrowed(aTaken.mNumber);
-    if (hasEnded) {
-      ended.push_back(aTaken.mNumber);
+    if (aTaken.mGiver != aGiver) {
+      return false;
+    }
+    // Half of the validity leaves time for the way back.
+    const bool isIdle =
+      aNow - aTaken.mTakenAt >= mOptions.mTransferValidity / 2;
+    if (bucket.HoldsBorrowed(aTaken.mNumber) && !isIdle) {
+      return false;
     }
-    return hasEnded;
+    ended.push_back({ .mNumber = aTaken.mNumber,
+                      .mReturned = bucket.TakeBorrowed(aTaken.mNumber) });
+    return true;
   });
   return ended;
 }
@@ -194,7 +229,7 @@
   }
   for (const VmId& giver : givers) {
     message::TokenRequest request{ .mAccount = aId,
-                                   .mEnded = TakeEnded(aAccount, giver) };
+                                   .mEnded = TakeEnded(aAccount, giver, aNow) };
     if (request.mEnded.empty()) {
       continue;
     }
@@ -233,8 +268,9 @@
   if (found != nullptr) {
     Account& account = *found;
     Advance(aMessage.mAccount, account, aNow);
-    for (const std::uint64_t number : aMessage.mEnded) {
-      account.mBucket.EndLoan({ .mAsker = aFrom, .mNumber = number });
+    for (const EndedTransfer& ended : aMessage.mEnded) {
+      account.mBucket.EndLoan({ .mAsker = aFrom, .mNumber = ended.mNumber },
+                              ended.mReturned);
     }
     Serve(account, aNow);
     const double kept = static_cast<double>(account.mWaiters.size()) +
--- a/src/libcranberrywing/token_bucket.cpp
+++ b/src/libcranberrywing/token_bucket.cpp
@@ -124,11 +124,19 @@
   return tokens;
 }
 
-void TokenBucket::EndLoan(const TransferId& aTransfer)
+void TokenBucket::EndLoan(const TransferId& aTransfer, double aReturned)
 {
-  std::erase_if(
-    mLoans, [&](const Loan& aLoan) { return aLoan.mTransfer == aTransfer; });
+  const auto it =
+    std::find_if(mLoans.begin(), mLoans.end(), [&](const Loan& aLoan) {
+      return aLoan.mTransfer == aTransfer;
+    });
+  if (it == mLoans.end()) {
+    return;
+  }
+  const double returned = std::clamp(aReturned, 0.0, it->mTokens);
+  mLoans.erase(it);
   SumUp();
+  mOwn = std::min(mOwn + returned, Capacity());
 }
 
 void TokenBucket::Borrow(std::uint64_t aNumber, double aTokens, TimePoint aEnd)
@@ -146,4 +154,17 @@
     });
 }
 
+double TokenBucket::TakeBorrowed(std::uint64_t aNumber)
+{
+  double tokens = 0;
+  for (const Borrowed& part : mBorrowedParts) {
+    tokens += part.mNumber == aNumber ? part.mTokens : 0;
+  }
+  std::erase_if(mBorrowedParts, [aNumber](const Borrowed& aPart) {
+    return aPart.mNumber == aNumber;
+  });
+  SumUp();
+  return tokens;
+}
+
 } // namespace cranberrywing
--- a/src/testing/rate_fleet.h
+++ b/src/testing/rate_fleet.h
@@ -30,6 +30,8 @@
     bool mTransfers = true;
     /// Equal fractions that never change, without the ledger.
     bool mStaticFractions = false;
+    /// VMs that hold a fraction; the others only borrow. Zero for all.
+    std::size_t mHolders = 0;
     double mLoss = 0;
     double mDuplicates = 0;
     /// Chance of a message that comes after its transfer's validity.
@@ -233,30 +235,43 @@
             return std::find(node.mDead.begin(), node.mDead.end(), aProcess) !=
                    node.mDead.end();
           },
-        .mExpectedHolders =
-          [this](const std::string&) { return mNodes.size(); } });
-    node.mLedger->Want(Account().mName);
+        .mExpectedHolders = [this](const std::string&) { return Holders(); } });
+    if (aVm < Holders()) {
+      node.mLedger->Want(Account().mName);
+    }
     RateLimiter::Options limiter;
     limiter.mSeed = mRandom();
     limiter.mTransfers = mOptions.mTransfers;
     node.mLimiter = std::make_unique<RateLimiter>(
       limiter,
       RateLimiterHooks{
-        .mFraction =
-          [this, &node](const AccountId& aAccount) {
-            return mOptions.mStaticFractions
-                     ? EqualFraction(mNodes.size())
-                     : node.mLedger->Fraction(aAccount.mName);
-          },
+        .mFraction = [this, aVm](const AccountId&) { return FractionOf(aVm); },
         .mPeers = [this, aVm](const AccountId&) { return PeersOf(aVm); } });
     node.mLimiter->Apply(*Settings(), LocalNow(aVm));
   }
 
+  std::size_t Holders() const
+  {
+    return mOptions.mHolders == 0 ? mNodes.size() : mOptions.mHolders;
+  }
+
+  std::uint32_t FractionOf(std::size_t aVm) const
+  {
+    if (!mOptions.mStaticFractions) {
+      return mNodes[aVm].mLedger->Fraction(Account().mName);
+    }
+    return aVm < Holders() ? EqualFraction(Holders()) : 0;
+  }
+
+  /// Holders first.
   std::vector<VmId> PeersOf(std::size_t aVm) const
   {
     std::vector<VmId> peers;
-    for (std::size_t i = 1; i < mNodes.size(); ++i) {
-      peers.push_back(mNodes[(aVm + i) % mNodes.size()].mSelf.mVm);
+    for (std::size_t i = 0; i < Holders(); ++i) {
+      const std::size_t peer = (aVm + i) % Holders();
+      if (peer != aVm) {
+        peers.push_back(mNodes[peer].mSelf.mVm);
+      }
     }
     return peers;
   }
