--- a/src/include/cranberrywing/backend_health.h
+++ b/src/include/cranberrywing/backend_health.h
@@ -128,6 +128,13 @@
                                      Duration aMaxAge,
                                      TimePoint aNow) const;
 
+  /// Mean reported utilization of the region's usable servers, under the same
+  /// conditions.
+  std::optional<double> Utilization(const ServiceId& aService,
+                                    const RegionId& aRegion,
+                                    Duration aMaxAge,
+                                    TimePoint aNow) const;
+
   /// The server's status, or null. The pointer holds until Generation()
   /// changes.
   const BackendStatus* Find(const BackendId& aBackend) const;
--- a/src/include/cranberrywing/fair_queue.h
+++ b/src/include/cranberrywing/fair_queue.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -32,6 +33,11 @@
   {
     /// Most requests that may wait per service.
     std::size_t mQueueLimit = 10'000;
+    ConcurrencyLimit::Options mConcurrency = {};
+    /// Reported mean utilization of a service's servers, if fresh; may be
+    /// empty. See BackendHealth::Utilization.
+    std::function<std::optional<double>(const ServiceId&, TimePoint)>
+      mUtilization = {};
   };
 
   explicit FairQueue(Options aOptions);
@@ -49,7 +55,8 @@
   void Finish(const ServiceId& aService, TimePoint aNow);
   /// Forgets a waiting request; false if it does not wait.
   bool Cancel(RequestId aRequest);
-  /// Removes and returns requests that can no longer finish in time.
+  /// Removes and returns requests that can no longer finish in time; to be
+  /// called with each tick.
   std::vector<QueuedRequest> TakeExpired(TimePoint aNow);
 
   std::size_t Waiting(const ServiceId& aService) const;
@@ -79,6 +86,11 @@
 
   struct ServiceQueue
   {
+    explicit ServiceQueue(ConcurrencyLimit::Options aOptions)
+      : mLimit(aOptions)
+    {
+    }
+
     ConcurrencyLimit mLimit;
     std::unordered_map<AccountId, AccountQueue> mAccounts;
     /// Account whose turn it is; null if none waits.
@@ -105,6 +117,11 @@
   void Activate(ServiceQueue& aService, AccountQueue& aAccount);
   void Deactivate(ServiceQueue& aService, AccountQueue& aAccount);
   AccountQueue& NextAccount(ServiceQueue& aService);
+  void Steer(TimePoint aNow);
+  /// Accounts, by weight, whose requests wait for long.
+  static double CountBacklogged(const ServiceQueue& aService);
+  template<class Visit>
+  static void ForEachActive(const ServiceQueue& aService, Visit aVisit);
   bool CanFinish(const ServiceQueue& aService,
                  const AccountQueue& aAccount,
                  TimePoint aDeadline,
@@ -117,6 +134,7 @@
   std::vector<Entry> mEntries;
   std::vector<Slot> mFreeSlots;
   std::unordered_map<RequestId, Slot> mSlots;
+  TimePoint mNextSteer{};
   /// No waiting request's deadline is earlier.
   TimePoint mEarliestDeadline = TimePoint::max();
 };
--- a/src/libcranberrywing/backend_health.cpp
+++ b/src/libcranberrywing/backend_health.cpp
@@ -320,6 +320,34 @@
   return rate * static_cast<double>(usable) / static_cast<double>(fresh);
 }
 
+std::optional<double> BackendHealth::Utilization(const ServiceId& aService,
+                                                 const RegionId& aRegion,
+                                                 Duration aMaxAge,
+                                                 TimePoint aNow) const
+{
+  const Group* group = FindGroup(aService, aRegion);
+  if (group == nullptr) {
+    return std::nullopt;
+  }
+  double sum = 0;
+  std::size_t fresh = 0;
+  std::size_t usable = 0;
+  for (const BackendStatus* status : group->mMembers) {
+    if (!status->mUsable) {
+      continue;
+    }
+    ++usable;
+    if (status->mLoad && aNow - status->mLoadTime <= aMaxAge) {
+      sum += status->mLoad->mUtilization;
+      ++fresh;
+    }
+  }
+  if (usable == 0 || fresh < kFreshPart * static_cast<double>(usable)) {
+    return std::nullopt;
+  }
+  return sum / static_cast<double>(fresh);
+}
+
 const BackendStatus* BackendHealth::Find(const BackendId& aBackend) const
 {
   const auto it = mStatus.find(aBackend);
--- a/src/libcranberrywing/backend_selector.cpp
+++ b/src/libcranberrywing/backend_selector.cpp
@@ -136,11 +136,10 @@
     return;
   }
   const double sample = Seconds(*aLatency);
-  mUsualLatency =
-    mUsualLatency == 0 ? sample
-                       : mUsualLatency + kGain * (sample - mUsualLatency);
-  candidate.mLatency =
-    known == 0 ? sample : known + kGain * (sample - known);
+  mUsualLatency = mUsualLatency == 0
+                    ? sample
+                    : mUsualLatency + kGain * (sample - mUsualLatency);
+  candidate.mLatency = known == 0 ? sample : known + kGain * (sample - known);
 }
 
 std::uint32_t BackendSelector::InFlight(const BackendId& aBackend) const
--- a/src/libcranberrywing/concurrency_limit.cpp
+++ b/src/libcranberrywing/concurrency_limit.cpp
@@ -1,16 +1,55 @@
 #include "cranberrywing/concurrency_limit.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cranberrywing {
 
 namespace {
 
+/// A window has at least this many ends, unless it takes too long: with 1000
+/// ends the mean of exponential latencies varies by 3%.
+constexpr std::uint64_t kWindowEnds = 1000;
 constexpr Duration kShortestWindow = std::chrono::milliseconds(50);
-constexpr std::uint64_t kLeastEnds = 20;
-/// Without ends for this long and nothing running, the estimate is stale.
+constexpr Duration kLongestWindow = std::chrono::seconds(2);
+/// Windows with fewer ends do not change the limit.
+constexpr std::uint64_t kLeastEnds = 30;
+/// Nothing running for this long makes the estimate stale.
 constexpr Duration kForgetAfter = std::chrono::seconds(5);
 constexpr double kSmoothing = 0.3;
+/// Time for which a least latency is kept: servers may become slower.
+constexpr Duration kLeastPeriod = std::chrono::seconds(15);
+/// The least of some hundred windows is below their mean by this many standard
+/// deviations.
+constexpr double kLeastBias = 2.3;
+constexpr double kDeviationGain = 0.05;
+/// Mean difference of two normal values over their standard deviation.
+constexpr double kDifferencePerDeviation = 1.128;
+constexpr double kGreatestTolerance = 2;
+/// Latency over its least value that shows queueing while reports tell the
+/// utilization, which is then the finer measure.
+constexpr double kReportedTolerance = 1.6;
+/// Until queueing is first seen, windows are shorter and the limit rises fast.
+constexpr std::uint64_t kStartEnds = 60;
+constexpr double kStartRise = 0.5;
+constexpr double kStartTolerance = 1.5;
+/// A VM is cut only if it was held at its limit for this part of a window: one
+/// that touches its limit now and then is not what fills the servers.
+constexpr double kBoundPart = 0.5;
+/// Factor of a cut.
+constexpr double kCut = 0.85;
+/// Rises are in square roots of the limit. As cuts are in proportion to it,
+/// VMs that share the servers come to equal limits.
+constexpr double kRise = 0.4;
+constexpr double kFastRise = 1;
+/// Part of the target utilization below which the limit rises fast.
+constexpr double kFastBelow = 0.93;
+/// Time from a change of the limit to the reports that show it.
+constexpr Duration kReportLag = std::chrono::milliseconds(2500);
+/// If this many cuts lowered the latency by less than kEffect, the latency is
+/// not queueing and becomes the new least value.
+constexpr std::uint32_t kMostCuts = 4;
+constexpr double kEffect = 0.15;
 
 double Seconds(Duration aDuration)
 {
@@ -26,6 +65,17 @@
 
 } // namespace
 
+ConcurrencyLimit::ConcurrencyLimit()
+  : ConcurrencyLimit(Options{})
+{
+}
+
+ConcurrencyLimit::ConcurrencyLimit(Options aOptions)
+  : mOptions(aOptions)
+  , mLimit(static_cast<double>(aOptions.mFirst))
+{
+}
+
 void ConcurrencyLimit::SetCeiling(std::size_t aCeiling)
 {
   mCeiling = std::max<std::size_t>(aCeiling, 1);
@@ -33,7 +83,10 @@
 
 std::size_t ConcurrencyLimit::Limit() const
 {
-  return mCeiling;
+  if (!mOptions.mAdapts) {
+    return mCeiling;
+  }
+  return std::min(mCeiling, static_cast<std::size_t>(mLimit));
 }
 
 void ConcurrencyLimit::OnStart(TimePoint aNow)
@@ -50,7 +103,10 @@
   }
   --mRunning;
   ++mEnded;
-  if (mEnded >= kLeastEnds && aNow - mWindowStart >= kShortestWindow) {
+  const Duration length = aNow - mWindowStart;
+  const std::uint64_t needed = mIsStarting ? kStartEnds : kWindowEnds;
+  const bool isFull = mEnded >= needed && length >= kShortestWindow;
+  if (isFull || length >= kLongestWindow) {
     CloseWindow(aNow);
   }
 }
@@ -60,22 +116,158 @@
   const Duration idle = aNow - mLastChange;
   if (mRunning == 0 && idle >= kForgetAfter) {
     mLatency = 0;
-    mWindowStart = aNow;
-    mArea = 0;
-    mEnded = 0;
+    StartWindow(aNow);
   }
   mArea += static_cast<double>(mRunning) * Seconds(idle);
+  mAtLimit += mRunning >= Limit() ? idle : Duration::zero();
   mLastChange = aNow;
 }
 
+void ConcurrencyLimit::StartWindow(TimePoint aNow)
+{
+  mWindowStart = aNow;
+  mArea = 0;
+  mEnded = 0;
+  mAtLimit = Duration::zero();
+}
+
 void ConcurrencyLimit::CloseWindow(TimePoint aNow)
 {
   const double latency = mArea / static_cast<double>(mEnded);
   mLatency =
     mLatency == 0 ? latency : mLatency + kSmoothing * (latency - mLatency);
-  mWindowStart = aNow;
-  mArea = 0;
-  mEnded = 0;
+  if (mEnded >= kLeastEnds) {
+    if (mLastLatency > 0) {
+      const double difference =
+        std::abs(latency - mLastLatency) / std::min(latency, mLastLatency);
+      mDeviation +=
+        kDeviationGain * (difference / kDifferencePerDeviation - mDeviation);
+    }
+    mLastLatency = latency;
+    if (mIsStarting) {
+      mStartLatency =
+        mStartLatency == 0 ? latency : std::min(mStartLatency, latency);
+    } else {
+      mLeast.Add(latency, aNow);
+    }
+    Adapt(latency, aNow);
+  }
+  StartWindow(aNow);
+}
+
+double ConcurrencyLimit::BoundPart(TimePoint aNow) const
+{
+  const double length = Seconds(aNow - mWindowStart);
+  return length > 0 ? Seconds(mAtLimit) / length : 0;
+}
+
+void ConcurrencyLimit::Adapt(double aLatency, TimePoint aNow)
+{
+  const double bound = BoundPart(aNow);
+  const bool isQueueing = aLatency > Tolerance() * LeastLatencySeen();
+  if (isQueueing && bound >= kBoundPart) {
+    Cut(aLatency, aNow);
+    return;
+  }
+  mCuts = 0;
+  if (mAtLimit == Duration::zero() || isQueueing) {
+    return;
+  }
+  if (mIsStarting) {
+    Raise(kStartRise * mLimit);
+  } else if (!mUtilization || bound < kBoundPart) {
+    Raise(kRise * std::sqrt(mLimit));
+  }
+}
+
+void ConcurrencyLimit::OnUtilization(std::optional<double> aUtilization,
+                                     double aBacklogged,
+                                     TimePoint aNow)
+{
+  mUtilization = aUtilization;
+  if (!mUtilization || aNow < mNextSteer || BoundPart(aNow) < kBoundPart) {
+    return;
+  }
+  const double over = *mUtilization / mOptions.mTargetUtilization;
+  if (over > 1) {
+    mIsStarting = false;
+    mLimit = std::max(1.0, mLimit * kCut);
+  } else if (!mIsStarting) {
+    const double step = over < kFastBelow ? kFastRise : kRise;
+    Raise(step * std::sqrt(mLimit) * std::max(1.0, aBacklogged));
+  }
+  mNextSteer = aNow + kReportLag;
+}
+
+void ConcurrencyLimit::Raise(double aStep)
+{
+  mLimit = std::min(mLimit + aStep, static_cast<double>(mCeiling));
+}
+
+double ConcurrencyLimit::LeastLatencySeen() const
+{
+  // The short windows of the start would make the least value too low.
+  return mIsStarting || mLeast.Value() == 0 ? mStartLatency : mLeast.Value();
+}
+
+double ConcurrencyLimit::Tolerance() const
+{
+  if (mIsStarting) {
+    return kStartTolerance;
+  }
+  if (mUtilization) {
+    return kReportedTolerance;
+  }
+  const double mean = 1 + kLeastBias * mDeviation;
+  const double excess = 1 + mOptions.mExcess + mDeviation;
+  return std::min(mean * excess, kGreatestTolerance);
+}
+
+void ConcurrencyLimit::Cut(double aLatency, TimePoint aNow)
+{
+  if (mIsStarting) {
+    // The rise of the last window is what caused the queueing.
+    mIsStarting = false;
+    mLimit /= 1 + kStartRise;
+    return;
+  }
+  if (mCuts == 0) {
+    mLimitBeforeCuts = mLimit;
+    mLatencyBeforeCuts = aLatency;
+  }
+  if (mCuts == kMostCuts && aLatency > (1 - kEffect) * mLatencyBeforeCuts) {
+    mLimit = mLimitBeforeCuts;
+    mLeast.Reset(aLatency, aNow);
+    mCuts = 0;
+    return;
+  }
+  mCuts = std::min(mCuts + 1, kMostCuts);
+  mLimit = std::max(1.0, mLimit * kCut);
+}
+
+void ConcurrencyLimit::LeastLatency::Add(double aLatency, TimePoint aNow)
+{
+  if (aNow - mPeriodStart >= kLeastPeriod) {
+    mPrevious = mCurrent;
+    mCurrent = 0;
+    mPeriodStart = aNow;
+  }
+  mCurrent = mCurrent == 0 ? aLatency : std::min(mCurrent, aLatency);
+}
+
+void ConcurrencyLimit::LeastLatency::Reset(double aLatency, TimePoint aNow)
+{
+  mPrevious = 0;
+  mCurrent = aLatency;
+  mPeriodStart = aNow;
+}
+
+double ConcurrencyLimit::LeastLatency::Value() const
+{
+  if (mPrevious == 0 || mCurrent == 0) {
+    return std::max(mPrevious, mCurrent);
+  }
+  return std::min(mPrevious, mCurrent);
 }
 
 Duration ConcurrencyLimit::Latency(TimePoint aNow) const
--- a/src/libcranberrywing/fair_queue.cpp
+++ b/src/libcranberrywing/fair_queue.cpp
@@ -12,6 +12,8 @@
 /// Smallest part of a round; bounds the rounds that one Pop goes through.
 constexpr double kLeastQuantum = 0.01;
 
+constexpr Duration kSteerInterval = std::chrono::milliseconds(200);
+
 std::size_t CountConnections(const ServiceSettings& aService)
 {
   std::size_t n = 0;
@@ -23,8 +25,21 @@
 
 } // namespace
 
+template<class Visit>
+void FairQueue::ForEachActive(const ServiceQueue& aService, Visit aVisit)
+{
+  const AccountQueue* account = aService.mTurn;
+  if (account == nullptr) {
+    return;
+  }
+  do {
+    aVisit(*account);
+    account = account->mNext;
+  } while (account != aService.mTurn);
+}
+
 FairQueue::FairQueue(Options aOptions)
-  : mOptions(aOptions)
+  : mOptions(std::move(aOptions))
 {
 }
 
@@ -48,7 +63,7 @@
     }
   }
   for (const auto& [id, service] : aSettings.mServices) {
-    mServices[id].mLimit.SetCeiling(CountConnections(service));
+    FindService(id).mLimit.SetCeiling(CountConnections(service));
   }
 }
 
@@ -112,6 +127,7 @@
 
 std::vector<QueuedRequest> FairQueue::TakeExpired(TimePoint aNow)
 {
+  Steer(aNow);
   std::vector<QueuedRequest> expired;
   if (mSlots.empty()) {
     mEarliestDeadline = TimePoint::max();
@@ -142,6 +158,32 @@
   return expired;
 }
 
+void FairQueue::Steer(TimePoint aNow)
+{
+  if (!mOptions.mUtilization || aNow < mNextSteer) {
+    return;
+  }
+  mNextSteer = aNow + kSteerInterval;
+  for (auto& [id, service] : mServices) {
+    service.mLimit.OnUtilization(
+      mOptions.mUtilization(id, aNow), CountBacklogged(service), aNow);
+  }
+}
+
+double FairQueue::CountBacklogged(const ServiceQueue& aService)
+{
+  double weights = 0;
+  std::size_t active = 0;
+  ForEachActive(aService, [&](const AccountQueue&) { ++active; });
+  ForEachActive(aService, [&](const AccountQueue& aAccount) {
+    // Waiting requests that take longer than one round of all that run.
+    if (aAccount.mWaiting * active >= aService.mLimit.Limit()) {
+      weights += aAccount.mQuantum;
+    }
+  });
+  return weights;
+}
+
 std::size_t FairQueue::Waiting(const ServiceId& aService) const
 {
   const auto it = mServices.find(aService);
@@ -162,7 +204,7 @@
 
 FairQueue::ServiceQueue& FairQueue::FindService(const ServiceId& aService)
 {
-  return mServices[aService];
+  return mServices.try_emplace(aService, mOptions.mConcurrency).first->second;
 }
 
 FairQueue::AccountQueue& FairQueue::FindAccount(ServiceQueue& aService,
@@ -287,18 +329,13 @@
   const double rounds =
     std::ceil(static_cast<double>(aAccount.mWaiting + 1) / aAccount.mQuantum);
   std::size_t ahead = aAccount.mWaiting;
-  const AccountQueue* other = aService.mTurn;
-  for (bool isFirst = true; other != nullptr; other = other->mNext) {
-    if (!isFirst && other == aService.mTurn) {
-      break;
-    }
-    isFirst = false;
-    if (other != &aAccount) {
-      const double served = rounds * other->mQuantum;
+  ForEachActive(aService, [&](const AccountQueue& aOther) {
+    if (&aOther != &aAccount) {
+      const double served = rounds * aOther.mQuantum;
       ahead += static_cast<std::size_t>(
-        std::min(served, static_cast<double>(other->mWaiting)));
+        std::min(served, static_cast<double>(aOther.mWaiting)));
     }
-  }
+  });
   return aNow + limit.Wait(ahead, aNow) + latency <= aDeadline;
 }
 
