--- a/src/include/cranberrywing/keys.h
+++ b/src/include/cranberrywing/keys.h
@@ -2,6 +2,8 @@
 /// Maps callers' keys to client accounts without keeping any key.
 #pragma once
 
+#include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -21,10 +23,16 @@
   AccountId mAccount;
   /// Public name of the key; empty for routes open to all.
   std::string mKeyName;
+  /// Distinguishes successive keys of one name; zero if it is not known.
+  std::uint64_t mKeyTag = 0;
 
   bool operator==(const CallerIdentity&) const = default;
 };
 
+namespace detail {
+class KeyDigester;
+}
+
 /// Not thread-safe; owned by the reducer.
 class KeyTable
 {
@@ -48,9 +56,12 @@
     bool mWithdrawn = false;
   };
 
-  std::string mPepper;
-  std::unordered_map<std::string, Entry> mEntries;
-  std::unordered_map<std::string, bool> mValidNames;
+  /// Keyed with the pepper; null before the first Apply.
+  std::shared_ptr<detail::KeyDigester> mDigester;
+  /// By the beginning of the digest.
+  std::unordered_multimap<std::string, Entry> mEntries;
+  /// Tags of the keys that are not withdrawn, by account and key name.
+  std::unordered_map<std::string, std::uint64_t> mValidTags;
 };
 
 } // namespace cranberrywing
