Move the execution tests' store and fleet to src/testing

Cause: two headers defined cranberrywing::testing::FakeStore, and both are linked into core_tests. Change: the store, the node and the fleet have a namespace of their own and stand beside the other test headers; testsuite/world.h follows. Conclusion: the one-definition rule holds.

--- a/src/bench/execution_bench.cpp
+++ b/src/bench/execution_bench.cpp
@@ -7,7 +7,7 @@
 #include <queue>
 #include <random>
 
-#include "libcranberrywing/execution_fleet_for_tests.h"
+#include "testing/execution_fleet.h"
 
 namespace {
 
@@ -93,7 +93,7 @@
   VmIncarnation mSelf{ VmId("vm-1"), Incarnation{ 1 } };
   TimePoint mNow{ 1s };
   Duration mStoreTime{};
-  testing::FakeStore mStore;
+  execution_testing::MemoryStore mStore;
   SlotTable mSlots;
   Executions mExecutions;
 
@@ -358,7 +358,7 @@
 {
   const auto count = static_cast<std::size_t>(aState.range(0));
   for (auto _ : aState) {
-    testing::Fleet fleet(count);
+    execution_testing::Fleet fleet(count);
     fleet.Run(30s);
     const auto total = [&fleet] {
       std::size_t calls = 0;
--- a/src/libcranberrywing/executions_random_test.cpp
+++ b/src/libcranberrywing/executions_random_test.cpp
@@ -2,10 +2,10 @@
 // twice and no "not run" is untrue.
 #include <catch2/catch.hpp>
 
-#include "execution_fleet_for_tests.h"
+#include "testing/execution_fleet.h"
 
 using namespace cranberrywing;
-using namespace cranberrywing::testing;
+using namespace cranberrywing::execution_testing;
 
 namespace {
 
--- a/src/libcranberrywing/slots_test.cpp
+++ b/src/libcranberrywing/slots_test.cpp
@@ -3,10 +3,10 @@
 #include <catch2/catch.hpp>
 #include <set>
 
-#include "execution_fleet_for_tests.h"
+#include "testing/execution_fleet.h"
 
 using namespace cranberrywing;
-using namespace cranberrywing::testing;
+using namespace cranberrywing::execution_testing;
 
 namespace {
 
--- a/src/libcranberrywing/execution_fleet_for_tests.h
+++ b/src/testing/execution_fleet.h
@@ -12,10 +12,10 @@
 #include <vector>
 
 #include "cranberrywing/executions.h"
-#include "execution_node_for_tests.h"
-#include "fake_store_for_tests.h"
+#include "testing/execution_node.h"
+#include "testing/execution_store.h"
 
-namespace cranberrywing::testing {
+namespace cranberrywing::execution_testing {
 
 class Fleet
 {
@@ -144,7 +144,7 @@
   int Runs(const std::string& aIdentity) { return mRuns[aIdentity]; }
   TimePoint Now() const { return mNow; }
 
-  FakeStore mStore;
+  MemoryStore mStore;
   std::map<VmId, Node> mNodes;
   std::set<VmIncarnation> mDead;
   BackendAct mAct = BackendAct::Answer;
@@ -261,7 +261,7 @@
     fired.mWatch = { Concern::SlotTable, 0 };
     const auto& changes = mStore.Changes();
     for (; aNode.mWatchPosition < changes.size(); ++aNode.mWatchPosition) {
-      const FakeStore::Change& change = changes[aNode.mWatchPosition];
+      const MemoryStore::Change& change = changes[aNode.mWatchPosition];
       if (change.mRevision >= aNode.mWatchFrom &&
           change.mEntry.mKey.starts_with("/cw/slots/")) {
         fired.mEntries.push_back(change.mEntry);
@@ -451,4 +451,4 @@
   std::multimap<TimePoint, std::function<void()>> mScheduled;
 };
 
-} // namespace cranberrywing::testing
+} // namespace cranberrywing::execution_testing
--- a/src/libcranberrywing/execution_node_for_tests.h
+++ b/src/testing/execution_node.h
@@ -8,7 +8,7 @@
 
 #include "cranberrywing/executions.h"
 
-namespace cranberrywing::testing {
+namespace cranberrywing::execution_testing {
 
 using namespace std::chrono_literals;
 
@@ -75,4 +75,4 @@
   TimePoint mLastProgress{};
 };
 
-} // namespace cranberrywing::testing
+} // namespace cranberrywing::execution_testing
--- a/src/libcranberrywing/fake_store_for_tests.h
+++ b/src/testing/execution_store.h
@@ -6,9 +6,9 @@
 
 #include "cranberrywing/store.h"
 
-namespace cranberrywing::testing {
+namespace cranberrywing::execution_testing {
 
-class FakeStore
+class MemoryStore
 {
 public:
   struct Change
@@ -141,4 +141,4 @@
   std::vector<Change> mChanges;
 };
 
-} // namespace cranberrywing::testing
+} // namespace cranberrywing::execution_testing
--- a/testsuite/world.h
+++ b/testsuite/world.h
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "cranberrywing/reducer.h"
-#include "libcranberrywing/fake_store_for_tests.h"
+#include "testing/execution_store.h"
 #include "script.h"
 
 namespace cranberrywing::scenario {
@@ -153,7 +153,7 @@
     mSchedule;
   std::map<std::string, Vm> mVms;
   std::map<std::string, Backend> mBackends;
-  testing::FakeStore mStore;
+  execution_testing::MemoryStore mStore;
   StoreMode mStoreMode = StoreMode::Up;
   std::set<std::string> mListed;
   std::set<std::pair<std::string, std::string>> mCuts;
