Pass on requests whose slot moved while they waited

Cause: the pipeline gave NotOwner of a local decision to the caller, and a NotOwner of another VM did not make this VM read the owners again, so a planned handover could cost a caller an answer. Change: the request is located again; Executions::OnNotOwner asks the slot table for fresh owners. The copy holder's weight is one shared function. Conclusion: smallest change to requests_execution.cpp and reducer_hooks.cpp.

--- a/src/libcranberrywing/reducer_hooks.cpp
+++ b/src/libcranberrywing/reducer_hooks.cpp
@@ -210,7 +210,6 @@
 
 std::optional<VmId> Reducer::State::CopyHolder(std::uint32_t aSlot) const
 {
-  const std::string item = "copies/" + std::to_string(aSlot);
   std::optional<VmId> holder;
   std::uint64_t greatest = 0;
   for (const auto& [vm, member] : mMembership.Members()) {
@@ -219,7 +218,7 @@
     if (!isElsewhere || !mMembership.IsUsable(vm)) {
       continue;
     }
-    const std::uint64_t weight = RendezvousWeight(item, vm.mName);
+    const std::uint64_t weight = CopyHolderWeight(aSlot, vm);
     if (!holder || weight > greatest) {
       holder = vm;
       greatest = weight;
--- a/src/libcranberrywing/requests_execution.cpp
+++ b/src/libcranberrywing/requests_execution.cpp
@@ -188,6 +188,7 @@
     return;
   }
   if (aMessage.mRefusal.mCode == ResultCode::NotOwner) {
+    mConcerns.mExecutions.OnNotOwner();
     RelocateLater(*request, aNow);
     return;
   }
@@ -284,6 +285,13 @@
     Answer(*request, aDecision.mAnswer, isReplayed, aOut);
     return;
   }
+  // The slot moved while the request waited for it. Requests of other VMs
+  // are passed on by those.
+  if (aDecision.mRefusal.mCode == ResultCode::NotOwner &&
+      !request->mForwardedBy) {
+    RelocateLater(*request, aNow);
+    return;
+  }
   Refuse(*request, aDecision.mRefusal, aOut);
 }
 
