--- a/src/testing/membership_fleet.h
+++ b/src/testing/membership_fleet.h
@@ -48,7 +48,10 @@
     std::vector<std::function<void()>> mQueued;
     std::uint64_t mMessages = 0;
     std::uint64_t mBytes = 0;
+    /// Suspicions that this member raised, and members that it found out of
+    /// reach.
     std::uint64_t mSuspicions = 0;
+    std::uint64_t mUnreachable = 0;
   };
 
   explicit MembershipFleet(Options aOptions)
@@ -250,7 +253,9 @@
     Node& node = At(aFrom);
     for (Effect& effect : aEffects) {
       if (const auto* record = std::get_if<effect::RecordTimeline>(&effect)) {
-        node.mSuspicions += record->mName == "member_suspect" ? 1 : 0;
+        const bool isOwn = record->mFields.back().mValue == "no_answer";
+        node.mSuspicions += isOwn ? 1 : 0;
+        node.mUnreachable += record->mName == "member_unreachable" ? 1 : 0;
       }
       if (auto* send = std::get_if<effect::SendMessage>(&effect)) {
         Send(aFrom, std::move(*send));
