--- a/src/bench/rates_bench.cpp
+++ b/src/bench/rates_bench.cpp
@@ -9,7 +9,6 @@
 #include <cstdio>
 #include <cstdlib>
 
-#include "testing/admissions.h"
 #include "testing/rate_fleet.h"
 
 using namespace cranberrywing;
@@ -172,20 +171,21 @@
   Arrivals arrivals(
     fleet, aSeed, kLoad * aAccount.mRate, aAccount.mOrderPeriod);
   arrivals.Offer(aAccount.mWarmUp);
-  const std::uint64_t arrived = fleet.Arrivals();
-  const std::uint64_t refusals = fleet.Refusals();
+  const std::uint64_t arrived = fleet.Log().Arrivals();
+  const std::uint64_t refusals = fleet.Log().Refusals();
   const std::uint64_t messages = fleet.Messages();
-  const auto waits = static_cast<std::ptrdiff_t>(fleet.Waits().size());
+  const auto waits = static_cast<std::ptrdiff_t>(fleet.Log().Waits().size());
   const auto start = std::chrono::steady_clock::now();
   arrivals.Offer(aTime);
   const std::chrono::duration<double> used =
     std::chrono::steady_clock::now() - start;
-  return { .mArrivals = fleet.Arrivals() - arrived,
-           .mRefusals = fleet.Refusals() - refusals,
+  return { .mArrivals = fleet.Log().Arrivals() - arrived,
+           .mRefusals = fleet.Log().Refusals() - refusals,
            .mMessages = fleet.Messages() - messages,
-           .mWaits = { fleet.Waits().begin() + waits, fleet.Waits().end() },
+           .mWaits = { fleet.Log().Waits().begin() + waits,
+                       fleet.Log().Waits().end() },
            .mExcess = GreatestExcess(
-             fleet.Admissions(), aAccount.mRate, aAccount.mBurst),
+             fleet.Log().Admissions(), aAccount.mRate, aAccount.mBurst),
            .mSeconds = std::chrono::duration<double>(aTime).count(),
            .mProcessorSeconds = used.count() };
 }
--- a/src/libcranberrywing/rate_limiter_test.cpp
+++ b/src/libcranberrywing/rate_limiter_test.cpp
@@ -2,7 +2,6 @@
 
 #include <catch2/catch.hpp>
 
-#include "testing/admissions.h"
 #include "testing/rate_fleet.h"
 
 using namespace cranberrywing;
@@ -103,8 +102,8 @@
       Disturb(fleet, random);
       fleet.Store().SetOutage(round % 20 > 16);
     }
-    REQUIRE(fleet.Admissions().size() > 1000);
-    CHECK(GreatestExcess(fleet.Admissions(), 200, burst) <= kRounding);
+    REQUIRE(fleet.Log().Admissions().size() > 1000);
+    CHECK(GreatestExcess(fleet.Log().Admissions(), 200, burst) <= kRounding);
   }
 }
 
@@ -114,10 +113,10 @@
   RateFleet fleet({ .mRate = 200, .mBurst = 100, .mLoss = 0.01 });
   std::mt19937_64 random(1);
   fleet.RunFor(5s);
-  const std::size_t before = fleet.Admissions().size();
+  const std::size_t before = fleet.Log().Admissions().size();
   Flood(fleet, random, 20s);
-  CHECK(fleet.Admissions().size() - before > 0.95 * 200 * 20);
-  CHECK(GreatestExcess(fleet.Admissions(), 200, 100) <= kRounding);
+  CHECK(fleet.Log().Admissions().size() - before > 0.95 * 200 * 20);
+  CHECK(GreatestExcess(fleet.Log().Admissions(), 200, 100) <= kRounding);
 }
 
 // Guards against tokens made of nothing when a transfer comes twice, late,
--- a/src/testing/rate_fleet.h
+++ b/src/testing/rate_fleet.h
@@ -7,11 +7,11 @@
 #include <memory>
 #include <random>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "cranberrywing/rate_limiter.h"
 #include "cranberrywing/share_ledger.h"
+#include "testing/admissions.h"
 #include "testing/event_queue.h"
 #include "testing/fake_store.h"
 
@@ -83,12 +83,7 @@
   ShareLedger& Ledger(std::size_t aVm) { return *mNodes[aVm].mLedger; }
   RateLimiter& Limiter(std::size_t aVm) { return *mNodes[aVm].mLimiter; }
   std::uint64_t Messages() const { return mMessages; }
-  /// True times of all admissions, in order.
-  const std::vector<TimePoint>& Admissions() const { return mAdmissions; }
-  std::uint64_t Arrivals() const { return mArrivals; }
-  std::uint64_t Refusals() const { return mRefusals; }
-  /// Waits of the requests that were admitted after one.
-  const std::vector<Duration>& Waits() const { return mWaits; }
+  const AdmissionLog& Log() const { return mLog; }
 
   /// Sum of the fractions that living processes use.
   std::uint64_t UsedSum() const
@@ -156,19 +151,14 @@
     if (!node.mRunning || node.mPaused) {
       return;
     }
-    ++mArrivals;
     EffectList effects;
+    const RequestId request = mLog.Arrive(mQueue.Now());
     const TimePoint now = LocalNow(aVm);
-    const RateDecision decision =
-      node.mLimiter->Admit(static_cast<RequestId>(mArrivals),
-                           Account(),
-                           now + std::chrono::seconds(10),
-                           now,
-                           effects);
-    if (decision == RateDecision::Waiting) {
-      mWaiting[static_cast<RequestId>(mArrivals)] = mQueue.Now();
-    } else {
-      Note(decision == RateDecision::Admitted);
+    const RateDecision decision = node.mLimiter->Admit(
+      request, Account(), now + std::chrono::seconds(10), now, effects);
+    if (decision != RateDecision::Waiting) {
+      const bool isAdmitted = decision == RateDecision::Admitted;
+      mLog.Decide(request, isAdmitted, mQueue.Now());
     }
     Carry(aVm, std::move(effects));
   }
@@ -281,29 +271,10 @@
     }
   }
 
-  void Note(bool aAdmitted)
-  {
-    if (aAdmitted) {
-      mAdmissions.push_back(mQueue.Now());
-    } else {
-      ++mRefusals;
-    }
-  }
-
-  void NoteOutcome(const RateOutcome& aOutcome)
-  {
-    const auto it = mWaiting.find(aOutcome.mRequest);
-    if (aOutcome.mAdmitted) {
-      mWaits.push_back(mQueue.Now() - it->second);
-    }
-    mWaiting.erase(it);
-    Note(aOutcome.mAdmitted);
-  }
-
   void Carry(std::size_t aVm, EffectList aEffects)
   {
     for (const RateOutcome& outcome : mNodes[aVm].mLimiter->TakeDecided()) {
-      NoteOutcome(outcome);
+      mLog.Decide(outcome.mRequest, outcome.mAdmitted, mQueue.Now());
     }
     for (Effect& effect : aEffects) {
       if (auto* send = std::get_if<effect::SendMessage>(&effect)) {
@@ -403,11 +374,7 @@
   std::vector<Node> mNodes;
   std::uint64_t mIncarnations = 0;
   std::uint64_t mMessages = 0;
-  std::uint64_t mArrivals = 0;
-  std::uint64_t mRefusals = 0;
-  std::vector<TimePoint> mAdmissions;
-  std::unordered_map<RequestId, TimePoint> mWaiting;
-  std::vector<Duration> mWaits;
+  AdmissionLog mLog;
 };
 
 } // namespace cranberrywing::testing
