--- /dev/null
+++ b/src/standins/load/caller.h
@@ -0,0 +1,63 @@
+/// \file
+/// One request of the load stand-in, with its lookups and repeats.
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+#include "standins/load/load_report.h"
+#include "standins/load/lookup_cache.h"
+
+namespace cranberrywing::standins {
+
+/// What callers share. All must outlive the callers.
+struct CallerContext
+{
+  boost::asio::io_context& mContext;
+  const LoadOptions& mOptions;
+  netutil::HttpClientPool& mPool;
+  LookupCache& mLookups;
+};
+
+/// Sends one request, repeats it with the same identity until it is answered
+/// for good or its deadline has passed, then reports once.
+class Caller : public std::enable_shared_from_this<Caller>
+{
+public:
+  using Clock = std::chrono::steady_clock;
+  using DoneHandler = std::function<void(CallRecord)>;
+
+  Caller(CallerContext aContext,
+         std::string aIdentity,
+         Clock::time_point aDue,
+         DoneHandler aDone);
+
+  void Start();
+
+private:
+  void GetTicket();
+  void AskForTicket(const netutil::Endpoint& aVm, bool aIsLookup);
+  void OnTicket(const netutil::ExchangeResult& aResult);
+  void Attempt();
+  void SendTo(const netutil::Endpoint& aVm);
+  void OnResult(netutil::ExchangeResult aResult);
+  void OnRefused(const AnswerContent& aAnswer);
+  void RetryLater();
+  void Finish(Outcome aOutcome);
+  Duration TimeLeft() const;
+  RequestContent MakeRequest() const;
+
+  CallerContext mContext;
+  Clock::time_point mDue;
+  DoneHandler mDone;
+  CallRecord mRecord;
+  boost::asio::steady_timer mTimer;
+  std::string mTicket;
+  std::size_t mTicketAttempts = 0;
+  std::size_t mNextVm = 0;
+  /// An earlier attempt may have run, so that a final "not run" of a later
+  /// one does not settle the outcome.
+  bool mMayHaveRun = false;
+};
+
+} // namespace cranberrywing::standins
