Hold client accounts at a common level instead of a common limit

The level now bounds each account's running requests: accounts that need less are never held, whatever the level is. The servers' reported utilization steers it, since the VMs' own latency estimates differ by 10%.

Finish takes the account. Spilling starts at 0.8 so that it comes before accounts are held.

--- a/src/bench/fairness_bench.cpp
+++ b/src/bench/fairness_bench.cpp
@@ -29,7 +29,9 @@
 constexpr Duration kReportAge = std::chrono::seconds(5);
 constexpr Duration kProbeLatency = std::chrono::milliseconds(6);
 constexpr Duration kWarmUp = std::chrono::seconds(30);
-constexpr Duration kLength = std::chrono::seconds(60);
+constexpr Duration kLength = std::chrono::seconds(90);
+/// Longer, since an account alone sends little.
+constexpr Duration kAloneLength = std::chrono::seconds(180);
 
 /// Rates of the accounts as parts of the capacity. The first sends too much:
 /// together they then ask for 1.4 x the capacity.
@@ -104,6 +106,7 @@
   /// Requests per second of each account.
   std::vector<double> mRates;
   std::uint64_t mSeed = 1;
+  Duration mLength = kLength;
 };
 
 struct AccountResult
@@ -149,7 +152,7 @@
     TakeReports();
     Tick();
     mStart = mLoop.Now() + kWarmUp;
-    mLoop.RunUntil(mLoop.Now() + kLength);
+    mLoop.RunUntil(mLoop.Now() + mOptions.mLength);
   }
 
   const AccountResult& Result(std::size_t aAccount) const
@@ -158,7 +161,7 @@
   }
   double Throughput() const
   {
-    return static_cast<double>(mFinished) / Seconds(kLength - kWarmUp);
+    return static_cast<double>(mFinished) / Seconds(mOptions.mLength - kWarmUp);
   }
 
 private:
@@ -191,25 +194,28 @@
       const BackendSettings* chosen =
         aDaemon.mSelector.Select({ kService, kRegion, {}, {} }, mLoop.Now());
       if (chosen == nullptr) {
-        aDaemon.mQueue.Finish(kService, mLoop.Now());
+        aDaemon.mQueue.Finish(kService, next->mAccount, mLoop.Now());
         Refuse(next->mRequest);
         continue;
       }
-      Dispatch(aDaemon, next->mRequest, chosen->mBackend);
+      Dispatch(aDaemon, *next, chosen->mBackend);
     }
   }
 
-  void Dispatch(Daemon& aDaemon, RequestId aId, const BackendId& aBackend)
+  void Dispatch(Daemon& aDaemon,
+                const QueuedRequest& aRequest,
+                const BackendId& aBackend)
   {
     const std::size_t index = std::stoul(aBackend.mName.substr(4));
     aDaemon.mSelector.OnDispatch(aBackend);
-    mServers[index]->Submit([this, &aDaemon, aId, aBackend](Duration aTime) {
-      aDaemon.mSelector.OnFinish(aBackend, aTime);
-      aDaemon.mHealth.OnSuccess(aBackend, aTime, mLoop.Now());
-      aDaemon.mQueue.Finish(kService, mLoop.Now());
-      Finish(aId);
-      RunQueued(aDaemon);
-    });
+    mServers[index]->Submit(
+      [this, &aDaemon, aRequest, aBackend](Duration aTime) {
+        aDaemon.mSelector.OnFinish(aBackend, aTime);
+        aDaemon.mHealth.OnSuccess(aBackend, aTime, mLoop.Now());
+        aDaemon.mQueue.Finish(kService, aRequest.mAccount, mLoop.Now());
+        Finish(aRequest.mRequest);
+        RunQueued(aDaemon);
+      });
   }
 
   void Finish(RequestId aId)
@@ -302,7 +308,7 @@
 {
   std::vector<double> alone(kAccounts);
   for (std::size_t n = 1; n < kAccounts; ++n) {
-    Run run({ Policy::FairQueueing, AloneRates(n), aSeed });
+    Run run({ Policy::FairQueueing, AloneRates(n), aSeed, kAloneLength });
     run.Execute();
     alone[n] = Quantile(run.Result(n).mLatencies, 0.99);
   }
@@ -326,7 +332,7 @@
               "refused 5x",
               "used");
   for (const Row& row : rows) {
-    Run run({ row.mPolicy, MixedRates(), aSeed });
+    Run run({ row.mPolicy, MixedRates(), aSeed, kLength });
     run.Execute();
     double worst = 0;
     double worstP99 = 0;
@@ -372,7 +378,7 @@
     next.mRequest = RequestId{ ++id };
     queue.Push(next, now);
     benchmark::DoNotOptimize(queue.Pop(kService, now));
-    queue.Finish(kService, now);
+    queue.Finish(kService, request.mAccount, now);
   }
 }
 BENCHMARK(PushPopFinish);
--- a/src/include/cranberrywing/concurrency_limit.h
+++ b/src/include/cranberrywing/concurrency_limit.h
@@ -1,6 +1,6 @@
 /// \file
-/// How many requests of one service may run at one time, and how fast the
-/// service finishes them.
+/// How many requests of one client account may run at one time, and how fast
+/// a service finishes requests.
 #pragma once
 
 #include <cstddef>
@@ -11,15 +11,16 @@
 
 namespace cranberrywing {
 
-/// Finds the number of running requests above which more would only wait
-/// inside the backend servers, where no fairness applies.
+/// Finds the level up to which each client account may have requests running,
+/// so that the servers are used well and more would only wait inside them,
+/// where no fairness applies. Accounts that need less than the level are not
+/// held by it, so the level is the water line of max-min fairness.
 ///
-/// Latency is measured by Little's law from starts and ends alone: the mean of
-/// a window is the running count integrated over it, divided by the ends. The
-/// limit rises while it is reached and latency stays near its least value, and
-/// falls by a factor when latency shows queueing. Only windows in which the
-/// limit was reached count: a VM that sends less than its part is never cut
-/// because of the others.
+/// The level rises while it holds an account and the servers have room, and
+/// falls by a factor when they have none. Room is judged by the servers'
+/// reported utilization; without fresh reports, and at once in a sudden
+/// overload, by latency. Latency comes from Little's law: the mean of a window
+/// is the running count integrated over it, divided by the ends.
 ///
 /// Not thread-safe; owned by FairQueue.
 class ConcurrencyLimit
@@ -27,43 +28,41 @@
 public:
   struct Options
   {
-    std::size_t mFirst = 16;
-    /// Reported utilization of the servers that is aimed at.
-    double mTargetUtilization = 0.87;
+    double mFirst = 32;
+    /// Reported utilization of the servers that is aimed at in overload. At
+    /// 0.87 some accounts within their share still waited too long behind an
+    /// account at 5 x its rate: p99 1.12 x alone.
+    double mTargetUtilization = 0.85;
     /// Mean latency over its value without queueing, less 1, that is
     /// tolerated.
     double mExcess = 0.1;
-    /// Turns adaptation off: the ceiling alone applies.
+    /// Turns adaptation off: only the ceiling applies.
     bool mAdapts = true;
   };
 
   ConcurrencyLimit();
   explicit ConcurrencyLimit(Options aOptions);
 
-  /// Sets the hard upper bound; at least 1 always applies.
+  /// Sets the number of connections, which no level exceeds; at least 1.
   void SetCeiling(std::size_t aCeiling);
+  std::size_t Ceiling() const { return mCeiling; }
 
-  bool MayStart() const { return mRunning < Limit(); }
+  /// Requests that an account of the greatest weight may have running.
+  double Level() const;
   std::size_t Running() const { return mRunning; }
-  std::size_t Limit() const;
+  /// Tells whether the level keeps a request from running.
+  void SetHeld(bool aIsHeld, TimePoint aNow);
 
   void OnStart(TimePoint aNow);
   void OnFinish(TimePoint aNow);
 
   /// The servers' reported mean utilization, from 0 to 1, if fresh; to be told
-  /// at least every second. A VM at which several client accounts are short
-  /// (aBacklogged) raises its limit in proportion, since each of them is due
-  /// the same share of the servers.
-  void OnUtilization(std::optional<double> aUtilization,
-                     double aBacklogged,
-                     TimePoint aNow);
+  /// at least every second.
+  void OnUtilization(std::optional<double> aUtilization, TimePoint aNow);
 
   /// Mean latency, or zero while unknown. Rises during a stall, before any
   /// request has ended.
   Duration Latency(TimePoint aNow) const;
-  /// Expected wait of a request with aAhead others before it, when the limit
-  /// is reached; zero while the latency is unknown.
-  Duration Wait(std::size_t aAhead, TimePoint aNow) const;
 
 private:
   /// The least window latency of the last one to two periods.
@@ -89,23 +88,24 @@
   double LeastLatencySeen() const;
   /// Latency over its least value that is taken for queueing.
   double Tolerance() const;
-  /// Part of the window in which no more could run.
-  double BoundPart(TimePoint aNow) const;
+  /// Part of the window in which the level held a request.
+  double HeldPart(TimePoint aNow) const;
 
   Options mOptions;
   std::size_t mCeiling = 1;
-  double mLimit = 1;
+  double mLevel = 1;
+  bool mIsHeld = false;
   std::size_t mRunning = 0;
   TimePoint mWindowStart{};
   TimePoint mLastChange{};
   /// Running requests integrated over the window, in request-seconds.
   double mArea = 0;
   std::uint64_t mEnded = 0;
-  /// Time of the window in which no more could run.
-  Duration mAtLimit{};
+  /// Time of the window in which the level held a request.
+  Duration mHeld{};
   std::optional<double> mUtilization;
   TimePoint mNextSteer{};
-  /// Until the first sign of queueing the limit doubles per latency.
+  /// Until the first sign of queueing the level rises fast.
   bool mIsStarting = true;
   /// Seconds; zero while unknown.
   double mLatency = 0;
@@ -117,9 +117,9 @@
   /// Standard deviation of window latencies over their mean, by differences
   /// of successive windows.
   double mDeviation = 0.05;
-  /// Consecutive cuts, with limit and latency before the first of them.
+  /// Consecutive cuts, with level and latency before the first of them.
   std::uint32_t mCuts = 0;
-  double mLimitBeforeCuts = 0;
+  double mLevelBeforeCuts = 0;
   double mLatencyBeforeCuts = 0;
 };
 
--- a/src/include/cranberrywing/fair_queue.h
+++ b/src/include/cranberrywing/fair_queue.h
@@ -51,8 +51,10 @@
   /// The next request of the service to run, if its concurrency allows one;
   /// it counts as running until Finish.
   std::optional<QueuedRequest> Pop(const ServiceId& aService, TimePoint aNow);
-  /// A running request of the service has ended.
-  void Finish(const ServiceId& aService, TimePoint aNow);
+  /// A running request of the service and account has ended.
+  void Finish(const ServiceId& aService,
+              const AccountId& aAccount,
+              TimePoint aNow);
   /// Forgets a waiting request; false if it does not wait.
   bool Cancel(RequestId aRequest);
   /// Removes and returns requests that can no longer finish in time; to be
@@ -61,8 +63,9 @@
 
   std::size_t Waiting(const ServiceId& aService) const;
   std::size_t Running(const ServiceId& aService) const;
-  /// Most requests of the service that may run at one time at present.
-  std::size_t Limit(const ServiceId& aService) const;
+  /// Requests of the service that an account of the greatest weight may have
+  /// running at present; zero for an unknown service.
+  double Level(const ServiceId& aService) const;
 
 private:
   using Slot = std::uint32_t;
@@ -70,16 +73,19 @@
 
   struct ServiceQueue;
 
-  /// Waiting requests of one client account for one service.
+  /// Requests of one client account for one service.
   struct AccountQueue
   {
     Slot mFirst = kNoSlot;
     Slot mLast = kNoSlot;
     std::size_t mWaiting = 0;
+    std::size_t mRunning = 0;
+    /// Whether requests wait because as many run as the level allows.
+    bool mIsHeld = false;
     /// Requests per round, at most 1.
     double mQuantum = 1;
     double mDeficit = 0;
-    /// Ring of accounts with waiting requests.
+    /// Ring of accounts with waiting requests that may run.
     AccountQueue* mPrevious = nullptr;
     AccountQueue* mNext = nullptr;
   };
@@ -93,9 +99,15 @@
 
     ConcurrencyLimit mLimit;
     std::unordered_map<AccountId, AccountQueue> mAccounts;
-    /// Account whose turn it is; null if none waits.
+    /// Account whose turn it is; null if none may run a request.
     AccountQueue* mTurn = nullptr;
     std::size_t mWaiting = 0;
+    /// Accounts with mIsHeld.
+    std::size_t mHeld = 0;
+    /// Sum of the quanta of accounts with waiting or running requests.
+    double mBusyQuanta = 0;
+    /// Level for which mIsHeld was last decided for all accounts.
+    double mLevel = 0;
   };
 
   /// A waiting request, linked into its account's queue.
@@ -112,20 +124,33 @@
   AccountQueue& FindAccount(ServiceQueue& aService, const AccountId& aAccount);
   Slot TakeSlot();
   void Append(ServiceQueue& aService, AccountQueue& aAccount, Slot aSlot);
-  /// Unlinks an entry and frees its slot.
+  /// Unlinks an entry and frees its slot; Review must follow.
   QueuedRequest Remove(Slot aSlot);
-  void Activate(ServiceQueue& aService, AccountQueue& aAccount);
-  void Deactivate(ServiceQueue& aService, AccountQueue& aAccount);
-  AccountQueue& NextAccount(ServiceQueue& aService);
+  /// Removes a request that will not run.
+  QueuedRequest Drop(Slot aSlot);
+  static void Activate(ServiceQueue& aService, AccountQueue& aAccount);
+  static void Deactivate(ServiceQueue& aService, AccountQueue& aAccount);
+  /// Requests of the account that may run at one time.
+  static std::size_t MayRun(const ServiceQueue& aService,
+                            const AccountQueue& aAccount);
+  /// Requests of the service that may run at one time.
+  static std::size_t MayRun(const ServiceQueue& aService);
+  /// Decides whether the account is in the ring, held, or neither.
+  static void UpdateRing(ServiceQueue& aService, AccountQueue& aAccount);
+  /// UpdateRing, and tells the limit whether it holds a request.
+  static void Review(ServiceQueue& aService,
+                     AccountQueue& aAccount,
+                     TimePoint aNow);
+  static void ReviewAll(ServiceQueue& aService, TimePoint aNow);
+  static AccountQueue& NextAccount(ServiceQueue& aService);
+  static bool CanFinish(const ServiceQueue& aService,
+                        const AccountQueue& aAccount,
+                        TimePoint aDeadline,
+                        TimePoint aNow);
+  /// Requests that run before a new one of the account, itself included.
+  static std::size_t CountAhead(const ServiceQueue& aService,
+                                const AccountQueue& aAccount);
   void Steer(TimePoint aNow);
-  /// Accounts, by weight, whose requests wait for long.
-  static double CountBacklogged(const ServiceQueue& aService);
-  template<class Visit>
-  static void ForEachActive(const ServiceQueue& aService, Visit aVisit);
-  bool CanFinish(const ServiceQueue& aService,
-                 const AccountQueue& aAccount,
-                 TimePoint aDeadline,
-                 TimePoint aNow) const;
 
   Options mOptions;
   std::unordered_map<ServiceId, ServiceQueue> mServices;
--- a/src/include/cranberrywing/offers.h
+++ b/src/include/cranberrywing/offers.h
@@ -26,8 +26,9 @@
     std::uint64_t mSeed = 1;
     Duration mOfferLifetime = std::chrono::seconds(5);
     /// Utilization above which local traffic spills to other regions, and up
-    /// to which capacity is offered to them.
-    double mSpillUtilization = 0.9;
+    /// to which capacity is offered to them. Below the utilization at which
+    /// fair queues hold requests back, which would hide the need to spill.
+    double mSpillUtilization = 0.8;
     /// Part of a link between regions that reservations may fill.
     double mLinkUtilization = 0.9;
     /// Longest time from a change of traffic to the reports that show it.
--- a/src/libcranberrywing/concurrency_limit.cpp
+++ b/src/libcranberrywing/concurrency_limit.cpp
@@ -12,7 +12,7 @@
 constexpr std::uint64_t kWindowEnds = 1000;
 constexpr Duration kShortestWindow = std::chrono::milliseconds(50);
 constexpr Duration kLongestWindow = std::chrono::seconds(2);
-/// Windows with fewer ends do not change the limit.
+/// Windows with fewer ends do not change the level.
 constexpr std::uint64_t kLeastEnds = 30;
 /// Nothing running for this long makes the estimate stale.
 constexpr Duration kForgetAfter = std::chrono::seconds(5);
@@ -28,23 +28,26 @@
 constexpr double kGreatestTolerance = 2;
 /// Latency over its least value that shows queueing while reports tell the
 /// utilization, which is then the finer measure.
-constexpr double kReportedTolerance = 1.6;
-/// Until queueing is first seen, windows are shorter and the limit rises fast.
+constexpr double kReportedTolerance = 2;
+/// Until queueing is first seen, windows are shorter and the level rises fast.
 constexpr std::uint64_t kStartEnds = 60;
 constexpr double kStartRise = 0.5;
 constexpr double kStartTolerance = 1.5;
-/// A VM is cut only if it was held at its limit for this part of a window: one
-/// that touches its limit now and then is not what fills the servers.
-constexpr double kBoundPart = 0.5;
+/// The level is cut only if it held requests for this part of a window:
+/// accounts that touch it now and then are not what fills the servers.
+constexpr double kHeldPart = 0.5;
 /// Factor of a cut.
 constexpr double kCut = 0.85;
-/// Rises are in square roots of the limit. As cuts are in proportion to it,
-/// VMs that share the servers come to equal limits.
+/// Below 1, accounts take turns. More accounts than this divides would be held
+/// to one request in turn even so.
+constexpr double kLeastLevel = 0.05;
+/// Rises are in square roots of the level. As cuts are in proportion to it,
+/// VMs that share the servers come to equal levels.
 constexpr double kRise = 0.4;
 constexpr double kFastRise = 1;
-/// Part of the target utilization below which the limit rises fast.
+/// Part of the target utilization below which the level rises fast.
 constexpr double kFastBelow = 0.93;
-/// Time from a change of the limit to the reports that show it.
+/// Time from a change of the level to the reports that show it.
 constexpr Duration kReportLag = std::chrono::milliseconds(2500);
 /// If this many cuts lowered the latency by less than kEffect, the latency is
 /// not queueing and becomes the new least value.
@@ -72,7 +75,7 @@
 
 ConcurrencyLimit::ConcurrencyLimit(Options aOptions)
   : mOptions(aOptions)
-  , mLimit(static_cast<double>(aOptions.mFirst))
+  , mLevel(aOptions.mFirst)
 {
 }
 
@@ -81,12 +84,18 @@
   mCeiling = std::max<std::size_t>(aCeiling, 1);
 }
 
-std::size_t ConcurrencyLimit::Limit() const
+double ConcurrencyLimit::Level() const
 {
-  if (!mOptions.mAdapts) {
-    return mCeiling;
+  const auto ceiling = static_cast<double>(mCeiling);
+  return mOptions.mAdapts ? std::min(mLevel, ceiling) : ceiling;
+}
+
+void ConcurrencyLimit::SetHeld(bool aIsHeld, TimePoint aNow)
+{
+  if (mIsHeld != aIsHeld) {
+    Advance(aNow);
+    mIsHeld = aIsHeld;
   }
-  return std::min(mCeiling, static_cast<std::size_t>(mLimit));
 }
 
 void ConcurrencyLimit::OnStart(TimePoint aNow)
@@ -119,7 +128,7 @@
     StartWindow(aNow);
   }
   mArea += static_cast<double>(mRunning) * Seconds(idle);
-  mAtLimit += mRunning >= Limit() ? idle : Duration::zero();
+  mHeld += mIsHeld ? idle : Duration::zero();
   mLastChange = aNow;
 }
 
@@ -128,7 +137,7 @@
   mWindowStart = aNow;
   mArea = 0;
   mEnded = 0;
-  mAtLimit = Duration::zero();
+  mHeld = Duration::zero();
 }
 
 void ConcurrencyLimit::CloseWindow(TimePoint aNow)
@@ -155,53 +164,51 @@
   StartWindow(aNow);
 }
 
-double ConcurrencyLimit::BoundPart(TimePoint aNow) const
+double ConcurrencyLimit::HeldPart(TimePoint aNow) const
 {
   const double length = Seconds(aNow - mWindowStart);
-  return length > 0 ? Seconds(mAtLimit) / length : 0;
+  return length > 0 ? Seconds(mHeld) / length : 0;
 }
 
 void ConcurrencyLimit::Adapt(double aLatency, TimePoint aNow)
 {
-  const double bound = BoundPart(aNow);
+  const double held = HeldPart(aNow);
   const bool isQueueing = aLatency > Tolerance() * LeastLatencySeen();
-  if (isQueueing && bound >= kBoundPart) {
+  if (isQueueing && held >= kHeldPart) {
     Cut(aLatency, aNow);
     return;
   }
   mCuts = 0;
-  if (mAtLimit == Duration::zero() || isQueueing) {
+  if (mHeld == Duration::zero() || isQueueing) {
     return;
   }
   if (mIsStarting) {
-    Raise(kStartRise * mLimit);
-  } else if (!mUtilization || bound < kBoundPart) {
-    Raise(kRise * std::sqrt(mLimit));
+    Raise(kStartRise * mLevel);
+  } else if (!mUtilization || held < kHeldPart) {
+    Raise(kRise * std::sqrt(mLevel));
   }
 }
 
 void ConcurrencyLimit::OnUtilization(std::optional<double> aUtilization,
-                                     double aBacklogged,
                                      TimePoint aNow)
 {
   mUtilization = aUtilization;
-  if (!mUtilization || aNow < mNextSteer || BoundPart(aNow) < kBoundPart) {
+  if (!mUtilization || aNow < mNextSteer || HeldPart(aNow) < kHeldPart) {
     return;
   }
   const double over = *mUtilization / mOptions.mTargetUtilization;
   if (over > 1) {
     mIsStarting = false;
-    mLimit = std::max(1.0, mLimit * kCut);
+    mLevel = std::max(kLeastLevel, mLevel * kCut);
   } else if (!mIsStarting) {
-    const double step = over < kFastBelow ? kFastRise : kRise;
-    Raise(step * std::sqrt(mLimit) * std::max(1.0, aBacklogged));
+    Raise((over < kFastBelow ? kFastRise : kRise) * std::sqrt(mLevel));
   }
   mNextSteer = aNow + kReportLag;
 }
 
 void ConcurrencyLimit::Raise(double aStep)
 {
-  mLimit = std::min(mLimit + aStep, static_cast<double>(mCeiling));
+  mLevel = std::min(mLevel + aStep, static_cast<double>(mCeiling));
 }
 
 double ConcurrencyLimit::LeastLatencySeen() const
@@ -226,23 +233,21 @@
 void ConcurrencyLimit::Cut(double aLatency, TimePoint aNow)
 {
   if (mIsStarting) {
-    // The rise of the last window is what caused the queueing.
     mIsStarting = false;
-    mLimit /= 1 + kStartRise;
     return;
   }
   if (mCuts == 0) {
-    mLimitBeforeCuts = mLimit;
+    mLevelBeforeCuts = mLevel;
     mLatencyBeforeCuts = aLatency;
   }
   if (mCuts == kMostCuts && aLatency > (1 - kEffect) * mLatencyBeforeCuts) {
-    mLimit = mLimitBeforeCuts;
+    mLevel = mLevelBeforeCuts;
     mLeast.Reset(aLatency, aNow);
     mCuts = 0;
     return;
   }
   mCuts = std::min(mCuts + 1, kMostCuts);
-  mLimit = std::max(1.0, mLimit * kCut);
+  mLevel = std::max(kLeastLevel, mLevel * kCut);
 }
 
 void ConcurrencyLimit::LeastLatency::Add(double aLatency, TimePoint aNow)
@@ -281,11 +286,4 @@
   return FromSeconds(mLatency == 0 ? 0 : std::max(mLatency, stalled));
 }
 
-Duration ConcurrencyLimit::Wait(std::size_t aAhead, TimePoint aNow) const
-{
-  const double rounds =
-    static_cast<double>(aAhead + 1) / static_cast<double>(Limit());
-  return FromSeconds(rounds * Seconds(Latency(aNow)));
-}
-
 } // namespace cranberrywing
--- a/src/libcranberrywing/fair_queue.cpp
+++ b/src/libcranberrywing/fair_queue.cpp
@@ -1,14 +1,11 @@
 #include "cranberrywing/fair_queue.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace cranberrywing {
 
 namespace {
 
-/// Requests count 1 each; rounding errors of fractional quanta stay below.
-constexpr double kRequestCost = 1.0 - 1e-9;
 /// Smallest part of a round; bounds the rounds that one Pop goes through.
 constexpr double kLeastQuantum = 0.01;
 
@@ -25,19 +22,6 @@
 
 } // namespace
 
-template<class Visit>
-void FairQueue::ForEachActive(const ServiceQueue& aService, Visit aVisit)
-{
-  const AccountQueue* account = aService.mTurn;
-  if (account == nullptr) {
-    return;
-  }
-  do {
-    aVisit(*account);
-    account = account->mNext;
-  } while (account != aService.mTurn);
-}
-
 FairQueue::FairQueue(Options aOptions)
   : mOptions(std::move(aOptions))
 {
@@ -59,7 +43,10 @@
     service.mLimit.SetCeiling(0);
     for (auto& [accountId, account] : service.mAccounts) {
       const auto it = mQuanta.find(accountId);
-      account.mQuantum = it == mQuanta.end() ? mDefaultQuantum : it->second;
+      const double quantum = it == mQuanta.end() ? mDefaultQuantum : it->second;
+      const bool isBusy = account.mWaiting + account.mRunning > 0;
+      service.mBusyQuanta += isBusy ? quantum - account.mQuantum : 0;
+      account.mQuantum = quantum;
     }
   }
   for (const auto& [id, service] : aSettings.mServices) {
@@ -84,6 +71,7 @@
   }
   mEntries[slot].mRequest = aRequest;
   Append(service, account, slot);
+  Review(service, account, aNow);
   mEarliestDeadline = std::min(mEarliestDeadline, aRequest.mDeadline);
   return true;
 }
@@ -96,7 +84,7 @@
     return std::nullopt;
   }
   ServiceQueue& service = it->second;
-  if (service.mTurn == nullptr || !service.mLimit.MayStart()) {
+  if (service.mTurn == nullptr || service.mLimit.Running() >= MayRun(service)) {
     return std::nullopt;
   }
   AccountQueue& account = NextAccount(service);
@@ -104,14 +92,34 @@
   // Quanta are at most one request, so each turn serves at most one.
   service.mTurn = account.mNext;
   service.mLimit.OnStart(aNow);
-  return Remove(account.mFirst);
+  ++account.mRunning;
+  QueuedRequest next = Remove(account.mFirst);
+  Review(service, account, aNow);
+  return next;
 }
 
-void FairQueue::Finish(const ServiceId& aService, TimePoint aNow)
+void FairQueue::Finish(const ServiceId& aService,
+                       const AccountId& aAccount,
+                       TimePoint aNow)
 {
   const auto it = mServices.find(aService);
-  if (it != mServices.end()) {
-    it->second.mLimit.OnFinish(aNow);
+  if (it == mServices.end()) {
+    return;
+  }
+  ServiceQueue& service = it->second;
+  AccountQueue& account = FindAccount(service, aAccount);
+  if (account.mRunning == 0) {
+    return;
+  }
+  service.mLimit.OnFinish(aNow);
+  --account.mRunning;
+  if (account.mRunning + account.mWaiting == 0) {
+    service.mBusyQuanta -= account.mQuantum;
+  }
+  if (service.mLevel != service.mLimit.Level()) {
+    ReviewAll(service, aNow);
+  } else {
+    Review(service, account, aNow);
   }
 }
 
@@ -121,7 +129,7 @@
   if (it == mSlots.end()) {
     return false;
   }
-  Remove(it->second);
+  Drop(it->second);
   return true;
 }
 
@@ -150,7 +158,7 @@
     }
     const TimePoint deadline = entry.mRequest.mDeadline;
     if (deadline < aNow + entry.mService->mLimit.Latency(aNow)) {
-      expired.push_back(Remove(slot));
+      expired.push_back(Drop(slot));
     } else {
       mEarliestDeadline = std::min(mEarliestDeadline, deadline);
     }
@@ -165,23 +173,11 @@
   }
   mNextSteer = aNow + kSteerInterval;
   for (auto& [id, service] : mServices) {
-    service.mLimit.OnUtilization(
-      mOptions.mUtilization(id, aNow), CountBacklogged(service), aNow);
-  }
-}
-
-double FairQueue::CountBacklogged(const ServiceQueue& aService)
-{
-  double weights = 0;
-  std::size_t active = 0;
-  ForEachActive(aService, [&](const AccountQueue&) { ++active; });
-  ForEachActive(aService, [&](const AccountQueue& aAccount) {
-    // Waiting requests that take longer than one round of all that run.
-    if (aAccount.mWaiting * active >= aService.mLimit.Limit()) {
-      weights += aAccount.mQuantum;
+    service.mLimit.OnUtilization(mOptions.mUtilization(id, aNow), aNow);
+    if (service.mLevel != service.mLimit.Level()) {
+      ReviewAll(service, aNow);
     }
-  });
-  return weights;
+  }
 }
 
 std::size_t FairQueue::Waiting(const ServiceId& aService) const
@@ -196,10 +192,10 @@
   return it == mServices.end() ? 0 : it->second.mLimit.Running();
 }
 
-std::size_t FairQueue::Limit(const ServiceId& aService) const
+double FairQueue::Level(const ServiceId& aService) const
 {
   const auto it = mServices.find(aService);
-  return it == mServices.end() ? 0 : it->second.mLimit.Limit();
+  return it == mServices.end() ? 0 : it->second.mLimit.Level();
 }
 
 FairQueue::ServiceQueue& FairQueue::FindService(const ServiceId& aService)
@@ -219,124 +215,4 @@
   return it->second;
 }
 
-FairQueue::Slot FairQueue::TakeSlot()
-{
-  if (mFreeSlots.empty()) {
-    mEntries.emplace_back();
-    return static_cast<Slot>(mEntries.size() - 1);
-  }
-  const Slot slot = mFreeSlots.back();
-  mFreeSlots.pop_back();
-  return slot;
-}
-
-void FairQueue::Append(ServiceQueue& aService,
-                       AccountQueue& aAccount,
-                       Slot aSlot)
-{
-  Entry& entry = mEntries[aSlot];
-  entry.mService = &aService;
-  entry.mAccount = &aAccount;
-  entry.mPrevious = aAccount.mLast;
-  entry.mNext = kNoSlot;
-  if (aAccount.mLast == kNoSlot) {
-    aAccount.mFirst = aSlot;
-    Activate(aService, aAccount);
-  } else {
-    mEntries[aAccount.mLast].mNext = aSlot;
-  }
-  aAccount.mLast = aSlot;
-  ++aAccount.mWaiting;
-  ++aService.mWaiting;
-}
-
-QueuedRequest FairQueue::Remove(Slot aSlot)
-{
-  Entry& entry = mEntries[aSlot];
-  ServiceQueue& service = *entry.mService;
-  AccountQueue& account = *entry.mAccount;
-  Slot& fromPrevious = entry.mPrevious == kNoSlot
-                         ? account.mFirst
-                         : mEntries[entry.mPrevious].mNext;
-  Slot& fromNext =
-    entry.mNext == kNoSlot ? account.mLast : mEntries[entry.mNext].mPrevious;
-  fromPrevious = entry.mNext;
-  fromNext = entry.mPrevious;
-  --account.mWaiting;
-  --service.mWaiting;
-  if (account.mWaiting == 0) {
-    Deactivate(service, account);
-  }
-  entry.mService = nullptr;
-  entry.mAccount = nullptr;
-  mSlots.erase(entry.mRequest.mRequest);
-  mFreeSlots.push_back(aSlot);
-  return std::move(entry.mRequest);
-}
-
-void FairQueue::Activate(ServiceQueue& aService, AccountQueue& aAccount)
-{
-  aAccount.mDeficit = 0;
-  if (aService.mTurn == nullptr) {
-    aAccount.mPrevious = &aAccount;
-    aAccount.mNext = &aAccount;
-    aService.mTurn = &aAccount;
-    return;
-  }
-  AccountQueue& after = *aService.mTurn;
-  aAccount.mNext = &after;
-  aAccount.mPrevious = after.mPrevious;
-  after.mPrevious->mNext = &aAccount;
-  after.mPrevious = &aAccount;
-}
-
-void FairQueue::Deactivate(ServiceQueue& aService, AccountQueue& aAccount)
-{
-  if (aService.mTurn == &aAccount) {
-    aService.mTurn = aAccount.mNext == &aAccount ? nullptr : aAccount.mNext;
-  }
-  aAccount.mPrevious->mNext = aAccount.mNext;
-  aAccount.mNext->mPrevious = aAccount.mPrevious;
-  aAccount.mPrevious = nullptr;
-  aAccount.mNext = nullptr;
-}
-
-FairQueue::AccountQueue& FairQueue::NextAccount(ServiceQueue& aService)
-{
-  while (true) {
-    AccountQueue& account = *aService.mTurn;
-    if (account.mNext == &account || account.mDeficit >= kRequestCost) {
-      return account;
-    }
-    account.mDeficit += account.mQuantum;
-    if (account.mDeficit >= kRequestCost) {
-      return account;
-    }
-    aService.mTurn = account.mNext;
-  }
-}
-
-bool FairQueue::CanFinish(const ServiceQueue& aService,
-                          const AccountQueue& aAccount,
-                          TimePoint aDeadline,
-                          TimePoint aNow) const
-{
-  const ConcurrencyLimit& limit = aService.mLimit;
-  const Duration latency = limit.Latency(aNow);
-  if (aService.mWaiting == 0 && limit.MayStart()) {
-    return aNow < aDeadline;
-  }
-  const double rounds =
-    std::ceil(static_cast<double>(aAccount.mWaiting + 1) / aAccount.mQuantum);
-  std::size_t ahead = aAccount.mWaiting;
-  ForEachActive(aService, [&](const AccountQueue& aOther) {
-    if (&aOther != &aAccount) {
-      const double served = rounds * aOther.mQuantum;
-      ahead += static_cast<std::size_t>(
-        std::min(served, static_cast<double>(aOther.mWaiting)));
-    }
-  });
-  return aNow + limit.Wait(ahead, aNow) + latency <= aDeadline;
-}
-
 } // namespace cranberrywing
--- /dev/null
+++ b/src/libcranberrywing/fair_queue_rounds.cpp
@@ -0,0 +1,220 @@
+// The parts of FairQueue that keep the accounts' queues and choose whose turn
+// it is.
+#include <algorithm>
+#include <cmath>
+
+#include "cranberrywing/fair_queue.h"
+
+namespace cranberrywing {
+
+namespace {
+
+/// Requests count 1 each; rounding errors of fractional quanta stay below.
+constexpr double kRequestCost = 1.0 - 1e-9;
+
+} // namespace
+
+FairQueue::Slot FairQueue::TakeSlot()
+{
+  if (mFreeSlots.empty()) {
+    mEntries.emplace_back();
+    return static_cast<Slot>(mEntries.size() - 1);
+  }
+  const Slot slot = mFreeSlots.back();
+  mFreeSlots.pop_back();
+  return slot;
+}
+
+void FairQueue::Append(ServiceQueue& aService,
+                       AccountQueue& aAccount,
+                       Slot aSlot)
+{
+  Entry& entry = mEntries[aSlot];
+  entry.mService = &aService;
+  entry.mAccount = &aAccount;
+  entry.mPrevious = aAccount.mLast;
+  entry.mNext = kNoSlot;
+  if (aAccount.mWaiting + aAccount.mRunning == 0) {
+    aService.mBusyQuanta += aAccount.mQuantum;
+  }
+  if (aAccount.mLast == kNoSlot) {
+    aAccount.mFirst = aSlot;
+  } else {
+    mEntries[aAccount.mLast].mNext = aSlot;
+  }
+  aAccount.mLast = aSlot;
+  ++aAccount.mWaiting;
+  ++aService.mWaiting;
+}
+
+QueuedRequest FairQueue::Remove(Slot aSlot)
+{
+  Entry& entry = mEntries[aSlot];
+  ServiceQueue& service = *entry.mService;
+  AccountQueue& account = *entry.mAccount;
+  Slot& fromPrevious = entry.mPrevious == kNoSlot
+                         ? account.mFirst
+                         : mEntries[entry.mPrevious].mNext;
+  Slot& fromNext =
+    entry.mNext == kNoSlot ? account.mLast : mEntries[entry.mNext].mPrevious;
+  fromPrevious = entry.mNext;
+  fromNext = entry.mPrevious;
+  --account.mWaiting;
+  --service.mWaiting;
+  entry.mService = nullptr;
+  entry.mAccount = nullptr;
+  mSlots.erase(entry.mRequest.mRequest);
+  mFreeSlots.push_back(aSlot);
+  return std::move(entry.mRequest);
+}
+
+QueuedRequest FairQueue::Drop(Slot aSlot)
+{
+  ServiceQueue& service = *mEntries[aSlot].mService;
+  AccountQueue& account = *mEntries[aSlot].mAccount;
+  QueuedRequest request = Remove(aSlot);
+  if (account.mWaiting + account.mRunning == 0) {
+    service.mBusyQuanta -= account.mQuantum;
+  }
+  UpdateRing(service, account);
+  return request;
+}
+
+std::size_t FairQueue::MayRun(const ServiceQueue& aService,
+                              const AccountQueue& aAccount)
+{
+  const double part = aService.mLimit.Level() * aAccount.mQuantum;
+  return std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(part)));
+}
+
+std::size_t FairQueue::MayRun(const ServiceQueue& aService)
+{
+  // Below one request per account, accounts take turns.
+  const double all = aService.mLimit.Level() * aService.mBusyQuanta;
+  const auto most = static_cast<std::size_t>(std::ceil(all));
+  return std::clamp<std::size_t>(most, 1, aService.mLimit.Ceiling());
+}
+
+void FairQueue::UpdateRing(ServiceQueue& aService, AccountQueue& aAccount)
+{
+  const bool isFull = aAccount.mRunning >= MayRun(aService, aAccount);
+  const bool isHeld = aAccount.mWaiting > 0 && isFull;
+  if (isHeld != aAccount.mIsHeld) {
+    aService.mHeld += isHeld ? 1 : -1;
+    aAccount.mIsHeld = isHeld;
+  }
+  const bool wasActive = aAccount.mNext != nullptr;
+  const bool isActive = aAccount.mWaiting > 0 && !isFull;
+  if (isActive && !wasActive) {
+    Activate(aService, aAccount);
+  } else if (!isActive && wasActive) {
+    Deactivate(aService, aAccount);
+  }
+}
+
+void FairQueue::Review(ServiceQueue& aService,
+                       AccountQueue& aAccount,
+                       TimePoint aNow)
+{
+  UpdateRing(aService, aAccount);
+  const bool isFull = aService.mLimit.Running() >= MayRun(aService);
+  aService.mLimit.SetHeld(
+    aService.mHeld > 0 || (isFull && aService.mWaiting > 0), aNow);
+}
+
+void FairQueue::ReviewAll(ServiceQueue& aService, TimePoint aNow)
+{
+  aService.mLevel = aService.mLimit.Level();
+  for (auto& [id, account] : aService.mAccounts) {
+    Review(aService, account, aNow);
+  }
+}
+
+void FairQueue::Activate(ServiceQueue& aService, AccountQueue& aAccount)
+{
+  aAccount.mDeficit = 0;
+  if (aService.mTurn == nullptr) {
+    aAccount.mPrevious = &aAccount;
+    aAccount.mNext = &aAccount;
+    aService.mTurn = &aAccount;
+    return;
+  }
+  AccountQueue& after = *aService.mTurn;
+  aAccount.mNext = &after;
+  aAccount.mPrevious = after.mPrevious;
+  after.mPrevious->mNext = &aAccount;
+  after.mPrevious = &aAccount;
+}
+
+void FairQueue::Deactivate(ServiceQueue& aService, AccountQueue& aAccount)
+{
+  if (aService.mTurn == &aAccount) {
+    aService.mTurn = aAccount.mNext == &aAccount ? nullptr : aAccount.mNext;
+  }
+  aAccount.mPrevious->mNext = aAccount.mNext;
+  aAccount.mNext->mPrevious = aAccount.mPrevious;
+  aAccount.mPrevious = nullptr;
+  aAccount.mNext = nullptr;
+}
+
+FairQueue::AccountQueue& FairQueue::NextAccount(ServiceQueue& aService)
+{
+  while (true) {
+    AccountQueue& account = *aService.mTurn;
+    if (account.mNext == &account || account.mDeficit >= kRequestCost) {
+      return account;
+    }
+    account.mDeficit += account.mQuantum;
+    if (account.mDeficit >= kRequestCost) {
+      return account;
+    }
+    aService.mTurn = account.mNext;
+  }
+}
+
+bool FairQueue::CanFinish(const ServiceQueue& aService,
+                          const AccountQueue& aAccount,
+                          TimePoint aDeadline,
+                          TimePoint aNow)
+{
+  const std::size_t running = aService.mLimit.Running();
+  const std::size_t mayRun = MayRun(aService);
+  const std::size_t accountMayRun = MayRun(aService, aAccount);
+  const bool mayStart = aAccount.mRunning < accountMayRun && running < mayRun;
+  if (mayStart && aAccount.mWaiting == 0) {
+    return aNow < aDeadline;
+  }
+  // One latency passes for each full set of requests that runs before it.
+  const auto place = static_cast<double>(aAccount.mWaiting + 1);
+  const double ownSets = place / static_cast<double>(accountMayRun);
+  const double allSets = static_cast<double>(CountAhead(aService, aAccount)) /
+                         static_cast<double>(mayRun);
+  const Duration latency = aService.mLimit.Latency(aNow);
+  const double wait =
+    std::max(ownSets, allSets) * static_cast<double>(latency.count());
+  return aNow + latency + Duration(static_cast<Duration::rep>(wait)) <=
+         aDeadline;
+}
+
+std::size_t FairQueue::CountAhead(const ServiceQueue& aService,
+                                  const AccountQueue& aAccount)
+{
+  const double rounds =
+    std::ceil(static_cast<double>(aAccount.mWaiting + 1) / aAccount.mQuantum);
+  std::size_t ahead = aAccount.mWaiting + 1;
+  const AccountQueue* other = aService.mTurn;
+  if (other == nullptr) {
+    return ahead;
+  }
+  do {
+    if (other != &aAccount) {
+      const double served = rounds * other->mQuantum;
+      ahead += static_cast<std::size_t>(
+        std::min(served, static_cast<double>(other->mWaiting)));
+    }
+    other = other->mNext;
+  } while (other != aService.mTurn);
+  return ahead;
+}
+
+} // namespace cranberrywing
--- a/src/libcranberrywing/requests.cpp
+++ b/src/libcranberrywing/requests.cpp
@@ -264,7 +264,7 @@
 {
   Request* request = Find(aNext.mRequest);
   if (!request) {
-    mConcerns.mQueue.Finish(aNext.mService, aNow);
+    mConcerns.mQueue.Finish(aNext.mService, aNext.mAccount, aNow);
     return;
   }
   request->mHoldsQueuePlace = true;
--- a/src/libcranberrywing/requests_outcome.cpp
+++ b/src/libcranberrywing/requests_outcome.cpp
@@ -250,7 +250,7 @@
   }
   aRequest.mHoldsQueuePlace = false;
   const ServiceId service = aRequest.mRoute.mService;
-  mConcerns.mQueue.Finish(service, aNow);
+  mConcerns.mQueue.Finish(service, aRequest.mIdentity.mAccount, aNow);
   RunQueued(service, aNow, aOut);
 }
 
