Hand slots over without waiting for running requests

Cause: a slot was handed over only when idle, so that a request that ran for seconds held up every other request of its slot, and a drain's time limit could end before the handover. Change: the record changes at once; the former owner tells which executions it has seen, with those that still run marked, and their outcomes when they have ended. The successor keeps their repeats waiting until then. SlotTable needs no word from Executions any more.

--- a/src/include/cranberrywing/execution_state.h
+++ b/src/include/cranberrywing/execution_state.h
@@ -41,6 +41,9 @@
   std::uint32_t mExpirySeconds = 0;
   message::ExecutionOutcome mOutcome = message::ExecutionOutcome::Unknown;
   bool mIsTicket = false;
+  /// It ran at the former owner when the slot was handed over, and its
+  /// outcome is yet to be told. Until then it is Unknown.
+  bool mIsAtPredecessor = false;
 };
 
 using ExecutionTable =
@@ -66,6 +69,8 @@
   bool mHasAdopted = false;
   TimePoint mHandoverUntil{};
   TimePoint mCopiesUntil{};
+  /// Until when news of executions at the former owner are waited for.
+  TimePoint mPredecessorUntil{};
   std::vector<std::uint64_t> mInheritedEpochs;
   ExecutionTable mRecords;
   ClaimLog mLog;
@@ -151,7 +156,9 @@
 {
   SlotExecutions mState;
   VmId mSuccessor;
-  int mSendsLeft = 0;
+  bool mIsTold = false;
+  /// Sendings of the state in which nothing runs any more.
+  int mFinalSendsLeft = 0;
   TimePoint mNextSend{};
 };
 
--- a/src/include/cranberrywing/executions.h
+++ b/src/include/cranberrywing/executions.h
@@ -174,8 +174,7 @@
                  TimePoint aNow,
                  EffectList& aOut);
 
-  /// Whether a slot has nothing running or being committed, so that it can
-  /// be handed over.
+  /// Whether a slot has nothing running or being committed.
   bool IsIdle(std::uint32_t aSlot) const;
   /// Stops running requests of the slot and returns its state for handover.
   message::SlotHandover Freeze(std::uint32_t aSlot, std::uint64_t aEpoch);
@@ -231,8 +230,12 @@
               Record& aRecord,
               const Attempt& aAttempt,
               TimePoint aNow);
+  /// Whether a peer may still tell the answer of an unknown execution.
+  bool MayBeLearned(const SlotState& aSlot,
+                    const Record& aRecord,
+                    TimePoint aNow) const;
   void Run(SlotState& aSlot, const Attempt& aAttempt);
-  bool AcceptsNew(const SlotState& aSlot, std::uint32_t aNumber) const;
+  bool AcceptsNew(const SlotState& aSlot) const;
   void WaitAgain(TimePoint aNow, EffectList& aOut);
   void RestartQueue(SlotState& aSlot, TimePoint aNow, EffectList& aOut);
   SlotState* FindState(std::uint32_t aSlot, std::uint64_t aEpoch);
@@ -324,11 +327,15 @@
   void AddAnswers(std::uint32_t aNumber,
                   message::SlotHandover& aMessage,
                   std::vector<ExecutionId>& aRest) const;
+  bool IsCommitting(std::uint32_t aSlot, std::uint64_t aEpoch) const;
   bool HasActive(std::uint32_t aSlot, std::uint64_t aEpoch) const;
   void TickHandover(TimePoint aNow, EffectList& aOut);
+  void ContinueDeparting(std::uint32_t aNumber,
+                         Departing& aDeparting,
+                         TimePoint aNow,
+                         EffectList& aOut);
   void SendHandover(std::uint32_t aNumber,
                     Departing& aDeparting,
-                    TimePoint aNow,
                     EffectList& aOut);
   void Adopt(std::uint32_t aNumber,
              SlotState& aSlot,
@@ -336,6 +343,7 @@
              TimePoint aNow,
              EffectList& aOut);
   void AdoptRecord(SlotState& aSlot, const message::ExecutionRecord& aRecord);
+  void AdoptOutcome(SlotState& aSlot, const message::ExecutionRecord& aRecord);
   void RefuseSlot(std::uint32_t aNumber, SlotState& aSlot, bool aIsPlanned);
 
   Options mOptions;
--- a/src/include/cranberrywing/messages/execution.h
+++ b/src/include/cranberrywing/messages/execution.h
@@ -129,7 +129,7 @@
   }
 };
 
-/// What is known of an execution that is neither waiting nor running.
+/// What is known of an execution.
 enum class ExecutionOutcome : std::uint8_t
 {
   /// It may have run and will not run again.
@@ -137,6 +137,8 @@
   Completed,
   /// No byte of it reached a backend server; it may run.
   NotRun,
+  /// It runs at the sender of a handover, which tells its outcome later.
+  Running,
 };
 
 /// One execution as it is handed over.
@@ -157,11 +159,12 @@
   }
 };
 
-/// The owner of a slot gives it up as planned and passes on its state.
+/// The owner of a slot has given it up as planned and passes on its state:
+/// at once, and again when the last execution has ended.
 struct SlotHandover
 {
   std::uint32_t mSlot = 0;
-  /// Epoch in which the sender owned the slot and now runs nothing more.
+  /// Epoch in which the sender owned the slot and now starts nothing more.
   std::uint64_t mEpoch = 0;
   /// Earlier epochs that were handed over to the sender in the same way.
   std::vector<std::uint64_t> mInheritedEpochs;
--- a/src/include/cranberrywing/slots.h
+++ b/src/include/cranberrywing/slots.h
@@ -90,14 +90,6 @@
   /// request with NotOwner: reads them again, with backoff.
   void Refresh();
 
-  /// Whether an owned slot is about to be handed over: nothing new may be
-  /// started in it, and HandOver is to be called once nothing runs.
-  bool IsStopping(std::uint32_t aSlot) const;
-  /// Passes an owned, idle slot to its successor. After a failure IsStopping
-  /// is false for a while, then the handover is tried again.
-  /// Precondition: IsStopping.
-  void HandOver(std::uint32_t aSlot);
-
   void Tick(TimePoint aNow, EffectList& aOut);
   void OnStoreReply(const event::StoreReplied& aReply,
                     TimePoint aNow,
@@ -106,7 +98,8 @@
                TimePoint aNow,
                EffectList& aOut);
   void OnDeath(const VmIncarnation& aProcess, TimePoint aNow, EffectList& aOut);
-  /// Hands the slots to other VMs, for a planned stop.
+  /// Hands the slots to other VMs, for a planned stop. Each is served until
+  /// its record has changed; in a store outage, all of them.
   void ReleaseAll(TimePoint aNow, EffectList& aOut);
   bool IsReleased() const;
 
@@ -114,10 +107,8 @@
   enum class Release : std::uint8_t
   {
     None,
-    /// Waits until nothing runs in the slot.
-    Stopping,
-    /// Idle: to be written with the next transaction.
-    Ready,
+    /// To be handed over with the next transaction.
+    Due,
     Writing,
   };
 
@@ -217,8 +208,8 @@
 
   // slots_release.cpp
   std::optional<VmIncarnation> Successor(std::uint32_t aSlot) const;
-  void StopMisplaced(TimePoint aNow);
-  void StopReleased(TimePoint aNow);
+  void MarkMisplaced(TimePoint aNow);
+  void MarkReleased(TimePoint aNow);
   void WriteHandovers(TimePoint aNow, EffectList& aOut);
   void OnHandOverReply(const Result<StoreReply>& aReply,
                        TimePoint aNow,
--- a/src/libcranberrywing/executions.cpp
+++ b/src/libcranberrywing/executions.cpp
@@ -80,7 +80,7 @@
   const auto record = slot.mRecords.find(aAttempt.mExecution);
   if (record != slot.mRecords.end()) {
     Repeat(slot, record->second, aAttempt, aNow);
-  } else if (!AcceptsNew(slot, aAttempt.mSlot)) {
+  } else if (!AcceptsNew(slot)) {
     Queue(slot, std::move(aAttempt));
   } else {
     StartClaim(slot, aAttempt, aNow, aOut);
@@ -138,7 +138,7 @@
     return;
   }
   if (aRecord.mOutcome == Outcome::NotRun) {
-    if (AcceptsNew(aSlot, aAttempt.mSlot)) {
+    if (AcceptsNew(aSlot)) {
       aRecord.mOutcome = Outcome::Unknown;
       Run(aSlot, aAttempt);
     } else {
@@ -150,14 +150,25 @@
   if (answer) {
     ++mCounters.mReplayed;
     DecideAnswer(request.mRequest, answer);
-  } else if (aRecord.mOutcome == Outcome::Unknown &&
-             aNow < aSlot.mCopiesUntil) {
+  } else if (MayBeLearned(aSlot, aRecord, aNow)) {
     Queue(aSlot, aAttempt);
   } else {
     RefuseKnown(request.mRequest, aRecord.mOutcome);
   }
 }
 
+bool Executions::MayBeLearned(const SlotState& aSlot,
+                              const Record& aRecord,
+                              TimePoint aNow) const
+{
+  if (aRecord.mOutcome != Outcome::Unknown) {
+    return false;
+  }
+  const bool isExpected =
+    aRecord.mIsAtPredecessor && aNow < aSlot.mPredecessorUntil;
+  return isExpected || aNow < aSlot.mCopiesUntil;
+}
+
 void Executions::Run(SlotState& aSlot, const Attempt& aAttempt)
 {
   const RequestId request = aAttempt.mRequest.mRequest;
@@ -173,9 +184,9 @@
     { .mRequest = request, .mRun = true, .mAnswer = nullptr, .mRefusal = {} });
 }
 
-bool Executions::AcceptsNew(const SlotState& aSlot, std::uint32_t aNumber) const
+bool Executions::AcceptsNew(const SlotState& aSlot) const
 {
-  return !aSlot.mIsFrozen && !aSlot.mIsFenced && !mSlots.IsStopping(aNumber);
+  return !aSlot.mIsFrozen && !aSlot.mIsFenced;
 }
 
 void Executions::Forget(RequestId aRequest)
--- a/src/libcranberrywing/executions_handover.cpp
+++ b/src/libcranberrywing/executions_handover.cpp
@@ -7,14 +7,16 @@
 
 namespace {
 
-/// The message is sent twice in case its connection breaks. It never differs,
-/// since nothing runs in the slot any more.
-constexpr int kHandoverSends = 2;
+/// The last message is sent twice in case its connection breaks.
+constexpr int kFinalSends = 2;
 /// SlotTable waits longer than this before it reports its slots released; see
 /// kHandoverSending in slots_release.cpp.
 constexpr Milliseconds kHandoverRepeat{ 200 };
 /// Answers within the handover message; the others go before it.
 constexpr std::size_t kHandoverAnswerBytes = 1u << 20;
+/// Longer than any route's timeout: by then the former owner has told what
+/// became of its last executions, or has ended.
+constexpr std::chrono::seconds kPredecessorWait{ 60 };
 /// Tickets of more than this many earlier owners have long expired.
 constexpr std::size_t kMostInheritedEpochs = 16;
 
@@ -83,7 +85,8 @@
   if (isPlanned) {
     mDeparting[aSlot] = { .mState = std::move(state),
                           .mSuccessor = owner->mProcess.mVm,
-                          .mSendsLeft = kHandoverSends,
+                          .mIsTold = false,
+                          .mFinalSendsLeft = kFinalSends,
                           .mNextSend = aNow };
     TickHandover(aNow, aOut);
   }
@@ -123,16 +126,25 @@
   aSlot.mPending.clear();
 }
 
+bool Executions::IsCommitting(std::uint32_t aSlot, std::uint64_t aEpoch) const
+{
+  const bool isInGroup = mGroup && std::any_of(mGroup->mParts.begin(),
+                                               mGroup->mParts.end(),
+                                               [&](const BatchPart& aPart) {
+                                                 return aPart.mSlot == aSlot &&
+                                                        aPart.mEpoch == aEpoch;
+                                               });
+  return isInGroup ||
+         std::any_of(mActive.begin(), mActive.end(), [&](const auto& aEntry) {
+           const Active& active = aEntry.second;
+           return active.mSlot == aSlot && active.mEpoch == aEpoch &&
+                  active.mPhase == Phase::Committing;
+         });
+}
+
 bool Executions::HasActive(std::uint32_t aSlot, std::uint64_t aEpoch) const
 {
-  const bool isCommitting =
-    mGroup && std::any_of(mGroup->mParts.begin(),
-                          mGroup->mParts.end(),
-                          [&](const BatchPart& aPart) {
-                            return aPart.mSlot == aSlot &&
-                                   aPart.mEpoch == aEpoch;
-                          });
-  return isCommitting ||
+  return IsCommitting(aSlot, aEpoch) ||
          std::any_of(mActive.begin(), mActive.end(), [&](const auto& aEntry) {
            return aEntry.second.mSlot == aSlot &&
                   aEntry.second.mEpoch == aEpoch;
@@ -167,13 +179,18 @@
   handover.mEpoch = aSlot.mEpoch;
   handover.mInheritedEpochs = aSlot.mInheritedEpochs;
   for (const auto& [execution, record] : aSlot.mRecords) {
+    const auto active = mActive.find(execution);
+    const bool isRunning = active != mActive.end() &&
+                           active->second.mEpoch == aSlot.mEpoch &&
+                           active->second.mPhase == Phase::Running;
+    const Outcome outcome = isRunning ? Outcome::Running : record.mOutcome;
     // The store's batches give claims the outcome Unknown.
-    if (record.mIsTicket || record.mOutcome != Outcome::Unknown) {
+    if (record.mIsTicket || outcome != Outcome::Unknown) {
       handover.mRecords.push_back(
         { .mExecution = execution,
           .mContent = { .mHigh = 0, .mLow = record.mContent },
           .mExpirySeconds = record.mExpirySeconds,
-          .mOutcome = record.mOutcome,
+          .mOutcome = outcome,
           .mIsTicket = record.mIsTicket });
     }
   }
@@ -198,31 +215,44 @@
 
 void Executions::TickHandover(TimePoint aNow, EffectList& aOut)
 {
-  for (const auto& [number, slot] : mOwned) {
-    if (mSlots.IsStopping(number) && IsIdle(number)) {
-      mSlots.HandOver(number);
-    }
-  }
   for (auto& [number, departing] : mDeparting) {
-    if (aNow >= departing.mNextSend &&
-        !HasActive(number, departing.mState.mEpoch)) {
-      SendHandover(number, departing, aNow, aOut);
-    }
+    ContinueDeparting(number, departing, aNow, aOut);
   }
   std::erase_if(mDeparting, [](const auto& aEntry) {
-    return aEntry.second.mSendsLeft == 0;
+    return aEntry.second.mFinalSendsLeft == 0;
   });
 }
 
+void Executions::ContinueDeparting(std::uint32_t aNumber,
+                                   Departing& aDeparting,
+                                   TimePoint aNow,
+                                   EffectList& aOut)
+{
+  const std::uint64_t epoch = aDeparting.mState.mEpoch;
+  // A claim whose commit is not settled may be in the store; only then can
+  // the successor be told that it did not run.
+  if (aNow < aDeparting.mNextSend || IsCommitting(aNumber, epoch)) {
+    return;
+  }
+  const bool isFinal = !HasActive(aNumber, epoch);
+  if (!isFinal && aDeparting.mIsTold) {
+    return;
+  }
+  if (isFinal) {
+    --aDeparting.mFinalSendsLeft;
+    aDeparting.mNextSend = aNow + kHandoverRepeat;
+  }
+  SendHandover(aNumber, aDeparting, aOut);
+}
+
 void Executions::SendHandover(std::uint32_t aNumber,
                               Departing& aDeparting,
-                              TimePoint aNow,
                               EffectList& aOut)
 {
   message::SlotHandover handover = BuildHandover(aNumber, aDeparting.mState);
   std::vector<ExecutionId> rest;
   AddAnswers(aNumber, handover, rest);
-  const bool isFirst = aDeparting.mSendsLeft == kHandoverSends;
+  const bool isFirst = !std::exchange(aDeparting.mIsTold, true);
   for (const ExecutionId& execution : rest) {
     if (isFirst) {
       aOut.push_back(effect::SendMessage{
@@ -245,8 +275,6 @@
     aOut.push_back(
       SlotEntry("slot_handed_over", aNumber, aDeparting.mState.mEpoch));
   }
-  --aDeparting.mSendsLeft;
-  aDeparting.mNextSend = aNow + kHandoverRepeat;
 }
 
 void Executions::OnMessage(const VmIncarnation&,
@@ -273,15 +301,21 @@
                        TimePoint aNow,
                        EffectList& aOut)
 {
-  // The predecessor sends its state only after it has stopped for good, so
-  // that its epoch may be treated as this process's own, however late the
-  // message comes.
+  // The predecessor sends its state only after it has stopped starting
+  // anything for good, so that its epoch may be treated as this process's own,
+  // however late the message comes.
   const bool isPredecessor =
     mSlots.IsHandedOver(aNumber) && aMessage.mEpoch + 1 == aSlot.mEpoch;
-  if (!isPredecessor || aSlot.mHasAdopted) {
+  if (!isPredecessor) {
+    return;
+  }
+  if (std::exchange(aSlot.mHasAdopted, true)) {
+    for (const message::ExecutionRecord& record : aMessage.mRecords) {
+      AdoptOutcome(aSlot, record);
+    }
     return;
   }
-  aSlot.mHasAdopted = true;
+  aSlot.mPredecessorUntil = aNow + kPredecessorWait;
   aSlot.mAwaitsHandover = false;
   aSlot.mInheritedEpochs = aMessage.mInheritedEpochs;
   auto& inherited = aSlot.mInheritedEpochs;
@@ -309,8 +343,24 @@
   // this process, which alone could have changed it.
   record.mContent = TagOf(aRecord.mContent);
   record.mExpirySeconds = static_cast<std::uint32_t>(aRecord.mExpirySeconds);
-  record.mOutcome = aRecord.mOutcome;
+  record.mIsAtPredecessor = aRecord.mOutcome == Outcome::Running;
+  record.mOutcome =
+    record.mIsAtPredecessor ? Outcome::Unknown : aRecord.mOutcome;
   record.mIsTicket = aRecord.mIsTicket;
 }
 
+void Executions::AdoptOutcome(SlotState& aSlot,
+                              const message::ExecutionRecord& aRecord)
+{
+  // Once: a message that comes again must not undo what happened here since.
+  const auto record = aSlot.mRecords.find(aRecord.mExecution);
+  const bool isNews = record != aSlot.mRecords.end() &&
+                      record->second.mIsAtPredecessor &&
+                      aRecord.mOutcome != Outcome::Running;
+  if (isNews) {
+    record->second.mIsAtPredecessor = false;
+    record->second.mOutcome = aRecord.mOutcome;
+  }
+}
+
 } // namespace cranberrywing
--- a/src/libcranberrywing/executions_outcomes.cpp
+++ b/src/libcranberrywing/executions_outcomes.cpp
@@ -205,7 +205,7 @@
   }
 }
 
-void Executions::OnUnknown(RequestId aRequest, TimePoint, EffectList&)
+void Executions::OnUnknown(RequestId aRequest, TimePoint aNow, EffectList& aOut)
 {
   const auto runner = mRunners.find(aRequest);
   if (runner == mRunners.end()) {
@@ -217,12 +217,13 @@
   mActive.erase(it);
   ++mCounters.mUnknown;
   RefuseAll(active, UnknownRefusal("the request may have run"));
+  TickHandover(aNow, aOut);
 }
 
 void Executions::OnNotRun(RequestId aRequest,
                           Refusal aRefusal,
-                          TimePoint,
-                          EffectList&)
+                          TimePoint aNow,
+                          EffectList& aOut)
 {
   const auto runner = mRunners.find(aRequest);
   if (runner == mRunners.end()) {
@@ -234,6 +235,7 @@
   SetOutcome(active, it->first, Outcome::NotRun);
   mActive.erase(it);
   RefuseAll(active, aRefusal);
+  TickHandover(aNow, aOut);
 }
 
 } // namespace cranberrywing
--- a/src/libcranberrywing/executions_test.cpp
+++ b/src/libcranberrywing/executions_test.cpp
@@ -246,6 +246,61 @@
   CHECK(fleet.Runs("order-1") == 1);
 }
 
+// Guards against a planned stop that costs a caller an answer, whatever stage
+// the requests are in. The pipeline passes on what is refused with NotOwner.
+TEST_CASE("a planned handover under load costs no answer")
+{
+  Settled fleet;
+  fleet.mBackendTime = 300ms;
+  // Commits are on their way when the handover begins.
+  fleet.mStoreDelay = 40ms;
+  std::map<RequestId, TestRequest> open;
+  for (int n = 0; n < 200; ++n) {
+    if (n == 50) {
+      fleet.Release(fleet.At(0));
+    }
+    if (n < 100) {
+      const TestRequest request{ .mKey = "order-" + std::to_string(n),
+                                 .mTimeout = 10s };
+      open[fleet.Submit(request)] = request;
+    }
+    fleet.Run(20ms);
+    for (const auto& [id, request] : std::map(open)) {
+      const Outcome* outcome = fleet.Find(id);
+      if (outcome == nullptr) {
+        continue;
+      }
+      open.erase(id);
+      if (!outcome->mAnswer) {
+        CHECK(outcome->mRefusal.mCode == ResultCode::NotOwner);
+        open[fleet.Submit(request)] = request;
+      }
+    }
+  }
+  CHECK(fleet.At(0).mSlots->IsReleased());
+  CHECK(open.empty());
+  for (int n = 0; n < 100; ++n) {
+    CHECK(fleet.Runs("order-" + std::to_string(n)) == 1);
+  }
+}
+
+// Guards against a claim of unknown outcome at the successor that the former
+// owner committed, without an answer from the store, and never ran.
+TEST_CASE("a handover tells which commits were settled too late to run")
+{
+  Settled fleet;
+  Node& old = fleet.OwnerOf(kOrder);
+  old.mFault = StoreFault::LostAnswer;
+  const RequestId id = fleet.Submit(kOrder);
+  fleet.Run(50ms);
+  old.mFault = StoreFault::None;
+  fleet.Release(old);
+  fleet.Run(100ms);
+  CHECK(fleet.Get(id).Is(ResultCode::NotOwner, Execution::NotRun));
+  CHECK(fleet.SubmitAndWait(kOrder).mAnswer != nullptr);
+  CHECK(fleet.Runs("order-1") == 1);
+}
+
 // Guards against "not run" or a second run once an answer was evicted.
 TEST_CASE("a repeat without a kept answer is told that the request ran")
 {
--- a/src/libcranberrywing/executions_tickets.cpp
+++ b/src/libcranberrywing/executions_tickets.cpp
@@ -24,7 +24,7 @@
       it = mOwned.begin();
     }
     SlotState& slot = it->second;
-    if (!AcceptsNew(slot, it->first)) {
+    if (!AcceptsNew(slot)) {
       continue;
     }
     const auto lifetime =
@@ -88,7 +88,7 @@
              .mDetail = "the ticket has expired" });
     return;
   }
-  if (!AcceptsNew(aSlot, aAttempt.mSlot)) {
+  if (!AcceptsNew(aSlot)) {
     Queue(aSlot, std::move(aAttempt));
     return;
   }
--- a/src/libcranberrywing/slots_ownership.cpp
+++ b/src/libcranberrywing/slots_ownership.cpp
@@ -30,9 +30,9 @@
   }
   TakeOrphans(aNow, aOut);
   if (mIsReleasing) {
-    StopReleased(aNow);
+    MarkReleased(aNow);
   } else {
-    StopMisplaced(aNow);
+    MarkMisplaced(aNow);
   }
 }
 
--- a/src/libcranberrywing/slots_release.cpp
+++ b/src/libcranberrywing/slots_release.cpp
@@ -12,7 +12,7 @@
 /// Slots on the move at one time for the sake of balance, so that most of
 /// this owner's slots always serve.
 constexpr std::ptrdiff_t kMostRebalanced = 4;
-/// Requests that wait for the handover run in between.
+/// Time between attempts to hand a slot over.
 constexpr Milliseconds kReleaseRetry{ 1'000 };
 /// Without a successor for this long, the slots stay to be taken over later.
 constexpr Milliseconds kSuccessorWait{ 2'000 };
@@ -22,18 +22,6 @@
 
 } // namespace
 
-bool SlotTable::IsStopping(std::uint32_t aSlot) const
-{
-  return IsOwner(aSlot) && mSlots[aSlot].mRelease != Release::None;
-}
-
-void SlotTable::HandOver(std::uint32_t aSlot)
-{
-  if (IsOwner(aSlot) && mSlots[aSlot].mRelease == Release::Stopping) {
-    mSlots[aSlot].mRelease = Release::Ready;
-  }
-}
-
 void SlotTable::ReleaseAll(TimePoint aNow, EffectList& aOut)
 {
   mNow = aNow;
@@ -72,18 +60,18 @@
   return std::nullopt;
 }
 
-void SlotTable::StopReleased(TimePoint aNow)
+void SlotTable::MarkReleased(TimePoint aNow)
 {
   for (std::uint32_t n = 0; n < mSlots.size(); ++n) {
     Slot& slot = mSlots[n];
     if (slot.mIsHeld && slot.mRelease == Release::None &&
         aNow >= slot.mReleaseRetry && Successor(n)) {
-      slot.mRelease = Release::Stopping;
+      slot.mRelease = Release::Due;
     }
   }
 }
 
-void SlotTable::StopMisplaced(TimePoint aNow)
+void SlotTable::MarkMisplaced(TimePoint aNow)
 {
   auto moving =
     std::count_if(mSlots.begin(), mSlots.end(), [](const Slot& aSlot) {
@@ -104,7 +92,7 @@
     }
     if (aNow - *slot.mMisplacedSince >= mOptions.mRebalanceDelay &&
         aNow >= slot.mReleaseRetry && moving < kMostRebalanced) {
-      slot.mRelease = Release::Stopping;
+      slot.mRelease = Release::Due;
       ++moving;
     }
   }
@@ -118,7 +106,7 @@
   StoreTxn txn;
   for (std::uint32_t n = 0; n < mSlots.size(); ++n) {
     Slot& slot = mSlots[n];
-    if (slot.mRelease != Release::Ready ||
+    if (slot.mRelease != Release::Due ||
         txn.mPuts.size() >= kSlotsPerHandover) {
       continue;
     }
--- a/src/testing/execution_fleet.h
+++ b/src/testing/execution_fleet.h
@@ -149,6 +149,8 @@
   std::set<VmIncarnation> mDead;
   BackendAct mAct = BackendAct::Answer;
   Duration mBackendTime = 20ms;
+  /// Each way.
+  Duration mStoreDelay = 2ms;
   std::size_t mBodyBytes = 0;
   /// Whether a message is lost.
   std::function<bool(const VmId&, const Message&)> mLoses;
@@ -341,8 +343,8 @@
     const auto unknown = MakeError(ResultCode::OutcomeUnknown, "lost");
     switch (fault) {
       case StoreFault::None:
-        mScheduled.emplace(mNow + 2ms, [=, this] {
-          answer(2ms, mStore.Apply(aCall.mRequest, mNow));
+        mScheduled.emplace(mNow + mStoreDelay, [=, this] {
+          answer(mStoreDelay, mStore.Apply(aCall.mRequest, mNow));
         });
         return;
       case StoreFault::Outage:
