Keep shares through isolation, linger and short absences

Change: holders of shares are ranked over all VMs that are neither leaving nor dead, given up after a minute outside the subset, kept until the handover of a planned stop, and reviewed soon when the number of holders changes. A young VM borrows as soon as it knows its peers.

--- a/src/include/cranberrywing/share_ledger.h
+++ b/src/include/cranberrywing/share_ledger.h
@@ -66,6 +66,9 @@
   void Want(const std::string& aName);
   /// Gives the fraction back. Idempotent.
   void Unwant(const std::string& aName);
+  /// The number of expected holders changed: looks at the record within a few
+  /// seconds instead of at the next review, so that a newcomer waits less.
+  void ReviewSoon(const std::string& aName, TimePoint aNow);
   /// This process's fraction in millionths; zero until the store granted it.
   std::uint32_t Fraction(const std::string& aName) const;
   /// Tells the mean use of the fraction since the last call, where 1 is all
--- a/src/libcranberrywing/reducer.cpp
+++ b/src/libcranberrywing/reducer.cpp
@@ -287,6 +287,7 @@
 void Reducer::State::Start(TimePoint aNow, EffectList& aOut)
 {
   mNow = aNow;
+  mStartedAt = aNow;
   mConfiguration.Start(aNow, aOut);
   Settle(aNow, aOut);
 }
--- a/src/libcranberrywing/reducer_hooks.cpp
+++ b/src/libcranberrywing/reducer_hooks.cpp
@@ -1,6 +1,4 @@
 // The hooks through which the concerns ask each other.
-#include <algorithm>
-#include <string_view>
 
 #include "reducer_state.h"
 
@@ -8,25 +6,12 @@
 
 namespace {
 
-constexpr std::string_view kAccountShare = "account/";
-constexpr std::string_view kCapacityShare = "capacity/";
 /// Age at which a load report no longer counts for capacity decisions.
 constexpr Duration kLoadReportLifetime = std::chrono::seconds(10);
 /// Peers of other regions that hear of offers at a time. All of them would be
 /// hundreds of messages a second at 460 VMs.
 constexpr std::size_t kOfferAudience = 8;
 
-std::string AccountShareName(const AccountId& aAccount)
-{
-  return std::string(kAccountShare) + aAccount.mName;
-}
-
-std::string CapacityShareName(const ServiceId& aService,
-                              const RegionId& aRegion)
-{
-  return std::string(kCapacityShare) + aService.mName + "/" + aRegion.mName;
-}
-
 } // namespace
 
 ConfigurationHooks Reducer::State::MakeConfigurationHooks()
@@ -65,64 +50,6 @@
   };
 }
 
-std::size_t Reducer::State::ExpectedHolders(const std::string& aName)
-{
-  std::size_t count = 0;
-  if (aName.starts_with(kAccountShare) && mApplied) {
-    const AccountId account(aName.substr(kAccountShare.size()));
-    for (const RegionId& region : mApplied->mRegions) {
-      count += mSteering.AccountSubset(account, region).size();
-    }
-  } else {
-    const RegionId& region = mOptions.mSelf.mRegion;
-    count = 1;
-    for (const auto& [vm, member] : mMembership.Members()) {
-      const bool counts =
-        member.mUpdate.mRegion == region && mMembership.IsUsable(vm);
-      count += counts ? 1 : 0;
-    }
-  }
-  return std::max<std::size_t>(count, 1);
-}
-
-void Reducer::State::ReviewShares(TimePoint aNow)
-{
-  if (!mApplied) {
-    return;
-  }
-  std::vector<AccountId> shared;
-  for (const auto& [id, account] : mApplied->mAccounts) {
-    const auto subset = mSteering.AccountSubset(id, mOptions.mSelf.mRegion);
-    const bool isMember =
-      std::find(subset.begin(), subset.end(), mOptions.mSelf.mMember.mVm) !=
-      subset.end();
-    if (isMember) {
-      shared.push_back(id);
-      mShares.Want(AccountShareName(id));
-      mShares.ReportUse(AccountShareName(id), mRates.TakeUse(id));
-    }
-  }
-  std::sort(shared.begin(), shared.end());
-  for (const AccountId& id : mSharedAccounts) {
-    if (!std::binary_search(shared.begin(), shared.end(), id)) {
-      mShares.Unwant(AccountShareName(id));
-    }
-  }
-  mSharedAccounts = std::move(shared);
-  for (const auto& [id, service] : mApplied->mServices) {
-    const auto it =
-      std::find_if(service.mBackends.begin(),
-                   service.mBackends.end(),
-                   [this](const BackendSettings& aBackend) {
-                     return aBackend.mRegion == mOptions.mSelf.mRegion;
-                   });
-    if (it != service.mBackends.end()) {
-      mShares.Want(CapacityShareName(id, mOptions.mSelf.mRegion));
-    }
-  }
-  mNextReview = aNow + std::chrono::seconds(1);
-}
-
 RateLimiterHooks Reducer::State::MakeRateHooks()
 {
   return {
@@ -134,29 +61,6 @@
   };
 }
 
-std::vector<VmId> Reducer::State::RatePeers(const AccountId& aAccount)
-{
-  std::vector<VmId> peers;
-  if (!mApplied) {
-    return peers;
-  }
-  const auto add = [&](const RegionId& aRegion) {
-    for (VmId& vm : mSteering.AccountSubset(aAccount, aRegion)) {
-      if (vm != mOptions.mSelf.mMember.mVm) {
-        peers.push_back(std::move(vm));
-      }
-    }
-  };
-  // The own region first: its transfers arrive soonest.
-  add(mOptions.mSelf.mRegion);
-  for (const RegionId& region : mApplied->mRegions) {
-    if (region != mOptions.mSelf.mRegion) {
-      add(region);
-    }
-  }
-  return peers;
-}
-
 SlotTableHooks Reducer::State::MakeSlotHooks()
 {
   return {
@@ -232,8 +136,7 @@
   return {
     .mFraction =
       [this](const ServiceId& aService) {
-        return mShares.Fraction(
-          CapacityShareName(aService, mOptions.mSelf.mRegion));
+        return mShares.Fraction(CapacityShareName(aService));
       },
     .mCapacity =
       [this](
--- /dev/null
+++ b/src/libcranberrywing/reducer_shares.cpp
@@ -0,0 +1,191 @@
+// Which shares this VM holds: parts of client accounts' rates and of its
+// region's spare capacity.
+#include <algorithm>
+#include <string_view>
+
+#include "reducer_state.h"
+
+namespace cranberrywing {
+
+namespace {
+
+constexpr std::string_view kAccountShare = "account/";
+constexpr std::string_view kCapacityShare = "capacity/";
+constexpr Duration kReviewInterval = std::chrono::seconds(1);
+/// A young VM has no fractions yet and borrows from peers as soon as it knows
+/// them.
+constexpr Duration kYoungReviewInterval = std::chrono::milliseconds(100);
+/// Time after the start in which the other VMs are found. A VM that knows no
+/// other would take the whole of each share.
+constexpr Duration kMemberWait = std::chrono::seconds(2);
+/// Time outside an account's subset after which its fraction is given back.
+/// Subsets change for a moment when a VM is suspected or restarted.
+constexpr Duration kShareKeepTime = std::chrono::minutes(1);
+
+struct WeightedVm
+{
+  std::uint64_t mWeight = 0;
+  VmId mVm;
+
+  bool operator<(const WeightedVm& aOther) const
+  {
+    return mWeight != aOther.mWeight ? mWeight > aOther.mWeight
+                                     : mVm < aOther.mVm;
+  }
+};
+
+} // namespace
+
+std::string Reducer::State::AccountShareName(const AccountId& aAccount)
+{
+  return std::string(kAccountShare) + aAccount.mName;
+}
+
+std::string Reducer::State::CapacityShareName(const ServiceId& aService) const
+{
+  return std::string(kCapacityShare) + aService.mName + "/" +
+         mOptions.mSelf.mRegion.mName;
+}
+
+std::vector<VmId> Reducer::State::ShareSubset(const AccountSettings& aAccount,
+                                              const RegionId& aRegion) const
+{
+  // Unlike lookups this counts VMs that are unreachable or isolated now,
+  // because their fractions stay theirs until they are proven dead.
+  std::vector<WeightedVm> ranked;
+  const auto add = [&](const VmId& aVm) {
+    ranked.push_back(
+      { RendezvousWeight(aAccount.mAccount.mName, aVm.mName), aVm });
+  };
+  if (aRegion == mOptions.mSelf.mRegion) {
+    add(mOptions.mSelf.mMember.mVm);
+  }
+  for (const auto& [vm, member] : mMembership.Members()) {
+    const MemberState state = member.mUpdate.mState;
+    const bool mayHold =
+      state != MemberState::Leaving && state != MemberState::Dead;
+    if (mayHold && member.mUpdate.mRegion == aRegion) {
+      add(vm);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  const std::size_t count =
+    std::min<std::size_t>(aAccount.mSubsetSize, ranked.size());
+  std::vector<VmId> subset;
+  for (std::size_t n = 0; n < count; ++n) {
+    subset.push_back(std::move(ranked[n].mVm));
+  }
+  return subset;
+}
+
+void Reducer::State::ReviewShares(TimePoint aNow)
+{
+  const bool isYoung = aNow < mStartedAt + kMemberWait;
+  mNextReview = aNow + (isYoung ? kYoungReviewInterval : kReviewInterval);
+  // A VM that stops keeps its shares until the handover, since callers use
+  // it until then.
+  if (!mApplied || mDrain.Stage() != DrainStage::Serving) {
+    return;
+  }
+  for (const auto& [id, account] : mApplied->mAccounts) {
+    ReviewAccount(id, account, aNow);
+  }
+  std::erase_if(mAccountShares, [this](const auto& aItem) {
+    const bool isRemoved = !mApplied->mAccounts.contains(aItem.first);
+    if (isRemoved) {
+      mShares.Unwant(AccountShareName(aItem.first));
+    }
+    return isRemoved;
+  });
+  if (!isYoung) {
+    ReviewCapacityShares();
+  }
+}
+
+void Reducer::State::ReviewAccount(const AccountId& aAccount,
+                                   const AccountSettings& aSettings,
+                                   TimePoint aNow)
+{
+  AccountShare& share = mAccountShares[aAccount];
+  const std::string name = AccountShareName(aAccount);
+  const VmId& self = mOptions.mSelf.mMember.mVm;
+  std::vector<VmId> holders = ShareSubset(aSettings, mOptions.mSelf.mRegion);
+  share.mIsMember =
+    std::find(holders.begin(), holders.end(), self) != holders.end();
+  for (const RegionId& region : mApplied->mRegions) {
+    if (region != mOptions.mSelf.mRegion) {
+      for (VmId& vm : ShareSubset(aSettings, region)) {
+        holders.push_back(std::move(vm));
+      }
+    }
+  }
+  if (holders.size() != share.mHolders) {
+    share.mHolders = std::max<std::size_t>(holders.size(), 1);
+    mShares.ReviewSoon(name, aNow);
+  }
+  std::erase(holders, self);
+  share.mPeers = std::move(holders);
+  if (aNow < mStartedAt + kMemberWait) {
+    return;
+  }
+  if (share.mIsMember) {
+    share.mOutsideSince.reset();
+    mShares.Want(name);
+    mShares.ReportUse(name, mRates.TakeUse(aAccount));
+    return;
+  }
+  if (!share.mOutsideSince) {
+    share.mOutsideSince = aNow;
+  }
+  if (aNow - *share.mOutsideSince >= kShareKeepTime) {
+    mShares.Unwant(name);
+  }
+}
+
+void Reducer::State::ReviewCapacityShares()
+{
+  mRegionSize = 1;
+  for (const auto& [vm, member] : mMembership.Members()) {
+    const bool counts = member.mUpdate.mRegion == mOptions.mSelf.mRegion &&
+                        mMembership.IsUsable(vm);
+    mRegionSize += counts ? 1 : 0;
+  }
+  for (const auto& [id, service] : mApplied->mServices) {
+    const bool isInRegion =
+      std::any_of(service.mBackends.begin(),
+                  service.mBackends.end(),
+                  [this](const BackendSettings& aBackend) {
+                    return aBackend.mRegion == mOptions.mSelf.mRegion;
+                  });
+    if (isInRegion) {
+      mShares.Want(CapacityShareName(id));
+    }
+  }
+}
+
+std::size_t Reducer::State::ExpectedHolders(const std::string& aName) const
+{
+  if (!aName.starts_with(kAccountShare)) {
+    return mRegionSize;
+  }
+  const auto it =
+    mAccountShares.find(AccountId(aName.substr(kAccountShare.size())));
+  return it == mAccountShares.end() ? 1 : it->second.mHolders;
+}
+
+std::vector<VmId> Reducer::State::RatePeers(const AccountId& aAccount) const
+{
+  std::vector<VmId> peers;
+  const auto it = mAccountShares.find(aAccount);
+  if (it == mAccountShares.end()) {
+    return peers;
+  }
+  for (const VmId& vm : it->second.mPeers) {
+    if (mMembership.IsUsable(vm)) {
+      peers.push_back(vm);
+    }
+  }
+  return peers;
+}
+
+} // namespace cranberrywing
--- a/src/libcranberrywing/reducer_state.h
+++ b/src/libcranberrywing/reducer_state.h
@@ -2,6 +2,9 @@
 /// The reducer's state: one of each concern and the hooks between them.
 #pragma once
 
+#include <map>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "cranberrywing/reducer.h"
@@ -30,6 +33,18 @@
     ConfigurationVersion mVersion;
   };
 
+  /// Who shares an account's rate, as of the last review.
+  struct AccountShare
+  {
+    /// Holders in all regions, those of the own region first; without this
+    /// VM.
+    std::vector<VmId> mPeers;
+    std::size_t mHolders = 1;
+    bool mIsMember = false;
+    /// Since when this VM has been outside the account's subset.
+    std::optional<TimePoint> mOutsideSince;
+  };
+
   ConfigurationHooks MakeConfigurationHooks();
   MembershipHooks MakeMembershipHooks();
   ShareLedgerHooks MakeLedgerHooks();
@@ -46,14 +61,22 @@
   void ApplySettings(TimePoint aNow, EffectList& aOut);
   void Tick(TimePoint aNow, EffectList& aOut);
   void ReviewShares(TimePoint aNow);
+  void ReviewAccount(const AccountId& aAccount,
+                     const AccountSettings& aSettings,
+                     TimePoint aNow);
+  void ReviewCapacityShares();
+  std::vector<VmId> ShareSubset(const AccountSettings& aAccount,
+                                const RegionId& aRegion) const;
   void SendBlocks(EffectList& aOut);
   bool IsCurrent(TimePoint aNow) const;
   Duration LongestDeadline() const;
-  std::size_t ExpectedHolders(const std::string& aName);
+  std::size_t ExpectedHolders(const std::string& aName) const;
   std::vector<SteeringTarget> Targets() const;
   std::vector<std::pair<VmId, FailureDomainId>> Candidates() const;
   std::optional<VmId> CopyHolder(std::uint32_t aSlot) const;
-  std::vector<VmId> RatePeers(const AccountId& aAccount);
+  std::vector<VmId> RatePeers(const AccountId& aAccount) const;
+  static std::string AccountShareName(const AccountId& aAccount);
+  std::string CapacityShareName(const ServiceId& aService) const;
   std::vector<VmId> OtherRegionPeers();
   std::vector<VmId> RegionPeers() const;
 
@@ -63,7 +86,9 @@
   std::vector<HeardVersion> mHeard;
   std::vector<VmIncarnation> mDeaths;
   SettingsSnapshotPtr mApplied;
-  std::vector<AccountId> mSharedAccounts;
+  std::map<AccountId, AccountShare> mAccountShares;
+  std::size_t mRegionSize = 1;
+  TimePoint mStartedAt{};
   TimePoint mNextReview{};
   TimePoint mNextTargets{};
 
--- a/src/libcranberrywing/share_ledger.cpp
+++ b/src/libcranberrywing/share_ledger.cpp
@@ -10,6 +10,8 @@
 /// first ones are gone too; the others find it at their next review.
 constexpr std::size_t kReclaimers = 3;
 constexpr Duration kReclaimStep = std::chrono::seconds(1);
+/// Time in which a newcomer has published in the record what it wants.
+constexpr Duration kSoonReview = std::chrono::seconds(2);
 /// A call without any reply for so long counts as lost.
 constexpr Duration kCallTimeout = std::chrono::seconds(10);
 /// Reviews come early after the start and while a fraction is too small.
@@ -49,6 +51,16 @@
   }
 }
 
+void ShareLedger::ReviewSoon(const std::string& aName, TimePoint aNow)
+{
+  const auto it = mShares.find(aName);
+  if (it == mShares.end() || !it->second.mWanted || !it->second.mRecord) {
+    return;
+  }
+  const TimePoint due = aNow + Jittered(kSoonReview);
+  it->second.mDue = it->second.mDue ? std::min(*it->second.mDue, due) : due;
+}
+
 std::uint32_t ShareLedger::Fraction(const std::string& aName) const
 {
   const auto it = mShares.find(aName);
