--- /dev/null
+++ b/src/bench/lagged_load.h
@@ -0,0 +1,150 @@
+/// \file
+/// Regions' loads as reports show them after a lag, and the choice of a region
+/// by them alone: the baseline of the offers benchmark.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <vector>
+
+#include "bench/queueing_model.h"
+
+namespace cranberrywing::bench {
+
+inline constexpr std::size_t kRegions = 5;
+/// Requests per second of each region.
+inline constexpr double kCapacity = 2000;
+inline constexpr Duration kReportInterval = std::chrono::seconds(1);
+
+/// Requests per second that arrived in each region, as reports show them.
+class RegionLoads
+{
+public:
+  RegionLoads(EventLoop& aLoop, std::size_t aLagSeconds)
+    : mLoop(aLoop)
+    , mLag(aLagSeconds)
+    , mCounts(kRegions, 0)
+  {
+    Close();
+  }
+
+  void Count(std::size_t aRegion) { ++mCounts[aRegion]; }
+
+  /// The load of a whole second, as known after the lag.
+  std::optional<double> Reported(std::size_t aRegion) const
+  {
+    if (mSeconds.size() <= mLag) {
+      return std::nullopt;
+    }
+    return mSeconds[mSeconds.size() - 1 - mLag][aRegion];
+  }
+
+  const std::vector<std::vector<double>>& Seconds() const { return mSeconds; }
+
+private:
+  void Close()
+  {
+    mLoop.After(kReportInterval, [this] {
+      mSeconds.emplace_back(mCounts.begin(), mCounts.end());
+      std::fill(mCounts.begin(), mCounts.end(), 0);
+      Close();
+    });
+  }
+
+  EventLoop& mLoop;
+  std::size_t mLag;
+  std::vector<std::uint64_t> mCounts;
+  std::vector<std::vector<double>> mSeconds;
+};
+
+/// The baselines. What to spill is measured as in OfferBook.
+class LaggedChooser
+{
+public:
+  LaggedChooser(const RegionLoads& aLoads,
+                std::size_t aRegion,
+                double aUtilization,
+                bool aSpreads,
+                std::uint64_t aSeed)
+    : mLoads(aLoads)
+    , mSpreads(aSpreads)
+    , mRegion(aRegion)
+    , mUtilization(aUtilization)
+    , mRandom(aSeed)
+  {
+  }
+
+  std::size_t Choose()
+  {
+    ++mArrivals;
+    std::uniform_real_distribution<double> part(0, 1);
+    if (mSpillPart > 0 && part(mRandom) < mSpillPart) {
+      return mTargets(mRandom);
+    }
+    ++mLocal;
+    return mRegion;
+  }
+
+  void Control(double aSeconds)
+  {
+    const double gain = 1 - std::exp(-aSeconds / 2);
+    mRate += gain * (static_cast<double>(mArrivals) / aSeconds - mRate);
+    mLocalRate += gain * (static_cast<double>(mLocal) / aSeconds - mLocalRate);
+    mArrivals = 0;
+    mLocal = 0;
+    const std::optional<double> own = mLoads.Reported(mRegion);
+    if (!own || *own <= 0) {
+      return;
+    }
+    const double correction =
+      std::clamp(mUtilization * kCapacity / *own, 0.3, 1.5);
+    const double wanted =
+      std::clamp(mRate - mLocalRate * correction, 0.0, mRate);
+    mSpill += 0.1 * (wanted - mSpill);
+    const bool hasRoom = ChooseTargets();
+    mSpillPart = hasRoom && mRate > 0 ? mSpill / mRate : 0;
+  }
+
+private:
+  bool ChooseTargets()
+  {
+    std::vector<double> spare(kRegions, 0);
+    for (std::size_t n = 0; n < kRegions; ++n) {
+      if (n != mRegion) {
+        const double left = mUtilization * kCapacity - *mLoads.Reported(n);
+        spare[n] = std::max(0.0, left);
+      }
+    }
+    const double most = *std::max_element(spare.begin(), spare.end());
+    if (!mSpreads) {
+      std::replace_if(
+        spare.begin(),
+        spare.end(),
+        [most](double aSpare) { return aSpare < most; },
+        0);
+    }
+    if (most > 0) {
+      mTargets =
+        std::discrete_distribution<std::size_t>(spare.begin(), spare.end());
+    }
+    return most > 0;
+  }
+
+  const RegionLoads& mLoads;
+  bool mSpreads;
+  std::size_t mRegion;
+  double mUtilization;
+  std::mt19937_64 mRandom;
+  std::uint64_t mArrivals = 0;
+  std::uint64_t mLocal = 0;
+  double mRate = 0;
+  double mLocalRate = 0;
+  double mSpill = 0;
+  double mSpillPart = 0;
+  std::discrete_distribution<std::size_t> mTargets;
+};
+
+} // namespace cranberrywing::bench
--- a/src/include/cranberrywing/capacity_grants.h
+++ b/src/include/cranberrywing/capacity_grants.h
@@ -41,7 +41,7 @@
     const VmIncarnation& aFrom,
     const message::ReservationRequest& aMessage,
     TimePoint aNow);
-  /// Forgets expired grants.
+  /// Forgets expired grants; to be called about once a second.
   void Tick(TimePoint aNow);
   /// What may still be reserved.
   std::vector<CapacityOffer> Offers(TimePoint aNow) const;
@@ -51,6 +51,7 @@
   double Use(const ServiceId& aService, TimePoint aNow) const;
 
 private:
+  /// Requests per second sent under all grants of a service, at a time.
   struct UseSample
   {
     TimePoint mTime{};
@@ -68,7 +69,8 @@
     /// not heard of the reduction.
     double mEarlier = 0;
     TimePoint mEarlierExpiry{};
-    std::deque<UseSample> mUse;
+    /// As the asking VM last told; requests per second.
+    double mUsed = 0;
   };
 
   using GrantKey = std::pair<VmIncarnation, std::uint64_t>;
@@ -77,21 +79,29 @@
   {
     bool mIsLocal = false;
     double mBytesPerRequest = 0;
+    /// One per Tick, from the measurement lag on.
+    std::deque<UseSample> mUse;
   };
 
   /// Requests per second that the asking VM may send at present.
   double Committed(const Grant& aGrant, TimePoint aNow) const;
-  /// Traffic under the grant that the measured load surely contains.
-  double Measured(const Grant& aGrant, TimePoint aNow) const;
-  void RecordUse(Grant& aGrant, double aUsed, TimePoint aNow) const;
-  /// Most that all grants of the service may add up to; nullopt without
-  /// fresh measurements.
+  /// Requests per second sent under the service's grants: now, or the least of
+  /// the last measurement lag, which the measured load contains for sure.
+  double Used(const ServiceId& aService, TimePoint aNow) const;
+  double LeastUsed(const ServiceId& aService) const;
+  /// Most that all grants of the service may add up to, when aUsed of it is
+  /// in the measured load; nullopt without fresh measurements.
   std::optional<double> Allowance(const ServiceId& aService,
+                                  double aUsed,
                                   TimePoint aNow) const;
+  /// The allowance for new grants.
+  std::optional<double> NewAllowance(const ServiceId& aService,
+                                     TimePoint aNow) const;
   double LinkAllowance(const RegionId& aFrom,
                        const Grant* aExcept,
                        TimePoint aNow) const;
   double Decide(const Grant& aGrant, double aAsked, TimePoint aNow) const;
+  double Fraction(const ServiceId& aService) const;
   double LeastFraction() const;
 
   Options mOptions;
--- a/src/include/cranberrywing/capacity_reservations.h
+++ b/src/include/cranberrywing/capacity_reservations.h
@@ -61,6 +61,9 @@
     VmIncarnation mVm;
     RegionId mRegion;
     double mLeft = 0;
+    /// Part of what was asked for of late that was granted: others ask for the
+    /// same offer.
+    double mYield = 1;
     TimePoint mExpiry{};
   };
 
@@ -70,6 +73,8 @@
     std::uint32_t mSequence = 0;
     TimePoint mTime{};
     double mAmount = 0;
+    /// Granted when it was sent.
+    double mHeld = 0;
   };
 
   /// One per service and offering VM.
@@ -98,10 +103,18 @@
     bool IsLive(TimePoint aNow) const { return aNow < mExpiry; }
   };
 
+  /// Greatest need of late, which fades.
+  struct PeakNeed
+  {
+    double mAmount = 0;
+    TimePoint mTime{};
+  };
+
   struct Service
   {
     std::vector<Offer> mOffers;
     std::vector<Reservation> mReservations;
+    std::map<RegionId, PeakNeed> mPeaks;
   };
 
   static bool IsAnswering(const Reservation& aReservation, TimePoint aNow);
@@ -113,12 +126,17 @@
              double aMissing,
              TimePoint aNow);
   void Lower(Service& aService, const RegionId& aRegion, double aSurplus);
+  /// Takes the reply into account, if it answers a known ask.
+  static void Accept(Service& aService,
+                     Reservation& aReservation,
+                     const message::ReservationReply& aReply,
+                     TimePoint aNow);
   void SendAsk(const ServiceId& aService,
                Reservation& aReservation,
                TimePoint aNow,
                EffectList& aOut);
-  bool Take(Reservation& aReservation, TimePoint aNow);
-  void Refill(Reservation& aReservation, TimePoint aNow);
+  static bool Take(Reservation& aReservation, TimePoint aNow);
+  static void Refill(Reservation& aReservation, TimePoint aNow);
 
   RegionId mRegion;
   RegionLinks mLinks;
--- a/src/libcranberrywing/capacity_grants.cpp
+++ b/src/libcranberrywing/capacity_grants.cpp
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr double kMillionth = 1e-6;
+/// Part of the capacity by which renewals may go beyond the allowance, for the
+/// noise of load reports.
+constexpr double kRenewalSlack = 0.03;
 /// Smaller offers are not worth a message.
 constexpr double kLeastOffer = 0.1;
 
@@ -23,10 +26,13 @@
                            const RegionLinks& aLinks)
 {
   mLinks = aLinks;
-  mServices.clear();
+  std::erase_if(mServices, [&](const auto& aItem) {
+    return !aSettings.mServices.contains(aItem.first);
+  });
   for (const auto& [id, service] : aSettings.mServices) {
     ServiceInfo& info = mServices[id];
     info.mBytesPerRequest = service.mBytesPerRequest;
+    info.mIsLocal = false;
     for (const BackendSettings& backend : service.mBackends) {
       info.mIsLocal |= backend.mRegion == mOptions.mRegion;
     }
@@ -51,7 +57,7 @@
     grant.mService = aMessage.mService;
     grant.mFromRegion = aMessage.mFromRegion;
     grant.mSequence = aMessage.mSequence;
-    RecordUse(grant, aMessage.mUsedPerSecond, aNow);
+    grant.mUsed = std::max(0.0, aMessage.mUsedPerSecond);
     const double asked = std::max(0.0, aMessage.mRequestsPerSecond);
     const double granted = Decide(grant, asked, aNow);
     // The asking VM keeps to what it asked for from its asking on, and to
@@ -82,6 +88,14 @@
     const Grant& grant = aItem.second;
     return aNow >= std::max(grant.mExpiry, grant.mEarlierExpiry);
   });
+  for (auto& [id, info] : mServices) {
+    info.mUse.push_back({ aNow, Used(id, aNow) });
+    // One sample older than the lag stays, to cover the whole of it.
+    while (info.mUse.size() > 1 &&
+           info.mUse[1].mTime <= aNow - mOptions.mMeasurementLag) {
+      info.mUse.pop_front();
+    }
+  }
 }
 
 std::vector<CapacityOffer> CapacityGrants::Offers(TimePoint aNow) const
@@ -93,7 +107,7 @@
     if (!info.mIsLocal) {
       continue;
     }
-    const std::optional<double> allowance = Allowance(id, aNow);
+    const std::optional<double> allowance = NewAllowance(id, aNow);
     const double offered = allowance ? *allowance - Granted(id, aNow) : 0;
     if (offered >= kLeastOffer) {
       offers.push_back({ id,
@@ -118,7 +132,7 @@
 
 double CapacityGrants::Use(const ServiceId& aService, TimePoint aNow) const
 {
-  const std::optional<double> allowance = Allowance(aService, aNow);
+  const std::optional<double> allowance = NewAllowance(aService, aNow);
   if (!allowance || *allowance <= 0) {
     return 0;
   }
@@ -132,32 +146,37 @@
   return std::max(granted, earlier);
 }
 
-double CapacityGrants::Measured(const Grant& aGrant, TimePoint aNow) const
+double CapacityGrants::Used(const ServiceId& aService, TimePoint aNow) const
+{
+  double used = 0;
+  for (const auto& [key, grant] : mGrants) {
+    if (grant.mService == aService) {
+      used += std::min(grant.mUsed, Committed(grant, aNow));
+    }
+  }
+  return used;
+}
+
+double CapacityGrants::LeastUsed(const ServiceId& aService) const
 {
-  if (aGrant.mUse.empty() ||
-      aGrant.mUse.front().mTime > aNow - mOptions.mMeasurementLag) {
+  const auto it = mServices.find(aService);
+  if (it == mServices.end() || it->second.mUse.empty()) {
     return 0;
   }
-  double least = Committed(aGrant, aNow);
-  for (const UseSample& sample : aGrant.mUse) {
+  double least = it->second.mUse.front().mUsedPerSecond;
+  for (const UseSample& sample : it->second.mUse) {
     least = std::min(least, sample.mUsedPerSecond);
   }
   return least;
 }
 
-void CapacityGrants::RecordUse(Grant& aGrant,
-                               double aUsed,
-                               TimePoint aNow) const
+double CapacityGrants::Fraction(const ServiceId& aService) const
 {
-  aGrant.mUse.push_back({ aNow, std::max(0.0, aUsed) });
-  // One sample older than the lag stays, to cover the whole of it.
-  while (aGrant.mUse.size() > 1 &&
-         aGrant.mUse[1].mTime <= aNow - mOptions.mMeasurementLag) {
-    aGrant.mUse.pop_front();
-  }
+  return mHooks.mFraction(aService) * kMillionth;
 }
 
 std::optional<double> CapacityGrants::Allowance(const ServiceId& aService,
+                                                double aUsed,
                                                 TimePoint aNow) const
 {
   const std::optional<double> rate =
@@ -167,14 +186,13 @@
   }
   const double capacity =
     mHooks.mCapacity(aService, mOptions.mRegion, aNow) * mOptions.mUtilization;
-  const double fraction = mHooks.mFraction(aService) * kMillionth;
-  double measured = 0;
-  for (const auto& [key, grant] : mGrants) {
-    if (grant.mService == aService) {
-      measured += Measured(grant, aNow);
-    }
-  }
-  return std::max(0.0, measured + fraction * (capacity - *rate));
+  return std::max(0.0, aUsed + Fraction(aService) * (capacity - *rate));
+}
+
+std::optional<double> CapacityGrants::NewAllowance(const ServiceId& aService,
+                                                   TimePoint aNow) const
+{
+  return Allowance(aService, LeastUsed(aService), aNow);
 }
 
 double CapacityGrants::LeastFraction() const
@@ -221,11 +239,21 @@
     return 0;
   }
   const double own = Committed(aGrant, aNow);
-  const std::optional<double> allowance = Allowance(aGrant.mService, aNow);
-  // Without measurements nothing new is granted; what is in use stays.
-  const double free = allowance
-                        ? *allowance - (Granted(aGrant.mService, aNow) - own)
-                        : Measured(aGrant, aNow);
+  const double others = Granted(aGrant.mService, aNow) - own;
+  const std::optional<double> allowance =
+    Allowance(aGrant.mService, Used(aGrant.mService, aNow), aNow);
+  // Without measurements nothing new is granted, and what is held stays.
+  double free = own;
+  if (allowance) {
+    // What is held counts as measured at once, and stays as long as that is
+    // possible; only what is new waits for the measurements to show all use.
+    const double slack =
+      kRenewalSlack * Fraction(aGrant.mService) *
+      mHooks.mCapacity(aGrant.mService, mOptions.mRegion, aNow);
+    const double kept = std::min(own, *allowance + slack - others);
+    const double fresh = *NewAllowance(aGrant.mService, aNow) - others;
+    free = std::max(kept, fresh);
+  }
   double granted = std::min(aAsked, std::max(0.0, free));
   const double perRequest = it->second.mBytesPerRequest;
   if (perRequest > 0) {
--- a/src/libcranberrywing/capacity_reservations.cpp
+++ b/src/libcranberrywing/capacity_reservations.cpp
@@ -1,6 +1,7 @@
 #include "cranberrywing/capacity_reservations.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cranberrywing {
 
@@ -8,12 +9,15 @@
 
 /// Reservations are made this much larger than the need, for its variation.
 constexpr double kMargin = 1.1;
-/// Surplus above this multiple of the need is given back.
+/// Surplus above this multiple of the greatest recent need is given back.
 constexpr double kSurplus = 1.3;
+/// Time in which the memory of a greater need fades.
+constexpr double kNeedMemory = 5;
 /// Smaller amounts are not reserved.
 constexpr double kLeastAmount = 0.05;
 /// Time of unused reservation that may be sent at once.
-constexpr double kBurstSeconds = 0.1;
+constexpr double kBurstSeconds = 0.2;
+constexpr double kLeastBurst = 2;
 constexpr Duration kRenewInterval = std::chrono::seconds(1);
 /// An unanswered ask is repeated after this time.
 constexpr Duration kRepeatInterval = std::chrono::milliseconds(400);
@@ -22,6 +26,10 @@
 constexpr Duration kSilenceLimit = std::chrono::milliseconds(1500);
 /// Smaller changes of an amount wait for the next renewal.
 constexpr double kChange = 0.05;
+/// Weight of one reply in an offer's yield, and part of the rest that each new
+/// announcement restores.
+constexpr double kYieldGain = 0.5;
+constexpr double kYieldRecovery = 0.1;
 constexpr double kUseSmoothing = 0.4;
 constexpr double kShortestUse = 0.05;
 /// Asks that may be answered late.
@@ -63,6 +71,7 @@
     it->mVm = aFrom;
     it->mRegion = offered.mRegion;
     it->mLeft = std::max(0.0, offered.mRequestsPerSecond);
+    it->mYield += kYieldRecovery * (1 - it->mYield);
     it->mExpiry = aNow + Milliseconds(offered.mLifetimeMs);
   }
 }
@@ -76,34 +85,53 @@
       if (it.mNumber != aMessage.mNumber || it.mVm != aFrom) {
         continue;
       }
-      while (!it.mAsks.empty() &&
-             it.mAsks.front().mSequence < aMessage.mSequence) {
-        it.mAsks.pop_front();
-      }
-      if (it.mAsks.empty() ||
-          it.mAsks.front().mSequence != aMessage.mSequence) {
-        return;
-      }
-      // A later ask for less binds from its sending.
-      double amount = aMessage.mRequestsPerSecond;
-      for (const Ask& ask : it.mAsks) {
-        amount = std::min(amount, ask.mAmount);
-      }
-      Refill(it, aNow);
-      it.mGranted = amount;
-      it.mExpiry = it.mAsks.front().mTime + Milliseconds(aMessage.mLifetimeMs);
-      it.mAnswered = aMessage.mSequence;
-      it.mLastAnswer = aNow;
-      it.mAsks.pop_front();
-      // What this VM does not grant is looked for elsewhere.
-      if (it.mAsks.empty()) {
-        it.mWanted = std::min(it.mWanted, amount);
-      }
+      Accept(service, it, aMessage, aNow);
       return;
     }
   }
 }
 
+void CapacityReservations::Accept(Service& aService,
+                                  Reservation& aReservation,
+                                  const message::ReservationReply& aReply,
+                                  TimePoint aNow)
+{
+  std::deque<Ask>& asks = aReservation.mAsks;
+  while (!asks.empty() && asks.front().mSequence < aReply.mSequence) {
+    asks.pop_front();
+  }
+  if (asks.empty() || asks.front().mSequence != aReply.mSequence) {
+    return;
+  }
+  // A later ask for less binds from its sending.
+  double amount = aReply.mRequestsPerSecond;
+  for (const Ask& ask : asks) {
+    amount = std::min(amount, ask.mAmount);
+  }
+  Refill(aReservation, aNow);
+  const Ask answered = asks.front();
+  asks.pop_front();
+  aReservation.mGranted = amount;
+  aReservation.mExpiry = answered.mTime + Milliseconds(aReply.mLifetimeMs);
+  aReservation.mAnswered = aReply.mSequence;
+  aReservation.mLastAnswer = aNow;
+  // What this VM does not grant is looked for elsewhere.
+  if (asks.empty()) {
+    aReservation.mWanted = std::min(aReservation.mWanted, amount);
+  }
+  const double asked = answered.mAmount - answered.mHeld;
+  if (asked <= kLeastAmount) {
+    return;
+  }
+  const double gained = aReply.mRequestsPerSecond - answered.mHeld;
+  const double yield = std::clamp(gained / asked, 0.0, 1.0);
+  for (Offer& offer : aService.mOffers) {
+    if (offer.mVm == aReservation.mVm) {
+      offer.mYield += kYieldGain * (yield - offer.mYield);
+    }
+  }
+}
+
 void CapacityReservations::Cover(const ServiceId& aService,
                                  const Need& aNeed,
                                  TimePoint aNow,
@@ -126,8 +154,13 @@
     }
     if (current < need) {
       Raise(service, region, need - current, aNow);
-    } else if (current > need * kSurplus) {
-      Lower(service, region, current - need);
+    }
+    PeakNeed& peak = service.mPeaks[region];
+    const double faded =
+      peak.mAmount * std::exp(-Seconds(aNow - peak.mTime) / kNeedMemory);
+    peak = { std::max(need, faded), aNow };
+    if (current > peak.mAmount * kSurplus) {
+      Lower(service, region, current - peak.mAmount);
     }
   }
   for (Reservation& reservation : service.mReservations) {
@@ -159,7 +192,7 @@
     double available = 0;
     for (const Offer& offer : aService.mOffers) {
       if (offer.mRegion == region && aNow < offer.mExpiry) {
-        available += offer.mLeft;
+        available += offer.mLeft * offer.mYield;
       }
     }
     for (const Reservation& reservation : aService.mReservations) {
@@ -264,7 +297,8 @@
   if (aReservation.mAsks.size() == kMostAsks) {
     aReservation.mAsks.pop_front();
   }
-  aReservation.mAsks.push_back({ sequence, aNow, wanted });
+  aReservation.mAsks.push_back(
+    { sequence, aNow, wanted, aReservation.mGranted });
   effect::SendMessage send;
   send.mTo = aReservation.mVm.mVm;
   send.mMessage =
@@ -318,7 +352,7 @@
 void CapacityReservations::Refill(Reservation& aReservation, TimePoint aNow)
 {
   const double rate = aReservation.IsLive(aNow) ? aReservation.mGranted : 0;
-  const double most = std::max(1.0, rate * kBurstSeconds);
+  const double most = std::max(kLeastBurst, rate * kBurstSeconds);
   const double elapsed = Seconds(aNow - aReservation.mRefilled);
   aReservation.mTokens = std::min(most, aReservation.mTokens + rate * elapsed);
   aReservation.mRefilled = aNow;
