Choose two distinct servers and count stalled exchanges as latency

With two servers, two draws with replacement chose the hanging one for a quarter of the requests, and a server that never answers showed no latency. Change: the second choice is another server, and the time since a server last ended an exchange bounds its latency from below. Conclusion: a hang shows after one exchange instead of after its timeout.

--- a/src/include/cranberrywing/backend_selector.h
+++ b/src/include/cranberrywing/backend_selector.h
@@ -68,6 +68,9 @@
     double mLatency = 0;
     /// When mLatency last changed.
     TimePoint mSampled{};
+    /// Last time at which an exchange ended, or the first of those that run
+    /// began.
+    TimePoint mProgress{};
   };
 
   /// Servers of one service in one region.
@@ -83,7 +86,7 @@
   Group* FindGroup(const ServiceId& aService, const RegionId& aRegion);
   void RefreshStatus();
   bool IsFree(const Candidate& aCandidate) const;
-  Candidate* Draw(Group& aGroup, TimePoint aNow);
+  Candidate* Draw(Group& aGroup, const Candidate* aOther, TimePoint aNow);
   Candidate* TwoChoices(Group& aGroup, TimePoint aNow);
   Candidate* RoundRobin(Group& aGroup);
   Candidate* LeastReportedLoad(Group& aGroup);
--- a/src/libcranberrywing/backend_selector.cpp
+++ b/src/libcranberrywing/backend_selector.cpp
@@ -114,9 +114,13 @@
 void BackendSelector::OnDispatch(const BackendId& aBackend)
 {
   const auto it = mCandidates.find(aBackend);
-  if (it != mCandidates.end()) {
-    ++it->second.mInFlight;
+  if (it == mCandidates.end()) {
+    return;
+  }
+  if (it->second.mInFlight == 0) {
+    it->second.mProgress = mLastSelect;
   }
+  ++it->second.mInFlight;
 }
 
 void BackendSelector::OnFinish(const BackendId& aBackend,
@@ -128,6 +132,7 @@
   }
   Candidate& candidate = it->second;
   candidate.mInFlight -= candidate.mInFlight > 0 ? 1 : 0;
+  candidate.mProgress = mLastSelect;
   const double known = PresentLatency(candidate, mLastSelect);
   candidate.mSampled = mLastSelect;
   if (!aLatency) {
@@ -173,14 +178,16 @@
          aCandidate.mInFlight < aCandidate.mSettings.mConnections;
 }
 
-BackendSelector::Candidate* BackendSelector::Draw(Group& aGroup, TimePoint aNow)
+BackendSelector::Candidate* BackendSelector::Draw(Group& aGroup,
+                                                  const Candidate* aOther,
+                                                  TimePoint aNow)
 {
   std::uniform_int_distribution<std::size_t> place(0,
                                                    aGroup.mMembers.size() - 1);
   std::uniform_real_distribution<double> part(0, 1);
   for (int n = 0; n < kDraws; ++n) {
     Candidate* candidate = aGroup.mMembers[place(mRandom)];
-    if (!IsFree(*candidate)) {
+    if (candidate == aOther || !IsFree(*candidate)) {
       continue;
     }
     // A cold server is drawn as rarely as it is warm.
@@ -195,8 +202,10 @@
 BackendSelector::Candidate* BackendSelector::TwoChoices(Group& aGroup,
                                                         TimePoint aNow)
 {
-  Candidate* first = Draw(aGroup, aNow);
-  Candidate* second = Draw(aGroup, aNow);
+  Candidate* first = Draw(aGroup, nullptr, aNow);
+  // The second choice is another server: with two servers, drawing the same
+  // one twice would send a quarter of the requests to one that hangs.
+  Candidate* second = Draw(aGroup, first, aNow);
   if (first == nullptr || second == nullptr) {
     return BestOf(aGroup, {}, aNow);
   }
@@ -281,7 +290,12 @@
 
 double BackendSelector::Cost(const Candidate& aCandidate, TimePoint aNow) const
 {
-  const double latency = PresentLatency(aCandidate, aNow);
+  double latency = PresentLatency(aCandidate, aNow);
+  if (aCandidate.mInFlight > 0) {
+    // A server that hangs reports no latency; the time since it last ended
+    // an exchange is a lower bound of it.
+    latency = std::max(latency, Seconds(aNow - aCandidate.mProgress));
+  }
   double cost =
     (aCandidate.mInFlight + 1.0) * std::max(latency, kShortestLatency);
   const BackendStatus& status = *aCandidate.mStatus;
