Stop repeats of a crashing request before its second victim is confirmed

Cause: with three attempts, a request that ends servers reached a third one before the first two were known to have died, and a caller that repeated it through other VMs ended one server for each of them, because losses were counted per VM. Change: two unconfirmed resets stop retries (IsSuspect); peers are told of single losses that a retry has not cleared within 1 s (RequestBlock::mLost); an answer clears a request, so requests that only shared a server with the cause are not blocked.

--- a/src/include/cranberrywing/crash_guard.h
+++ b/src/include/cranberrywing/crash_guard.h
@@ -32,6 +32,10 @@
   explicit CrashGuard(Options aOptions);
 
   bool IsBlocked(const ContentDigest& aFingerprint, TimePoint aNow) const;
+  /// Whether the request has ended its connections to as many servers as lead
+  /// to a block, though they are not known to have died yet: it must not be
+  /// tried on a further one.
+  bool IsSuspect(const ContentDigest& aFingerprint, TimePoint aNow) const;
   /// A connection ended without an answer while the server ran the request.
   void OnReset(const ContentDigest& aFingerprint,
                const BackendId& aBackend,
@@ -41,29 +45,40 @@
   void OnServerDown(const BackendId& aBackend,
                     TimePoint aNow,
                     EffectList& aOut);
-  /// The request was answered: it does not end servers.
+  /// The request was answered: it does not end servers. Requests that ran on a
+  /// server when another one ended it are cleared by their next attempt.
   void OnSuccess(const ContentDigest& aFingerprint);
   void OnMessage(const message::RequestBlock& aMessage, TimePoint aNow);
   void Tick(TimePoint aNow);
-  /// Blocks made here since the last call, to be told to all peers.
+  /// Blocks made here, and servers lost to requests that were not cleared,
+  /// since the last call; to be told to all peers.
   std::vector<message::RequestBlock> TakeNewBlocks();
 
 private:
   /// A connection that ended while a server ran the request.
   struct Reset
   {
-    ContentDigest mFingerprint;
     BackendId mBackend;
     TimePoint mTime{};
   };
 
-  /// Servers that were lost while they ran a request.
+  /// What speaks against a request.
   struct Suspicion
   {
+    std::vector<Reset> mResets;
+    /// Servers that were lost while they ran it, here or elsewhere.
     std::vector<BackendId> mLost;
     TimePoint mUntil{};
   };
 
+  /// A loss that peers are told of unless the request is cleared before.
+  struct Loss
+  {
+    ContentDigest mFingerprint;
+    BackendId mBackend;
+    TimePoint mTime{};
+  };
+
   struct DigestHash
   {
     std::size_t operator()(const ContentDigest& aDigest) const
@@ -75,13 +90,17 @@
   template<class Value>
   using DigestMap = std::unordered_map<ContentDigest, Value, DigestHash>;
 
-  void CountLoss(const Reset& aReset, TimePoint aNow, EffectList& aOut);
+  /// Whether the loss led to a block.
+  bool CountLoss(const ContentDigest& aFingerprint,
+                 const BackendId& aBackend,
+                 TimePoint aNow);
+  void TellLosses(TimePoint aNow);
   void Block(const ContentDigest& aFingerprint, TimePoint aUntil);
 
   Options mOptions;
-  std::deque<Reset> mResets;
   DigestMap<Suspicion> mSuspicions;
   DigestMap<TimePoint> mBlocks;
+  std::deque<Loss> mLosses;
   std::vector<message::RequestBlock> mNewBlocks;
   TimePoint mNextSweep{};
 };
--- a/src/include/cranberrywing/messages/offers.h
+++ b/src/include/cranberrywing/messages/offers.h
@@ -106,11 +106,14 @@
 {
   ContentDigest mFingerprint;
   std::uint32_t mLifetimeMs = 0;
+  /// If set, only this one server was lost at the sender, and the request is
+  /// to be blocked if it is lost elsewhere too.
+  BackendId mLost;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mFingerprint, mLifetimeMs);
+    aArchive(mFingerprint, mLifetimeMs, mLost);
   }
 };
 
--- a/src/libcranberrywing/crash_guard.cpp
+++ b/src/libcranberrywing/crash_guard.cpp
@@ -10,11 +10,18 @@
 
 constexpr Duration kSweepInterval = std::chrono::seconds(1);
 /// Bounds memory when very many connections end at one time.
-constexpr std::size_t kMostResets = 10'000;
-
-Duration FromMilliseconds(std::uint32_t aMilliseconds)
+constexpr std::size_t kMostSuspicions = 10'000;
+/// Time within which a retry clears a request before peers are told.
+constexpr Duration kClearingTime = std::chrono::seconds(1);
+/// Losses told per sweep: each goes to every peer.
+constexpr std::size_t kMostToldLosses = 16;
+
+template<class Value>
+void AddOnce(std::vector<Value>& aValues, const Value& aValue)
 {
-  return std::chrono::milliseconds(aMilliseconds);
+  if (std::find(aValues.begin(), aValues.end(), aValue) == aValues.end()) {
+    aValues.push_back(aValue);
+  }
 }
 
 std::string ToHex(const ContentDigest& aDigest)
@@ -67,55 +74,81 @@
   return it != mBlocks.end() && aNow < it->second;
 }
 
+bool CrashGuard::IsSuspect(const ContentDigest& aFingerprint,
+                           TimePoint aNow) const
+{
+  const auto it = mSuspicions.find(aFingerprint);
+  if (it == mSuspicions.end()) {
+    return false;
+  }
+  std::vector<BackendId> servers = it->second.mLost;
+  for (const Reset& reset : it->second.mResets) {
+    if (aNow - reset.mTime <= mOptions.mConfirmationTime) {
+      AddOnce(servers, reset.mBackend);
+    }
+  }
+  return servers.size() >= mOptions.mServersLost;
+}
+
 void CrashGuard::OnReset(const ContentDigest& aFingerprint,
                          const BackendId& aBackend,
                          TimePoint aNow)
 {
-  if (mResets.size() == kMostResets) {
-    mResets.pop_front();
+  const bool isKnown = mSuspicions.contains(aFingerprint);
+  if (!isKnown && mSuspicions.size() >= kMostSuspicions) {
+    return;
   }
-  mResets.push_back({ aFingerprint, aBackend, aNow });
+  Suspicion& suspicion = mSuspicions[aFingerprint];
+  suspicion.mResets.push_back({ aBackend, aNow });
+  suspicion.mUntil =
+    std::max(suspicion.mUntil, aNow + mOptions.mConfirmationTime);
 }
 
 void CrashGuard::OnServerDown(const BackendId& aBackend,
                               TimePoint aNow,
                               EffectList& aOut)
 {
-  std::deque<Reset> others;
-  for (Reset& reset : mResets) {
-    if (reset.mBackend != aBackend) {
-      others.push_back(std::move(reset));
-    } else if (aNow - reset.mTime <= mOptions.mConfirmationTime) {
-      CountLoss(reset, aNow, aOut);
+  std::vector<ContentDigest> ran;
+  for (auto& [fingerprint, suspicion] : mSuspicions) {
+    const std::size_t removed =
+      std::erase_if(suspicion.mResets, [&](const Reset& aReset) {
+        return aReset.mBackend == aBackend &&
+               aNow - aReset.mTime <= mOptions.mConfirmationTime;
+      });
+    if (removed > 0) {
+      ran.push_back(fingerprint);
+    }
+  }
+  std::sort(ran.begin(), ran.end());
+  for (const ContentDigest& fingerprint : ran) {
+    if (!CountLoss(fingerprint, aBackend, aNow)) {
+      mLosses.push_back({ fingerprint, aBackend, aNow });
+      continue;
     }
+    const auto lifetime =
+      std::chrono::duration_cast<Milliseconds>(mOptions.mBlockTime);
+    mNewBlocks.push_back(
+      { fingerprint, static_cast<std::uint32_t>(lifetime.count()), {} });
+    aOut.push_back(
+      effect::RecordTimeline{ "request_blocked",
+                              { { "fingerprint", ToHex(fingerprint) },
+                                { "last_backend", aBackend.mName } } });
   }
-  mResets = std::move(others);
 }
 
-void CrashGuard::CountLoss(const Reset& aReset,
-                           TimePoint aNow,
-                           EffectList& aOut)
+bool CrashGuard::CountLoss(const ContentDigest& aFingerprint,
+                           const BackendId& aBackend,
+                           TimePoint aNow)
 {
-  Suspicion& suspicion = mSuspicions[aReset.mFingerprint];
+  Suspicion& suspicion = mSuspicions[aFingerprint];
   suspicion.mUntil = aNow + mOptions.mBlockTime;
-  std::vector<BackendId>& lost = suspicion.mLost;
-  if (std::find(lost.begin(), lost.end(), aReset.mBackend) != lost.end()) {
-    return;
-  }
-  lost.push_back(aReset.mBackend);
-  if (lost.size() < mOptions.mServersLost) {
-    return;
+  AddOnce(suspicion.mLost, aBackend);
+  if (suspicion.mLost.size() < mOptions.mServersLost) {
+    return false;
   }
-  mSuspicions.erase(aReset.mFingerprint);
-  Block(aReset.mFingerprint, aNow + mOptions.mBlockTime);
-  const auto lifetime =
-    std::chrono::duration_cast<Milliseconds>(mOptions.mBlockTime);
-  mNewBlocks.push_back(
-    { aReset.mFingerprint, static_cast<std::uint32_t>(lifetime.count()) });
-  aOut.push_back(
-    effect::RecordTimeline{ "request_blocked",
-                            { { "fingerprint", ToHex(aReset.mFingerprint) },
-                              { "last_backend", aReset.mBackend.mName } } });
+  mSuspicions.erase(aFingerprint);
+  Block(aFingerprint, aNow + mOptions.mBlockTime);
+  return true;
 }
 
 void CrashGuard::Block(const ContentDigest& aFingerprint, TimePoint aUntil)
@@ -134,8 +167,12 @@
 void CrashGuard::OnMessage(const message::RequestBlock& aMessage,
                            TimePoint aNow)
 {
-  const Duration lifetime = std::min<Duration>(
-    FromMilliseconds(aMessage.mLifetimeMs), mOptions.mBlockTime);
+  if (!aMessage.mLost.IsEmpty()) {
+    CountLoss(aMessage.mFingerprint, aMessage.mLost, aNow);
+    return;
+  }
+  const Duration lifetime =
+    std::min<Duration>(Milliseconds(aMessage.mLifetimeMs), mOptions.mBlockTime);
   Block(aMessage.mFingerprint, aNow + lifetime);
 }
 
@@ -145,16 +182,28 @@
     return;
   }
   mNextSweep = aNow + kSweepInterval;
-  while (!mResets.empty() &&
-         aNow - mResets.front().mTime > mOptions.mConfirmationTime) {
-    mResets.pop_front();
-  }
+  TellLosses(aNow);
   std::erase_if(mSuspicions,
                 [&](const auto& aItem) { return aNow >= aItem.second.mUntil; });
   std::erase_if(mBlocks,
                 [&](const auto& aItem) { return aNow >= aItem.second; });
 }
 
+void CrashGuard::TellLosses(TimePoint aNow)
+{
+  std::size_t told = 0;
+  while (!mLosses.empty() && told < kMostToldLosses &&
+         aNow - mLosses.front().mTime >= kClearingTime) {
+    const Loss& loss = mLosses.front();
+    const auto it = mSuspicions.find(loss.mFingerprint);
+    if (it != mSuspicions.end() && !it->second.mLost.empty()) {
+      mNewBlocks.push_back({ loss.mFingerprint, 0, loss.mBackend });
+      ++told;
+    }
+    mLosses.pop_front();
+  }
+}
+
 std::vector<message::RequestBlock> CrashGuard::TakeNewBlocks()
 {
   return std::exchange(mNewBlocks, {});
--- a/src/libcranberrywing/reducer.cpp
+++ b/src/libcranberrywing/reducer.cpp
@@ -30,10 +30,10 @@
   : mOptions(SeedPerProcess(std::move(aOptions)))
   , mCrashGuard({})
   , mRetries({})
-  , mHealth({ .mSeed = mOptions.mSeed })
+  , mHealth({ .mSeed = mOptions.mSeed, .mRegion = mOptions.mSelf.mRegion })
   , mSelector({ .mSeed = mOptions.mSeed, .mPolicy = mOptions.mSelection },
               mHealth)
-  , mQueue({})
+  , mQueue({ .mUtilization = MakeUtilizationHook() })
   , mConfiguration({ .mStorePrefix = mOptions.mStorePrefix,
                      .mInitialDocument = mOptions.mInitialDocument,
                      .mSeed = mOptions.mSeed },
--- a/src/libcranberrywing/reducer_hooks.cpp
+++ b/src/libcranberrywing/reducer_hooks.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Age at which a load report no longer counts for capacity decisions.
-constexpr Duration kLoadReportLifetime = std::chrono::seconds(10);
+constexpr Duration kLoadReportLifetime = std::chrono::seconds(5);
 /// Peers of other regions that hear of offers at a time. All of them would be
 /// hundreds of messages a second at 460 VMs.
 constexpr std::size_t kOfferAudience = 8;
@@ -157,6 +157,15 @@
   };
 }
 
+std::function<std::optional<double>(const ServiceId&, TimePoint)>
+Reducer::State::MakeUtilizationHook()
+{
+  return [this](const ServiceId& aService, TimePoint aNow) {
+    return mHealth.Utilization(
+      aService, mOptions.mSelf.mRegion, kLoadReportLifetime, aNow);
+  };
+}
+
 std::vector<VmId> Reducer::State::OtherRegionPeers()
 {
   std::vector<VmId> audience;
@@ -189,10 +198,8 @@
     .mMayAdvance =
       [this](
         const ServiceId& aService, const RegionId& aRegion, TimePoint aNow) {
-        const bool isMeasured =
-          mHealth.ReportedRate(aService, aRegion, kLoadReportLifetime, aNow)
-            .has_value();
-        return isMeasured && mHealth.Capacity(aService, aRegion, aNow) > 0;
+        // The target region grants nothing new without fresh measurements.
+        return mOffers.IsCovered(aService, aRegion, aNow);
       },
     .mRegionPeers = [this] { return RegionPeers(); },
   };
--- a/src/libcranberrywing/reducer_state.h
+++ b/src/libcranberrywing/reducer_state.h
@@ -2,6 +2,7 @@
 /// The reducer's state: one of each concern and the hooks between them.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -52,6 +53,8 @@
   SlotTableHooks MakeSlotHooks();
   ExecutionsHooks MakeExecutionHooks();
   OfferBookHooks MakeOfferHooks();
+  std::function<std::optional<double>(const ServiceId&, TimePoint)>
+  MakeUtilizationHook();
   ShiftHooks MakeShiftHooks();
   SteeringHooks MakeSteeringHooks();
   PipelineHooks MakePipelineHooks();
--- a/src/libcranberrywing/requests_outcome.cpp
+++ b/src/libcranberrywing/requests_outcome.cpp
@@ -74,6 +74,7 @@
   } else {
     mConcerns.mSelector.OnFinish(request->mBackend, aEvent.mLatency);
     mConcerns.mHealth.OnSuccess(request->mBackend, aEvent.mLatency, aNow);
+    mConcerns.mCrashGuard.OnSuccess(request->mFingerprint);
   }
   const RequestId id = request->mId;
   if (!IsExecution(*request)) {
@@ -120,7 +121,8 @@
   }
   NoteFailure(*request, aEvent, aNow, aOut);
   const bool isBlocked =
-    mConcerns.mCrashGuard.IsBlocked(request->mFingerprint, aNow);
+    mConcerns.mCrashGuard.IsBlocked(request->mFingerprint, aNow) ||
+    mConcerns.mCrashGuard.IsSuspect(request->mFingerprint, aNow);
   const bool mayRetry =
     !isBlocked && !request->mAbandoned &&
     mConcerns.mRetries.TryRetry({ .mRoute = &request->mRoute,
