--- a/src/include/cranberrywing/concurrency_limit.h
+++ b/src/include/cranberrywing/concurrency_limit.h
@@ -98,6 +98,8 @@
   std::size_t mRunning = 0;
   TimePoint mWindowStart{};
   TimePoint mLastChange{};
+  /// When a request last ended, or the first of those that run began.
+  TimePoint mLastProgress{};
   /// Running requests integrated over the window, in request-seconds.
   double mArea = 0;
   std::uint64_t mEnded = 0;
--- /dev/null
+++ b/src/libcranberrywing/balancing_test_settings.h
@@ -0,0 +1,57 @@
+/// \file
+/// Settings and times that the tests of fairness, health, selection, offers
+/// and shifts share.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "cranberrywing/effect.h"
+#include "cranberrywing/settings_snapshot.h"
+
+namespace cranberrywing::test {
+
+inline const ServiceId kService("ordering");
+inline const RegionId kRegion("accra");
+
+inline TimePoint At(double aSeconds)
+{
+  return TimePoint(std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(1000 + aSeconds)));
+}
+
+inline BackendId Server(std::size_t aIndex)
+{
+  return BackendId("ord-" + std::to_string(aIndex));
+}
+
+/// Servers of one service in one region, in two failure domains in turn.
+inline SettingsSnapshot MakeSettings(std::size_t aServers)
+{
+  SettingsSnapshot settings;
+  settings.mRegions = { kRegion };
+  ServiceSettings& service = settings.mServices[kService];
+  service.mService = kService;
+  for (std::size_t n = 0; n < aServers; ++n) {
+    BackendSettings backend;
+    backend.mBackend = Server(n);
+    backend.mRegion = kRegion;
+    backend.mFailureDomain = FailureDomainId(n % 2 == 0 ? "a" : "b");
+    service.mBackends.push_back(backend);
+  }
+  return settings;
+}
+
+template<class Kind>
+std::vector<Kind> Only(const EffectList& aEffects)
+{
+  std::vector<Kind> only;
+  for (const Effect& effect : aEffects) {
+    if (const auto* it = std::get_if<Kind>(&effect)) {
+      only.push_back(*it);
+    }
+  }
+  return only;
+}
+
+} // namespace cranberrywing::test
--- a/src/libcranberrywing/concurrency_limit.cpp
+++ b/src/libcranberrywing/concurrency_limit.cpp
@@ -101,6 +101,9 @@
 void ConcurrencyLimit::OnStart(TimePoint aNow)
 {
   Advance(aNow);
+  if (mRunning == 0) {
+    mLastProgress = aNow;
+  }
   ++mRunning;
 }
 
@@ -112,6 +115,7 @@
   }
   --mRunning;
   ++mEnded;
+  mLastProgress = aNow;
   const Duration length = aNow - mWindowStart;
   const std::uint64_t needed = mIsStarting ? kStartEnds : kWindowEnds;
   const bool isFull = mEnded >= needed && length >= kShortestWindow;
@@ -167,7 +171,8 @@
 double ConcurrencyLimit::HeldPart(TimePoint aNow) const
 {
   const double length = Seconds(aNow - mWindowStart);
-  return length > 0 ? Seconds(mHeld) / length : 0;
+  const Duration open = mIsHeld ? aNow - mLastChange : Duration::zero();
+  return length > 0 ? Seconds(mHeld + open) / length : 0;
 }
 
 void ConcurrencyLimit::Adapt(double aLatency, TimePoint aNow)
@@ -280,10 +285,12 @@
   if (mRunning == 0 && aNow - mLastChange >= kForgetAfter) {
     return Duration::zero();
   }
-  const double area =
-    mArea + static_cast<double>(mRunning) * Seconds(aNow - mLastChange);
-  const double stalled = area / static_cast<double>(mEnded + 1);
-  return FromSeconds(mLatency == 0 ? 0 : std::max(mLatency, stalled));
+  if (mLatency == 0) {
+    return Duration::zero();
+  }
+  // While nothing ends, what runs takes at least as long as that.
+  const double stalled = mRunning > 0 ? Seconds(aNow - mLastProgress) : 0;
+  return FromSeconds(std::max(mLatency, stalled));
 }
 
 } // namespace cranberrywing
