--- a/src/include/cranberrywing/shifts.h
+++ b/src/include/cranberrywing/shifts.h
@@ -3,6 +3,7 @@
 /// (design 3.5).
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <utility>
@@ -72,6 +73,8 @@
     bool mIsHeld = false;
     /// While set, the progress of the region's other VMs is awaited.
     std::optional<TimePoint> mAwaitsPeersUntil;
+    /// Peers that have answered.
+    std::uint32_t mAnswers = 0;
   };
 
   Ramp& FindOrAdd(const ServiceId& aService, const ShiftSettings& aShift);
--- a/src/libcranberrywing/capacity_grants.cpp
+++ b/src/libcranberrywing/capacity_grants.cpp
@@ -10,7 +10,7 @@
 constexpr double kMillionth = 1e-6;
 /// Part of the capacity by which renewals may go beyond the allowance, for the
 /// noise of load reports.
-constexpr double kRenewalSlack = 0.03;
+constexpr double kRenewalSlack = 0.02;
 /// Smaller offers are not worth a message.
 constexpr double kLeastOffer = 0.1;
 
--- a/src/libcranberrywing/offers.cpp
+++ b/src/libcranberrywing/offers.cpp
@@ -17,6 +17,13 @@
 /// Bounds on the correction that one load report may call for.
 constexpr double kLeastCorrection = 0.3;
 constexpr double kGreatestCorrection = 1.5;
+/// Utilization by which spilling starts later while capacity is lent to other
+/// regions, so that this is taken back first: else two regions that are both
+/// near the limit would exchange traffic. Above CapacityGrants' slack for
+/// renewals, so that what is lent falls to nothing.
+constexpr double kLentHeadroom = 0.05;
+/// Fractions are in millionths.
+constexpr double kWholeFraction = 1e6;
 /// Requests owed to a region that has no tokens are not kept for longer.
 constexpr double kMostCredit = 2;
 
@@ -210,8 +217,11 @@
                             Traffic& aTraffic,
                             TimePoint aNow)
 {
-  const double capacity = mHooks.mCapacity(aService, mOptions.mRegion, aNow) *
-                          mOptions.mSpillUtilization;
+  const double whole = mHooks.mCapacity(aService, mOptions.mRegion, aNow);
+  const double part = whole * mHooks.mFraction(aService) / kWholeFraction;
+  const double lent = part > 0 ? mGrants.Granted(aService, aNow) / part : 0;
+  const double capacity =
+    whole * (mOptions.mSpillUtilization + std::min(lent, kLentHeadroom));
   const std::optional<double> load =
     mHooks.mReportedRate(aService, mOptions.mRegion, aNow);
   double movedPart = 0;
--- a/src/libcranberrywing/shifts.cpp
+++ b/src/libcranberrywing/shifts.cpp
@@ -85,9 +85,10 @@
   if (!mHooks.mRegionPeers) {
     return;
   }
-  const std::vector<VmId> peers = mHooks.mRegionPeers();
-  aRamp.mAwaitsPeersUntil = aNow + kPeerWait;
-  for (const VmId& peer : peers) {
+  if (!aRamp.mAwaitsPeersUntil) {
+    aRamp.mAwaitsPeersUntil = aNow + kPeerWait;
+  }
+  for (const VmId& peer : mHooks.mRegionPeers()) {
     effect::SendMessage send;
     send.mTo = peer;
     send.mMessage =
@@ -119,7 +120,8 @@
                            EffectList& aOut)
 {
   if (aRamp.mAwaitsPeersUntil) {
-    if (aNow < *aRamp.mAwaitsPeersUntil) {
+    const bool isOver = aNow >= *aRamp.mAwaitsPeersUntil;
+    if (!isOver && aRamp.mAnswers == 0) {
       AskPeers(aRamp, aNow, aOut);
       return;
     }
@@ -197,8 +199,11 @@
     return;
   }
   if (it->mAwaitsPeersUntil) {
-    it->mAwaitsPeersUntil.reset();
-    it->mMoved = std::clamp(aMessage.mMoved, 0.0, Unmoved(it->mService));
+    // The mean of all answers leaves the region's mean as it is.
+    ++it->mAnswers;
+    const double mean =
+      it->mMoved + (aMessage.mMoved - it->mMoved) / it->mAnswers;
+    it->mMoved = std::clamp(mean, 0.0, 1.0);
   }
 }
 
