Answer requests that arrive late at a stopping VM

Change: a stopping VM bounds deadlines by its own end, and refuses what is still in flight before it exits. Conclusion: a planned stop ends no connection without an answer.

--- a/src/include/cranberrywing/drain.h
+++ b/src/include/cranberrywing/drain.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 #include "cranberrywing/effect.h"
 
@@ -25,6 +26,9 @@
   std::function<bool()> mIsHandedOver;
   /// Number of callers' requests in flight.
   std::function<std::size_t()> mInFlight;
+  /// Answers what is still in flight, so that no caller's connection ends
+  /// without an answer.
+  std::function<void(EffectList&)> mRefuseRest;
 };
 
 /// Not thread-safe; owned by the reducer.
@@ -41,6 +45,8 @@
   DrainStage Stage() const { return mStage; }
   /// Whether answers should close the caller's connection.
   bool ClosesCallers() const;
+  /// Latest deadline that a request may have; nullopt while serving.
+  std::optional<TimePoint> LatestDeadline() const;
 
 private:
   DrainHooks mHooks;
--- a/src/include/cranberrywing/requests.h
+++ b/src/include/cranberrywing/requests.h
@@ -45,6 +45,8 @@
   std::function<bool(TimePoint)> mIsCurrent;
   /// Whether answers should close the caller's connection.
   std::function<bool()> mClosesCallers;
+  /// Latest deadline that a request may have, while this VM stops.
+  std::function<std::optional<TimePoint>()> mLatestDeadline;
   /// Address of a usable VM for callers, or nullopt.
   std::function<std::optional<effect::LookupVm>(const VmId&)> mFindVm;
   /// A VM that owns a slot, to which ticket requests are sent.
@@ -115,6 +117,8 @@
                  EffectList& aOut);
   void OnPeerUnreachable(const VmId& aVm, TimePoint aNow, EffectList& aOut);
   void Tick(TimePoint aNow, EffectList& aOut);
+  /// Refuses every request in flight, before the process ends.
+  void RefuseAll(EffectList& aOut);
   /// Continues requests whose wait ended in another concern.
   void Advance(TimePoint aNow, EffectList& aOut);
 
@@ -178,6 +182,8 @@
 
   Request* Find(RequestId aRequest);
   bool IsOwnAttempt(const Request* aRequest, AttemptNumber aAttempt) const;
+  /// The deadline as far as a planned stop allows it.
+  TimePoint BoundDeadline(TimePoint aDeadline) const;
   static bool IsExecution(const Request& aRequest);
   /// What may truly be said of a request that is refused.
   static Execution TrueExecution(const Request& aRequest, Execution aExecution);
--- a/src/libcranberrywing/drain.cpp
+++ b/src/libcranberrywing/drain.cpp
@@ -7,6 +7,10 @@
 /// Time beyond the longest deadline that a planned stop may take.
 constexpr Duration kFinishMargin = std::chrono::seconds(1);
 
+/// Time before the end in which the last requests are refused, so that their
+/// answers are sent before the process ends.
+constexpr Duration kAnswerMargin = std::chrono::milliseconds(200);
+
 } // namespace
 
 DrainController::DrainController(DrainHooks aHooks)
@@ -47,14 +51,24 @@
                        (mHooks.mInFlight() == 0 || aNow >= mFinishEnd);
   if (mayExit) {
     mStage = DrainStage::Exited;
+    const std::size_t rest = mHooks.mInFlight();
+    mHooks.mRefuseRest(aOut);
     mHooks.mLeave(true, aNow, aOut);
     aOut.push_back(effect::RecordTimeline{
       .mName = "drain_finished",
-      .mFields = { { "cut_requests", std::to_string(mHooks.mInFlight()) } } });
+      .mFields = { { "refused_requests", std::to_string(rest) } } });
     aOut.push_back(effect::Exit{});
   }
 }
 
+std::optional<TimePoint> DrainController::LatestDeadline() const
+{
+  if (mStage == DrainStage::Serving) {
+    return std::nullopt;
+  }
+  return mFinishEnd - kAnswerMargin;
+}
+
 bool DrainController::ClosesCallers() const
 {
   return mStage != DrainStage::Serving;
--- a/src/libcranberrywing/reducer_hooks.cpp
+++ b/src/libcranberrywing/reducer_hooks.cpp
@@ -241,6 +241,7 @@
   return {
     .mIsCurrent = [this](TimePoint aNow) { return IsCurrent(aNow); },
     .mClosesCallers = [this] { return mDrain.ClosesCallers(); },
+    .mLatestDeadline = [this] { return mDrain.LatestDeadline(); },
     .mFindVm = [this](const VmId& aVm) -> std::optional<effect::LookupVm> {
       const Member* member = mMembership.Find(aVm);
       if (!member || !mMembership.IsUsable(aVm)) {
@@ -288,6 +289,7 @@
     .mIsHandedOver =
       [this] { return mSlots.IsReleased() && mShares.IsReturned(); },
     .mInFlight = [this] { return mRequests.InFlight(); },
+    .mRefuseRest = [this](EffectList& aOut) { mRequests.RefuseAll(aOut); },
   };
 }
 
--- a/src/libcranberrywing/requests.cpp
+++ b/src/libcranberrywing/requests.cpp
@@ -72,6 +72,12 @@
   Advance(aNow, aOut);
 }
 
+TimePoint RequestPipeline::BoundDeadline(TimePoint aDeadline) const
+{
+  const std::optional<TimePoint> latest = mHooks.mLatestDeadline();
+  return latest ? std::min(aDeadline, *latest) : aDeadline;
+}
+
 RequestPipeline::Request* RequestPipeline::Find(RequestId aRequest)
 {
   const auto it = mRequests.find(aRequest);
@@ -128,7 +134,7 @@
   if (aEvent.mTimeout > Duration::zero()) {
     timeout = std::min(timeout, aEvent.mTimeout);
   }
-  request.mDeadline = aNow + timeout;
+  request.mDeadline = BoundDeadline(aNow + timeout);
   if (auto refusal = Check(request, aNow)) {
     Refuse(request, std::move(*refusal), aOut);
     return;
--- a/src/libcranberrywing/requests_execution.cpp
+++ b/src/libcranberrywing/requests_execution.cpp
@@ -120,7 +120,7 @@
   request.mIdempotencyKey = aMessage.mIdempotencyKey;
   request.mTicket = aMessage.mTicket;
   request.mContent = std::make_shared<RequestContent>(aMessage.mContent);
-  request.mDeadline = aNow + Milliseconds(aMessage.mTimeoutMs);
+  request.mDeadline = BoundDeadline(aNow + Milliseconds(aMessage.mTimeoutMs));
   const RouteSettings* route =
     mSettings ? mSettings->FindRoute(aMessage.mContent.mMethod,
                                      aMessage.mContent.mTarget)
--- a/src/libcranberrywing/requests_outcome.cpp
+++ b/src/libcranberrywing/requests_outcome.cpp
@@ -1,4 +1,6 @@
 // Ends of requests: answers, failures, retries, cancellation and refusals.
+#include <algorithm>
+
 #include "cranberrywing/requests.h"
 
 namespace cranberrywing {
@@ -241,6 +243,29 @@
             aOut);
 }
 
+void RequestPipeline::RefuseAll(EffectList& aOut)
+{
+  std::vector<RequestId> rest;
+  for (const auto& [id, request] : mRequests) {
+    rest.push_back(id);
+  }
+  std::sort(rest.begin(), rest.end());
+  for (const RequestId id : rest) {
+    Request* request = Find(id);
+    if (!request) {
+      continue;
+    }
+    const bool mayHaveRun = request->mStage == Stage::Running ||
+                            request->mStage == Stage::Finishing ||
+                            request->mStage == Stage::Forwarded;
+    request->mMayHaveRun = request->mMayHaveRun || mayHaveRun;
+    Refuse(*request,
+           Refusal{ .mCode = ResultCode::ShuttingDown,
+                    .mDetail = "this VM stops before the request ended" },
+           aOut);
+  }
+}
+
 void RequestPipeline::ReleasePlace(Request& aRequest,
                                    TimePoint aNow,
                                    EffectList& aOut)
