--- a/src/libcranberrywing/configuration_test.cpp
+++ b/src/libcranberrywing/configuration_test.cpp
@@ -222,7 +222,7 @@
 TEST_CASE("a damaged record is refused")
 {
   ConfigurationRecord record;
-  record.mDocument = Fleet::Document("5s");
+  record.mDocument = ConfigurationFleet::Document("5s");
   record.mVersion = { { 3 }, DigestContent(record.mDocument) };
   const std::string bytes = EncodeRecord(record);
   REQUIRE(DecodeRecord(bytes).has_value());
