Expire a slot's queue in one pass

Cause: each expired request searched the whole queue of its slot. Change: one pass refuses all that are due; forgotten ones are dropped later. Conclusion: no quadratic time when a long queue expires at once.

--- a/src/include/cranberrywing/executions.h
+++ b/src/include/cranberrywing/executions.h
@@ -252,10 +252,10 @@
   void RefuseAll(const Active& aActive, const Refusal& aRefusal);
   void RefuseKnown(RequestId aRequest, Outcome aOutcome);
   void ExpireWaiters(TimePoint aNow);
-  void ExpireWaiter(RequestId aRequest);
-  bool IsKnownNotRun(std::uint32_t aSlot, RequestId aRequest) const;
+  void ExpireWaiter(RequestId aRequest, TimePoint aNow);
+  void ExpireQueue(std::uint32_t aSlot, TimePoint aNow);
   bool IsKnownNotRun(const SlotState& aSlot, const Attempt& aAttempt) const;
-  void RemoveWaiter(const WaitingPlace& aPlace, RequestId aRequest);
+  void RemoveWaiter(const ExecutionId& aExecution, RequestId aRequest);
   void SetOutcome(const Active& aActive,
                   const ExecutionId& aExecution,
                   Outcome aOutcome);
--- a/src/libcranberrywing/executions.cpp
+++ b/src/libcranberrywing/executions.cpp
@@ -192,10 +192,15 @@
 void Executions::Forget(RequestId aRequest)
 {
   const auto it = mRequests.find(aRequest);
-  if (it != mRequests.end()) {
-    RemoveWaiter(it->second, aRequest);
-    mRequests.erase(aRequest);
+  if (it == mRequests.end()) {
+    return;
+  }
+  // Queues drop requests that are not in mRequests when they are next gone
+  // through.
+  if (it->second.mExecution) {
+    RemoveWaiter(*it->second.mExecution, aRequest);
   }
+  mRequests.erase(it);
 }
 
 void Executions::Tick(TimePoint aNow, EffectList& aOut)
--- a/src/libcranberrywing/executions_outcomes.cpp
+++ b/src/libcranberrywing/executions_outcomes.cpp
@@ -78,25 +78,19 @@
     const RequestId request = mDeadlines.top().mRequest;
     mDeadlines.pop();
     if (mRequests.contains(request)) {
-      ExpireWaiter(request);
+      ExpireWaiter(request, aNow);
     }
   }
 }
 
-void Executions::ExpireWaiter(RequestId aRequest)
+void Executions::ExpireWaiter(RequestId aRequest, TimePoint aNow)
 {
   const WaitingPlace place = mRequests.at(aRequest);
   if (!place.mExecution) {
-    const bool isNotRun = IsKnownNotRun(place.mSlot, aRequest);
-    RemoveWaiter(place, aRequest);
-    Refuse(aRequest,
-           { .mCode = ResultCode::DeadlineExceeded,
-             .mExecution = isNotRun ? Execution::NotRun : Execution::Unknown,
-             .mDetail = "the slot could not take the request in time",
-             .mRetryAfter = kRepeatAfter });
+    ExpireQueue(place.mSlot, aNow);
     return;
   }
-  RemoveWaiter(place, aRequest);
+  RemoveWaiter(*place.mExecution, aRequest);
   const auto active = mActive.find(*place.mExecution);
   if (active == mActive.end() || active->second.mPhase == Phase::Committing) {
     Refuse(aRequest,
@@ -113,18 +107,27 @@
            .mRetryAfter = kRepeatAfter });
 }
 
-bool Executions::IsKnownNotRun(std::uint32_t aSlot, RequestId aRequest) const
+void Executions::ExpireQueue(std::uint32_t aSlot, TimePoint aNow)
 {
-  const auto slot = mOwned.find(aSlot);
-  if (slot == mOwned.end()) {
-    return false;
+  // All that are due at once: a long queue is gone through once only.
+  const auto owned = mOwned.find(aSlot);
+  if (owned == mOwned.end()) {
+    return;
   }
-  const auto& waiting = slot->second.mWaiting;
-  const auto attempt =
-    std::find_if(waiting.begin(), waiting.end(), [&](const Attempt& aAttempt) {
-      return aAttempt.mRequest.mRequest == aRequest;
-    });
-  return attempt != waiting.end() && IsKnownNotRun(slot->second, *attempt);
+  SlotState& slot = owned->second;
+  std::erase_if(slot.mWaiting, [&](const Attempt& aAttempt) {
+    const ExecutionRequest& request = aAttempt.mRequest;
+    if (request.mDeadline > aNow || !mRequests.contains(request.mRequest)) {
+      return false;
+    }
+    const bool isNotRun = IsKnownNotRun(slot, aAttempt);
+    Refuse(request.mRequest,
+           { .mCode = ResultCode::DeadlineExceeded,
+             .mExecution = isNotRun ? Execution::NotRun : Execution::Unknown,
+             .mDetail = "the slot could not take the request in time",
+             .mRetryAfter = kRepeatAfter });
+    return true;
+  });
 }
 
 bool Executions::IsKnownNotRun(const SlotState& aSlot,
@@ -140,18 +143,9 @@
                         record->second.mOutcome == Outcome::NotRun);
 }
 
-void Executions::RemoveWaiter(const WaitingPlace& aPlace, RequestId aRequest)
+void Executions::RemoveWaiter(const ExecutionId& aExecution, RequestId aRequest)
 {
-  if (!aPlace.mExecution) {
-    const auto slot = mOwned.find(aPlace.mSlot);
-    if (slot != mOwned.end()) {
-      std::erase_if(slot->second.mWaiting, [aRequest](const Attempt& aAttempt) {
-        return aAttempt.mRequest.mRequest == aRequest;
-      });
-    }
-    return;
-  }
-  const auto active = mActive.find(*aPlace.mExecution);
+  const auto active = mActive.find(aExecution);
   if (active != mActive.end()) {
     std::erase_if(active->second.mWaiters, [aRequest](const Waiter& aWaiter) {
       return aWaiter.mRequest == aRequest;
