Say not_run of an identity only when its owner is sure

Cause: with not_attempted in the interface, Executions still said unknown or not_run where only this request's fate was known. Change: refusals before the slot's record is complete and current say not_attempted; the random test now counts a not_run as false if any request of the identity reached a server. Taking the owner as sure at all times makes the random test fail.

--- a/src/include/cranberrywing/executions.h
+++ b/src/include/cranberrywing/executions.h
@@ -254,7 +254,10 @@
   void ExpireWaiters(TimePoint aNow);
   void ExpireWaiter(RequestId aRequest, TimePoint aNow);
   void ExpireQueue(std::uint32_t aSlot, TimePoint aNow);
-  bool IsKnownNotRun(const SlotState& aSlot, const Attempt& aAttempt) const;
+  /// Whether neither this request nor an earlier one of its identity ran.
+  bool IsKnownNotRun(const SlotState& aSlot,
+                     const Attempt& aAttempt,
+                     TimePoint aNow) const;
   void RemoveWaiter(const ExecutionId& aExecution, RequestId aRequest);
   void SetOutcome(const Active& aActive,
                   const ExecutionId& aExecution,
@@ -344,7 +347,7 @@
              EffectList& aOut);
   void AdoptRecord(SlotState& aSlot, const message::ExecutionRecord& aRecord);
   void AdoptOutcome(SlotState& aSlot, const message::ExecutionRecord& aRecord);
-  void RefuseSlot(std::uint32_t aNumber, SlotState& aSlot, bool aIsPlanned);
+  void RefuseSlot(std::uint32_t aNumber, SlotState& aSlot, TimePoint aNow);
 
   Options mOptions;
   ExecutionsHooks mHooks;
--- a/src/libcranberrywing/executions.cpp
+++ b/src/libcranberrywing/executions.cpp
@@ -44,7 +44,7 @@
   if (!attempt) {
     Refuse(aRequest.mRequest,
            { .mCode = attempt.error().mCode,
-             .mExecution = Execution::NotRun,
+             .mExecution = Execution::NotAttempted,
              .mDetail = attempt.error().mMessage });
     return;
   }
@@ -59,7 +59,7 @@
     mSlots.Refresh();
     Refuse(aAttempt.mRequest.mRequest,
            { .mCode = ResultCode::NotOwner,
-             .mExecution = Execution::Unknown,
+             .mExecution = Execution::NotAttempted,
              .mDetail = "the slot has another owner" });
     return;
   }
@@ -115,7 +115,7 @@
   if (TagOf(request.mContent) != aActive.mContent) {
     Refuse(request.mRequest,
            { .mCode = ResultCode::IdempotencyKeyReused,
-             .mExecution = Execution::NotRun,
+             .mExecution = Execution::NotAttempted,
              .mDetail = "the key was used for another request" });
     return;
   }
@@ -133,7 +133,7 @@
   if (TagOf(request.mContent) != aRecord.mContent) {
     Refuse(request.mRequest,
            { .mCode = ResultCode::IdempotencyKeyReused,
-             .mExecution = Execution::NotRun,
+             .mExecution = Execution::NotAttempted,
              .mDetail = "the key was used for another request" });
     return;
   }
--- a/src/libcranberrywing/executions_handover.cpp
+++ b/src/libcranberrywing/executions_handover.cpp
@@ -81,7 +81,7 @@
   // Only the owner of an epoch can mark the next one as handed over.
   const bool isPlanned =
     owner && mSlots.IsHandedOver(aSlot) && owner->mEpoch == state.mEpoch + 1;
-  RefuseSlot(aSlot, state, isPlanned);
+  RefuseSlot(aSlot, state, aNow);
   if (isPlanned) {
     mDeparting[aSlot] = { .mState = std::move(state),
                           .mSuccessor = owner->mProcess.mVm,
@@ -94,23 +94,22 @@
 
 void Executions::RefuseSlot(std::uint32_t aNumber,
                             SlotState& aSlot,
-                            bool aIsPlanned)
+                            TimePoint aNow)
 {
-  // After an unplanned loss a repeat of the request may have run elsewhere.
   Refusal refusal{
     .mCode = ResultCode::NotOwner,
-    .mExecution = Execution::Unknown,
+    .mExecution = Execution::NotAttempted,
     .mDetail = "the slot has moved to another owner",
   };
   for (const Attempt& attempt : std::exchange(aSlot.mWaiting, {})) {
-    refusal.mExecution = aIsPlanned && IsKnownNotRun(aSlot, attempt)
+    refusal.mExecution = IsKnownNotRun(aSlot, attempt, aNow)
                            ? Execution::NotRun
-                           : Execution::Unknown;
+                           : Execution::NotAttempted;
     if (mRequests.contains(attempt.mRequest.mRequest)) {
       Refuse(attempt.mRequest.mRequest, refusal);
     }
   }
-  refusal.mExecution = aIsPlanned ? Execution::NotRun : Execution::Unknown;
+  refusal.mExecution = Execution::NotAttempted;
   std::vector<ExecutionId> uncommitted;
   for (const auto& [execution, active] : mActive) {
     if (active.mSlot == aNumber && active.mPhase == Phase::Committing) {
--- a/src/libcranberrywing/executions_outcomes.cpp
+++ b/src/libcranberrywing/executions_outcomes.cpp
@@ -93,9 +93,11 @@
   RemoveWaiter(*place.mExecution, aRequest);
   const auto active = mActive.find(*place.mExecution);
   if (active == mActive.end() || active->second.mPhase == Phase::Committing) {
+    // After the lease has run out, a repeat may have run at a successor.
+    const bool isSure = mSlots.IsSurelyOwner(place.mSlot, aNow);
     Refuse(aRequest,
            { .mCode = ResultCode::StoreUnavailable,
-             .mExecution = Execution::NotRun,
+             .mExecution = isSure ? Execution::NotRun : Execution::NotAttempted,
              .mDetail = "the execution could not be recorded in time",
              .mRetryAfter = kRepeatAfter });
     return;
@@ -120,24 +122,28 @@
     if (request.mDeadline > aNow || !mRequests.contains(request.mRequest)) {
       return false;
     }
-    const bool isNotRun = IsKnownNotRun(slot, aAttempt);
-    Refuse(request.mRequest,
-           { .mCode = ResultCode::DeadlineExceeded,
-             .mExecution = isNotRun ? Execution::NotRun : Execution::Unknown,
-             .mDetail = "the slot could not take the request in time",
-             .mRetryAfter = kRepeatAfter });
+    const bool isNotRun = IsKnownNotRun(slot, aAttempt, aNow);
+    Refuse(
+      request.mRequest,
+      { .mCode = ResultCode::DeadlineExceeded,
+        .mExecution = isNotRun ? Execution::NotRun : Execution::NotAttempted,
+        .mDetail = "the slot could not take the request in time",
+        .mRetryAfter = kRepeatAfter });
     return true;
   });
 }
 
 bool Executions::IsKnownNotRun(const SlotState& aSlot,
-                               const Attempt& aAttempt) const
-{
-  // An earlier request of the same identity may have run: only a complete
-  // record of the identity's epochs can exclude it.
-  const bool isComplete = aAttempt.mTicket
-                            ? OwnsEpoch(aSlot, aAttempt.mTicket->mEpoch)
-                            : aSlot.mIsLoaded;
+                               const Attempt& aAttempt,
+                               TimePoint aNow) const
+{
+  // An earlier request of the same identity may have run: only a complete and
+  // current record can exclude it. The tickets of an epoch are run by its
+  // owner alone.
+  const bool isComplete =
+    aAttempt.mTicket
+      ? OwnsEpoch(aSlot, aAttempt.mTicket->mEpoch)
+      : aSlot.mIsLoaded && mSlots.IsSurelyOwner(aAttempt.mSlot, aNow);
   const auto record = aSlot.mRecords.find(aAttempt.mExecution);
   return isComplete && (record == aSlot.mRecords.end() ||
                         record->second.mOutcome == Outcome::NotRun);
--- a/src/libcranberrywing/executions_test.cpp
+++ b/src/libcranberrywing/executions_test.cpp
@@ -78,7 +78,7 @@
   fleet.Run(30ms);
   for (int n = 0; n < 2; ++n) {
     CHECK(fleet.SubmitAndWait(other).Is(ResultCode::IdempotencyKeyReused,
-                                        Execution::NotRun));
+                                        Execution::NotAttempted));
   }
   CHECK(fleet.Runs("order-1") == 1);
 }
@@ -97,7 +97,7 @@
   fleet.Resume(old);
   fleet.Run(2s);
   CHECK(old.mExecutions->Counters().mFenceRefusals == 1);
-  CHECK(fleet.Get(late).Is(ResultCode::NotOwner, Execution::Unknown));
+  CHECK(fleet.Get(late).Is(ResultCode::NotOwner, Execution::NotAttempted));
   CHECK(fleet.Runs("order-1") == 1);
 }
 
@@ -162,8 +162,10 @@
 {
   Settled fleet;
   fleet.SetFault(StoreFault::Outage);
-  const RequestId refused = fleet.Submit(kOrder);
-  fleet.Run(1900ms);
+  TestRequest hasty = kOrder;
+  hasty.mTimeout = 1s;
+  const RequestId refused = fleet.Submit(hasty);
+  fleet.Run(900ms);
   CHECK(fleet.Find(refused) == nullptr);
   fleet.Run(200ms);
   CHECK(fleet.Get(refused).Is(ResultCode::StoreUnavailable, Execution::NotRun));
@@ -173,6 +175,9 @@
   CHECK(fleet.SubmitAndWait(ticket).mAnswer != nullptr);
   CHECK(fleet.Runs(ticket.mTicket) == 1);
 
+  // By now another VM could have taken the slot and run the key.
+  CHECK(fleet.SubmitAndWait(kOrder).Is(ResultCode::StoreUnavailable,
+                                       Execution::NotAttempted));
   const RequestId waits = fleet.Submit(kOrder);
   fleet.Run(1s);
   fleet.SetFault(StoreFault::None);
@@ -296,7 +301,7 @@
   old.mFault = StoreFault::None;
   fleet.Release(old);
   fleet.Run(100ms);
-  CHECK(fleet.Get(id).Is(ResultCode::NotOwner, Execution::NotRun));
+  CHECK(fleet.Get(id).Is(ResultCode::NotOwner, Execution::NotAttempted));
   CHECK(fleet.SubmitAndWait(kOrder).mAnswer != nullptr);
   CHECK(fleet.Runs("order-1") == 1);
 }
@@ -364,6 +369,6 @@
   fleet.mStore.Apply(damage, fleet.Now());
   fleet.Run(kTakeover);
   CHECK(fleet.SubmitAndWait(kOrder).Is(ResultCode::DeadlineExceeded,
-                                       Execution::Unknown));
+                                       Execution::NotAttempted));
   CHECK(fleet.Runs("order-1") == 0);
 }
--- a/src/libcranberrywing/executions_tickets.cpp
+++ b/src/libcranberrywing/executions_tickets.cpp
@@ -66,7 +66,7 @@
     mSlots.Refresh();
     Refuse(aAttempt.mRequest.mRequest,
            { .mCode = ResultCode::NotOwner,
-             .mExecution = Execution::Unknown,
+             .mExecution = Execution::NotAttempted,
              .mDetail = "the ticket's slot has a later owner" });
   } else if (OwnsEpoch(aSlot, aAttempt.mTicket->mEpoch)) {
     StartUnseenTicket(aSlot, std::move(aAttempt));
--- a/src/libcranberrywing/executions_tickets_test.cpp
+++ b/src/libcranberrywing/executions_tickets_test.cpp
@@ -45,7 +45,7 @@
   for (const TestRequest& bad : { forged, renumbered, account, route }) {
     const RequestId id = fleet.BeginAt(fleet.At(0), bad);
     fleet.Run(10ms);
-    CHECK(fleet.Get(id).Is(ResultCode::InvalidTicket, Execution::NotRun));
+    CHECK(fleet.Get(id).Is(ResultCode::InvalidTicket, Execution::NotAttempted));
   }
   CHECK(fleet.SubmitAndWait(good).mAnswer != nullptr);
   CHECK(fleet.SubmitAndWait(good).mAnswer != nullptr);
--- a/src/libcranberrywing/requests_execution.cpp
+++ b/src/libcranberrywing/requests_execution.cpp
@@ -296,6 +296,7 @@
   // are passed on by those.
   if (aDecision.mRefusal.mCode == ResultCode::NotOwner &&
       !request->mForwardedBy) {
+    request->mIsLookedUp = false;
     RelocateLater(*request, aNow);
     return;
   }
--- a/src/testing/execution_fleet.h
+++ b/src/testing/execution_fleet.h
@@ -161,8 +161,7 @@
   std::map<std::string, int> mRuns;
   std::map<RequestId, std::string> mIdentities;
   std::map<RequestId, Outcome> mOutcomes;
-  std::set<RequestId> mDispatched;
-  /// Answers of "not run" although the same request reached a server.
+  /// Answers of "not run" although a request of the identity reached a server.
   int mFalseNotRun = 0;
   SettingsSnapshot mSettings;
 
@@ -410,7 +409,7 @@
     }
     const bool isNotRun =
       !aDecision.mAnswer && aDecision.mRefusal.mExecution == Execution::NotRun;
-    if (isNotRun && mDispatched.contains(aDecision.mRequest)) {
+    if (isNotRun && mRuns[identity] > 0) {
       ++mFalseNotRun;
     }
     mOutcomes[aDecision.mRequest] = { aDecision.mAnswer, aDecision.mRefusal };
@@ -428,7 +427,6 @@
     const BackendAct act = mAct;
     if (act != BackendAct::NotReached) {
       ++mRuns[aIdentity];
-      mDispatched.insert(aRequest);
     }
     AnswerContent answer;
     answer.mStatus = 200;
