--- a/src/include/cranberrywing/execution_state.h
+++ b/src/include/cranberrywing/execution_state.h
@@ -136,15 +136,21 @@
   ClaimBatch mBatch;
 };
 
+/// Records of one slot that a commit replaces by one.
+struct BatchMerge
+{
+  std::uint32_t mSlot = 0;
+  std::uint64_t mEpoch = 0;
+  std::string mKey;
+  ClaimBatch mBatch;
+  std::vector<std::string> mMergedKeys;
+};
+
 /// One commit. Repeated unchanged until its outcome is certain.
 struct CommitGroup
 {
   std::vector<BatchPart> mParts;
-  std::uint32_t mMergeSlot = 0;
-  std::uint64_t mMergeEpoch = 0;
-  std::string mMergeKey;
-  ClaimBatch mMergeBatch;
-  std::vector<std::string> mMergedKeys;
+  std::vector<BatchMerge> mMerges;
   StoreTxn mTxn;
   bool mIsInFlight = false;
   /// An earlier sending may have taken effect.
--- a/src/include/cranberrywing/executions.h
+++ b/src/include/cranberrywing/executions.h
@@ -197,6 +197,7 @@
   using WaitingPlace = detail::WaitingPlace;
   using Deadline = detail::WaitDeadline;
   using BatchPart = detail::BatchPart;
+  using BatchMerge = detail::BatchMerge;
   using CommitGroup = detail::CommitGroup;
   using Departing = detail::DepartingSlot;
 
@@ -269,7 +270,10 @@
   bool TakeCommitToken(TimePoint aNow);
   CommitGroup BuildGroup();
   bool AddPart(CommitGroup& aGroup, std::uint32_t aNumber, SlotState& aSlot);
-  void AddMerge(CommitGroup& aGroup, std::uint32_t aNumber, SlotState& aSlot);
+  void AddMerge(CommitGroup& aGroup,
+                std::uint32_t aNumber,
+                const SlotState& aSlot,
+                std::uint64_t aBatchNumber);
   void AddPut(StoreTxn& aTxn,
               const std::string& aKey,
               const ClaimBatch& aBatch);
--- a/src/libcranberrywing/executions_claims.cpp
+++ b/src/libcranberrywing/executions_claims.cpp
@@ -7,9 +7,11 @@
 
 namespace {
 
-/// Slots in one transaction. With one put each and one merge, it stays below
-/// etcd's 128 operations per list.
-constexpr std::size_t kSlotsPerCommit = 64;
+/// Slots and merges in one transaction: a put for each slot, and a put and
+/// ClaimLog::kMergedRecords deletions for each merge, stay below etcd's 128
+/// operations. Each slot needs a merge in about one of 15 commits.
+constexpr std::size_t kSlotsPerCommit = 48;
+constexpr std::size_t kMergesPerCommit = 4;
 /// Commits that an owner may make at once after a quiet time.
 constexpr double kCommitBurst = 3;
 constexpr Milliseconds kCommitRetry{ 200 };
@@ -85,7 +87,7 @@
       break;
     }
     if (AddPart(group, it->first, it->second)) {
-      AddMerge(group, it->first, it->second);
+      AddMerge(group, it->first, it->second, it->second.mNextBatch++);
     }
     mNextCommitSlot = it->first + 1;
   }
@@ -138,32 +140,38 @@
 
 void Executions::AddMerge(CommitGroup& aGroup,
                           std::uint32_t aNumber,
-                          SlotState& aSlot)
+                          const SlotState& aSlot,
+                          std::uint64_t aBatchNumber)
 {
-  if (!aGroup.mMergedKeys.empty()) {
-    return;
-  }
   std::optional<ClaimLog::Merge> merge = aSlot.mLog.PlanMerge();
-  if (!merge) {
+  std::size_t claims = merge ? merge->mExecutions.size() : 0;
+  for (const BatchMerge& other : aGroup.mMerges) {
+    claims += other.mBatch.mClaims.size();
+  }
+  const bool isFull =
+    aGroup.mMerges.size() == kMergesPerCommit || claims > kMaxBatchClaims;
+  if (!merge || isFull) {
     return;
   }
-  aGroup.mMergeSlot = aNumber;
-  aGroup.mMergeEpoch = aSlot.mEpoch;
-  aGroup.mMergeKey = BatchKey(aNumber, aSlot.mEpoch, aSlot.mNextBatch++);
-  aGroup.mMergeBatch.mLevel = merge->mLevel;
+  BatchMerge part;
+  part.mSlot = aNumber;
+  part.mEpoch = aSlot.mEpoch;
+  part.mKey = BatchKey(aNumber, aSlot.mEpoch, aBatchNumber);
+  part.mBatch.mLevel = merge->mLevel;
   for (const ExecutionId& id : merge->mExecutions) {
     // Claims that are no longer in memory have expired.
     const auto record = aSlot.mRecords.find(id);
     if (record != aSlot.mRecords.end()) {
-      aGroup.mMergeBatch.mClaims.push_back(
+      part.mBatch.mClaims.push_back(
         { id, record->second.mContent, record->second.mExpirySeconds });
     }
   }
-  AddPut(aGroup.mTxn, aGroup.mMergeKey, aGroup.mMergeBatch);
+  AddPut(aGroup.mTxn, part.mKey, part.mBatch);
   for (const std::string& key : merge->mKeys) {
     aGroup.mTxn.mDeletes.push_back({ .mKey = key, .mRangeEnd = "" });
   }
-  aGroup.mMergedKeys = std::move(merge->mKeys);
+  part.mMergedKeys = std::move(merge->mKeys);
+  aGroup.mMerges.push_back(std::move(part));
 }
 
 void Executions::AddPut(StoreTxn& aTxn,
@@ -278,10 +286,12 @@
       CompleteClaim(*slot, part, claim, aNow);
     }
   }
-  SlotState* slot = FindState(group.mMergeSlot, group.mMergeEpoch);
-  if (!group.mMergedKeys.empty() && slot != nullptr) {
-    slot->mLog.Remove(group.mMergedKeys);
-    slot->mLog.Add(group.mMergeKey, group.mMergeBatch);
+  for (const BatchMerge& merge : group.mMerges) {
+    SlotState* slot = FindState(merge.mSlot, merge.mEpoch);
+    if (slot != nullptr) {
+      slot->mLog.Remove(merge.mMergedKeys);
+      slot->mLog.Add(merge.mKey, merge.mBatch);
+    }
   }
 }
 
--- a/src/libcranberrywing/executions_test.cpp
+++ b/src/libcranberrywing/executions_test.cpp
@@ -30,14 +30,6 @@
     return Get(id);
   }
 
-  std::ptrdiff_t CountClaimRecords() const
-  {
-    const auto& entries = mStore.Entries();
-    return std::count_if(entries.begin(), entries.end(), [](const auto& aE) {
-      return aE.first.starts_with("/cw/claims/");
-    });
-  }
-
   void SetFault(StoreFault aFault)
   {
     for (auto& [vm, node] : mNodes) {
@@ -46,6 +38,14 @@
   }
 };
 
+std::ptrdiff_t CountClaimRecords(const Fleet& aFleet)
+{
+  const auto& entries = aFleet.mStore.Entries();
+  return std::count_if(entries.begin(), entries.end(), [](const auto& aEntry) {
+    return aEntry.first.starts_with("/cw/claims/");
+  });
+}
+
 } // namespace
 
 // Guards against a second run of a key, and against a repeat without answer.
@@ -134,7 +134,7 @@
     fleet.Run(300ms);
   }
   CHECK(fleet.Runs("order-1") == 1);
-  CHECK(fleet.CountClaimRecords() == 1);
+  CHECK(CountClaimRecords(fleet) == 1);
 }
 
 // Guards against an untrue "not run": a claim of which nobody knows whether
@@ -339,7 +339,7 @@
     fleet.Submit(keyOf(n));
     fleet.Run(120ms);
   }
-  CHECK(fleet.CountClaimRecords() < 40);
+  CHECK(CountClaimRecords(fleet) < 40);
 
   fleet.Kill(fleet.OwnerOf(kOrder));
   fleet.Run(kTakeover);
@@ -351,10 +351,26 @@
     CHECK(fleet.Runs(keyOf(n).mKey) == 1);
   }
   fleet.Run(200s);
-  CHECK(fleet.CountClaimRecords() == 0);
+  CHECK(CountClaimRecords(fleet) == 0);
   CHECK(fleet.OwnerOf(kOrder).mExecutions->RecordCount() == 0);
 }
 
+// Guards against records that pile up at an owner of many slots.
+TEST_CASE("an owner of all slots merges as fast as it commits")
+{
+  Fleet fleet(1);
+  fleet.Run(4s);
+  for (int n = 0; n < 150; ++n) {
+    for (int m = 0; m < 64; ++m) {
+      const int number = n * 64 + m;
+      fleet.Submit({ .mKey = "order-" + std::to_string(number) });
+    }
+    fleet.Run(110ms);
+  }
+  // Per slot 15 records of the first level and some of the second.
+  CHECK(CountClaimRecords(fleet) < 64 * 20);
+}
+
 // Guards against running a key whose claim may be in a damaged record.
 TEST_CASE("a slot with an unreadable record takes no claim")
 {
