Split the execution fleet and the benchmark's owner into parts

Change: the driver of simulated time and the benchmark's owner are headers of their own; the random test proves some deaths.

--- a/src/bench/execution_bench.cpp
+++ b/src/bench/execution_bench.cpp
@@ -4,18 +4,17 @@
 #include <benchmark/benchmark.h>
 #include <malloc.h>
 
-#include <queue>
 #include <random>
 
+#include "bench/execution_owner.h"
 #include "testing/execution_fleet.h"
 
 namespace {
 
 using namespace cranberrywing;
+using namespace cranberrywing::execution_bench;
 using namespace std::chrono_literals;
 
-constexpr std::uint64_t kSeed = 1;
-constexpr std::int64_t kWallSeconds = 1'700'000'000;
 /// Reply time of the store in the group commit benchmark.
 constexpr Milliseconds kStoreTime{ 5 };
 
@@ -24,142 +23,6 @@
   return mallinfo2().uordblks;
 }
 
-/// One owner of all slots, with a store that answers without keeping claims.
-class Owner
-{
-public:
-  explicit Owner(std::size_t aClaimsPerCommit = kMaxBatchClaims)
-    : mSlots({ .mSelf = mSelf }, SlotHooks())
-    , mExecutions(ExecutionOptions(aClaimsPerCommit), ExecutionHooks(), mSlots)
-  {
-    SettingsSnapshot settings;
-    settings.mFleet.mTicketSecret = "bench";
-    mSlots.Apply(settings);
-    mExecutions.Apply(settings);
-    while (mSlots.OwnedSlots().size() < settings.mFleet.mSlotCount) {
-      Step(10ms);
-    }
-  }
-
-  /// Advances time and answers store calls that are due.
-  void Step(Duration aTime)
-  {
-    mNow += aTime;
-    AnswerCalls();
-    EffectList out;
-    mSlots.Tick(mNow, out);
-    mExecutions.Tick(mNow, out);
-    Collect(out);
-    AnswerCalls();
-  }
-
-  void Begin(const ExecutionRequest& aRequest)
-  {
-    EffectList out;
-    mExecutions.Begin(aRequest, mNow, out);
-    Collect(out);
-  }
-
-  void Answer(RequestId aRequest, const AnswerContentPtr& aAnswer)
-  {
-    EffectList out;
-    mExecutions.OnAnswered(aRequest, aAnswer, mNow, out);
-    Collect(out);
-  }
-
-  void AnswerCalls()
-  {
-    while (!mCalls.empty() && mCalls.front().mDue <= mNow) {
-      const effect::CallStore call = std::move(mCalls.front().mCall);
-      mCalls.pop();
-      const bool isClaim = call.mCall.mConcern == Concern::Executions &&
-                           !call.mRequest.mTxn->mPuts.empty();
-      StoreReply reply;
-      reply.mSucceeded = true;
-      if (!isClaim) {
-        reply = mStore.Apply(call.mRequest, mNow);
-      }
-      EffectList out;
-      const event::StoreReplied event{ call.mCall, reply };
-      if (call.mCall.mConcern == Concern::SlotTable) {
-        mSlots.OnStoreReply(event, mNow, out);
-      } else {
-        mExecutions.OnStoreReply(event, mNow, out);
-      }
-      Collect(out);
-    }
-  }
-
-  VmIncarnation mSelf{ VmId("vm-1"), Incarnation{ 1 } };
-  TimePoint mNow{ 1s };
-  Duration mStoreTime{};
-  execution_testing::MemoryStore mStore;
-  SlotTable mSlots;
-  Executions mExecutions;
-
-private:
-  struct Pending
-  {
-    TimePoint mDue{};
-    effect::CallStore mCall;
-  };
-
-  SlotTableHooks SlotHooks() const
-  {
-    SlotTableHooks hooks;
-    hooks.mIsDead = [](const VmIncarnation&) { return false; };
-    hooks.mIsUsable = [](const VmId&) { return true; };
-    hooks.mCandidates = [this] {
-      return std::vector<std::pair<VmId, FailureDomainId>>{
-        { mSelf.mVm, FailureDomainId("a") }
-      };
-    };
-    // The hooks run only after construction.
-    auto* self = const_cast<Owner*>(this);
-    hooks.mOnAcquired = [self](std::uint32_t aSlot,
-                               std::uint64_t aEpoch,
-                               TimePoint aNow,
-                               EffectList& aOut) {
-      self->mExecutions.OnSlotAcquired(aSlot, aEpoch, aNow, aOut);
-    };
-    hooks.mOnLost =
-      [self](std::uint32_t aSlot, TimePoint aNow, EffectList& aOut) {
-        self->mExecutions.OnSlotLost(aSlot, aNow, aOut);
-      };
-    return hooks;
-  }
-
-  ExecutionsHooks ExecutionHooks() const
-  {
-    ExecutionsHooks hooks;
-    hooks.mPeers = [] { return std::vector<VmId>(); };
-    hooks.mCopyHolder = [](std::uint32_t) { return std::nullopt; };
-    hooks.mWallSeconds = [] { return kWallSeconds; };
-    return hooks;
-  }
-
-  Executions::Options ExecutionOptions(std::size_t aClaimsPerCommit) const
-  {
-    Executions::Options options;
-    options.mSelf = mSelf;
-    options.mSeed = kSeed;
-    options.mKeptBytes = 1u << 30;
-    options.mClaimsPerCommit = aClaimsPerCommit;
-    return options;
-  }
-
-  void Collect(const EffectList& aEffects)
-  {
-    for (const Effect& effect : aEffects) {
-      if (const auto* call = std::get_if<effect::CallStore>(&effect)) {
-        mCalls.push({ mNow + mStoreTime, *call });
-      }
-    }
-  }
-
-  std::queue<Pending> mCalls;
-};
-
 ExecutionRequest MakeRequest(std::uint64_t aNumber, TimePoint aNow)
 {
   ExecutionRequest request;
--- a/src/libcranberrywing/executions_random_test.cpp
+++ b/src/libcranberrywing/executions_random_test.cpp
@@ -101,10 +101,11 @@
   void RestartOrKill()
   {
     Node& node = AnyNode();
-    if (node.mIsUp && Chance(50)) {
-      mFleet.Kill(node);
-    } else {
-      mFleet.Kill(node);
+    mFleet.Kill(node);
+    if (Chance(30)) {
+      mFleet.mDead.insert(node.mSelf);
+    }
+    if (Chance(50)) {
       mFleet.Start(node);
     }
   }
--- a/src/testing/execution_fleet.h
+++ b/src/testing/execution_fleet.h
@@ -1,27 +1,21 @@
-// A few SlotTable and Executions pairs over one fake store, with faults of
-// processes, of the store and of messages between peers. Submit does what the
+// A few SlotTable and Executions pairs over one store. Submit does what the
 // request pipeline does around Executions.
 #pragma once
 
-#include <functional>
+#include <algorithm>
 #include <map>
 #include <memory>
-#include <random>
 #include <set>
 #include <string>
 #include <vector>
 
-#include "cranberrywing/executions.h"
-#include "testing/execution_node.h"
-#include "testing/execution_store.h"
+#include "testing/execution_driver.h"
 
 namespace cranberrywing::execution_testing {
 
-class Fleet
+class Fleet : public FleetDriver
 {
 public:
-  using Handler = std::function<void(Node&, EffectList&)>;
-
   explicit Fleet(std::size_t aNodes, FleetSettings aFleet = {})
   {
     aFleet.mTicketSecret = "test-secret";
@@ -93,13 +87,6 @@
     return At(0).mExecutions->Locate(Make(RequestId{ 0 }, aRequest))->mSlot;
   }
 
-  void Run(Duration aTime)
-  {
-    for (const TimePoint end = mNow + aTime; mNow < end;) {
-      Step();
-    }
-  }
-
   /// Begins the request at a node; the owner is not looked for.
   RequestId BeginAt(Node& aNode, const TestRequest& aRequest)
   {
@@ -142,20 +129,11 @@
   Outcome Get(RequestId aRequest) const { return mOutcomes.at(aRequest); }
   /// Requests that reached a backend server under the identity.
   int Runs(const std::string& aIdentity) { return mRuns[aIdentity]; }
-  TimePoint Now() const { return mNow; }
 
-  MemoryStore mStore;
-  std::map<VmId, Node> mNodes;
   std::set<VmIncarnation> mDead;
   BackendAct mAct = BackendAct::Answer;
   Duration mBackendTime = 20ms;
-  /// Each way.
-  Duration mStoreDelay = 2ms;
   std::size_t mBodyBytes = 0;
-  /// Whether a message is lost.
-  std::function<bool(const VmId&, const Message&)> mLoses;
-  /// Number of deliveries and their delays, if not one after 1 ms.
-  std::function<std::vector<Duration>()> mDelays;
   std::size_t mKeptBytes = 1u << 20;
   std::int64_t mWallOffset = 1'700'000'000;
   std::map<std::string, int> mRuns;
@@ -233,174 +211,7 @@
              .mDeadline = mNow + aRequest.mTimeout };
   }
 
-  void Step()
-  {
-    mNow += 10ms;
-    mStore.ExpireLeases(mNow);
-    while (!mScheduled.empty() && mScheduled.begin()->first <= mNow) {
-      const auto action = std::move(mScheduled.begin()->second);
-      mScheduled.erase(mScheduled.begin());
-      action();
-    }
-    for (auto& [vm, node] : mNodes) {
-      if (node.mIsUp && !node.mIsPaused) {
-        FireWatch(node);
-        Handle(node, [this](Node& aNode, EffectList& aOut) {
-          aNode.mSlots->Tick(mNow, aOut);
-          aNode.mExecutions->Tick(mNow, aOut);
-        });
-      }
-    }
-  }
-
-  void FireWatch(Node& aNode)
-  {
-    if (!aNode.mIsWatching || aNode.mFault != StoreFault::None) {
-      return;
-    }
-    event::StoreWatchFired fired;
-    fired.mWatch = { Concern::SlotTable, 0 };
-    const auto& changes = mStore.Changes();
-    for (; aNode.mWatchPosition < changes.size(); ++aNode.mWatchPosition) {
-      const MemoryStore::Change& change = changes[aNode.mWatchPosition];
-      if (change.mRevision >= aNode.mWatchFrom &&
-          change.mEntry.mKey.starts_with("/cw/slots/")) {
-        fired.mEntries.push_back(change.mEntry);
-      }
-    }
-    fired.mStoreRevision = mStore.StoreRevision();
-    if (fired.mEntries.empty() && mNow - aNode.mLastProgress < 1s) {
-      return;
-    }
-    aNode.mLastProgress = mNow;
-    Handle(aNode, [=, this](Node& aAt, EffectList& aOut) {
-      aAt.mSlots->OnWatch(fired, mNow, aOut);
-    });
-  }
-
-  void Handle(Node& aNode, const Handler& aHandler)
-  {
-    if (!aNode.mIsUp) {
-      return;
-    }
-    if (aNode.mIsPaused) {
-      aNode.mBacklog.push_back(aHandler);
-      return;
-    }
-    EffectList out;
-    aHandler(aNode, out);
-    for (const Effect& effect : out) {
-      CarryOut(aNode, effect);
-    }
-    for (const auto& decision : aNode.mExecutions->TakeDecisions()) {
-      Decide(aNode, decision);
-    }
-  }
-
-  /// Delivers an event to the process, unless it has ended by then.
-  void Schedule(Duration aDelay, const VmIncarnation& aTo, Handler aHandler)
-  {
-    mScheduled.emplace(mNow + aDelay, [this, aTo, aHandler] {
-      Node& node = mNodes.at(aTo.mVm);
-      if (node.mIsUp && node.mSelf == aTo) {
-        Handle(node, aHandler);
-      }
-    });
-  }
-
-  void CarryOut(Node& aNode, const Effect& aEffect)
-  {
-    if (const auto* call = std::get_if<effect::CallStore>(&aEffect)) {
-      CallStore(aNode, *call);
-    } else if (const auto* send = std::get_if<effect::SendMessage>(&aEffect)) {
-      SendMessage(aNode, *send);
-    } else if (const auto* watch = std::get_if<effect::WatchStore>(&aEffect)) {
-      aNode.mIsWatching = true;
-      aNode.mWatchPosition = 0;
-      aNode.mWatchFrom = watch->mFromRevision;
-    } else if (std::holds_alternative<effect::CancelWatch>(aEffect)) {
-      aNode.mIsWatching = false;
-    }
-  }
-
-  void CallStore(Node& aNode, const effect::CallStore& aCall)
-  {
-    ++aNode.mStoreCalls;
-    const StoreFault fault = aNode.mFault;
-    const VmIncarnation self = aNode.mSelf;
-    const auto answer = [this, self, call = aCall.mCall](
-                          Duration aDelay, Result<StoreReply> aReply) {
-      Schedule(aDelay, self, [=, this](Node& aAt, EffectList& aOut) {
-        const event::StoreReplied reply{ call, aReply };
-        if (call.mConcern == Concern::SlotTable) {
-          aAt.mSlots->OnStoreReply(reply, mNow, aOut);
-        } else {
-          aAt.mExecutions->OnStoreReply(reply, mNow, aOut);
-        }
-      });
-    };
-    const auto unknown = MakeError(ResultCode::OutcomeUnknown, "lost");
-    switch (fault) {
-      case StoreFault::None:
-        mScheduled.emplace(mNow + mStoreDelay, [=, this] {
-          answer(mStoreDelay, mStore.Apply(aCall.mRequest, mNow));
-        });
-        return;
-      case StoreFault::Outage:
-        answer(2ms, MakeError(ResultCode::StoreUnavailable, "down"));
-        return;
-      case StoreFault::LostAnswer:
-        mStore.Apply(aCall.mRequest, mNow);
-        answer(20ms, unknown);
-        return;
-      case StoreFault::LateEffect:
-        mScheduled.emplace(mNow + 2s,
-                           [=, this] { mStore.Apply(aCall.mRequest, mNow); });
-        answer(20ms, unknown);
-        return;
-      case StoreFault::LostCall:
-        answer(20ms, unknown);
-        return;
-    }
-  }
-
-  void SendMessage(const Node& aNode, const effect::SendMessage& aSend)
-  {
-    const Message& message = aSend.mMessage;
-    const auto to = mNodes.find(aSend.mTo);
-    if (to == mNodes.end() || (mLoses && mLoses(aSend.mTo, message))) {
-      return;
-    }
-    const auto delays = mDelays ? mDelays() : std::vector<Duration>{ 1ms };
-    for (const Duration delay : delays) {
-      // Whichever process runs on the VM by then receives it.
-      mScheduled.emplace(
-        mNow + delay, [this, message, from = aNode.mSelf, &node = to->second] {
-          Handle(node, [=, this](Node& aAt, EffectList& aOut) {
-            Receive(aAt, from, message, aOut);
-          });
-        });
-    }
-  }
-
-  void Receive(Node& aNode,
-               const VmIncarnation& aFrom,
-               const Message& aMessage,
-               EffectList& aOut)
-  {
-    std::visit(
-      [&](const auto& aContent) {
-        if constexpr (requires {
-                        aNode.mExecutions->OnMessage(
-                          aFrom, aContent, mNow, aOut);
-                      }) {
-          aNode.mExecutions->OnMessage(aFrom, aContent, mNow, aOut);
-        }
-      },
-      aMessage);
-  }
-
-  void Decide(Node& aNode, const ExecutionDecision& aDecision)
+  void Decide(Node& aNode, const ExecutionDecision& aDecision) override
   {
     const std::string identity = mIdentities.at(aDecision.mRequest);
     if (aDecision.mRun) {
@@ -445,10 +256,8 @@
     });
   }
 
-  TimePoint mNow{ 1s };
   std::uint64_t mProcesses = 0;
   std::uint64_t mLastRequest = 0;
-  std::multimap<TimePoint, std::function<void()>> mScheduled;
 };
 
 } // namespace cranberrywing::execution_testing
