--- a/src/libcranberrywing/executions.cpp
+++ b/src/libcranberrywing/executions.cpp
@@ -44,7 +44,7 @@
   if (!attempt) {
     Refuse(aRequest.mRequest,
            { .mCode = attempt.error().mCode,
-             .mExecution = Execution::NotRun,
+             .mExecution = Execution::NotAttempted,
              .mDetail = attempt.error().mMessage });
     return;
   }
@@ -59,7 +59,7 @@
     mSlots.Refresh();
     Refuse(aAttempt.mRequest.mRequest,
            { .mCode = ResultCode::NotOwner,
-             .mExecution = Execution::Unknown,
+             .mExecution = Execution::NotAttempted,
              .mDetail = "the slot has another owner" });
     return;
   }
@@ -115,7 +115,7 @@
   if (TagOf(request.mContent) != aActive.mContent) {
     Refuse(request.mRequest,
            { .mCode = ResultCode::IdempotencyKeyReused,
-             .mExecution = Execution::NotRun,
+             .mExecution = Execution::NotAttempted,
              .mDetail = "the key was used for another request" });
     return;
   }
@@ -133,7 +133,7 @@
   if (TagOf(request.mContent) != aRecord.mContent) {
     Refuse(request.mRequest,
            { .mCode = ResultCode::IdempotencyKeyReused,
-             .mExecution = Execution::NotRun,
+             .mExecution = Execution::NotAttempted,
              .mDetail = "the key was used for another request" });
     return;
   }
@@ -192,10 +192,15 @@
 void Executions::Forget(RequestId aRequest)
 {
   const auto it = mRequests.find(aRequest);
-  if (it != mRequests.end()) {
-    RemoveWaiter(it->second, aRequest);
-    mRequests.erase(aRequest);
+  if (it == mRequests.end()) {
+    return;
+  }
+  // Queues drop requests that are not in mRequests when they are next gone
+  // through.
+  if (it->second.mExecution) {
+    RemoveWaiter(*it->second.mExecution, aRequest);
   }
+  mRequests.erase(it);
 }
 
 void Executions::Tick(TimePoint aNow, EffectList& aOut)
