--- a/src/libcranberrywing/rate_limiter_test.cpp
+++ b/src/libcranberrywing/rate_limiter_test.cpp
@@ -13,6 +13,15 @@
 /// Sums of fractions of tokens are exact only up to rounding.
 constexpr double kRounding = 1e-6;
 
+/// Sends a request and runs on. No VM may then hold tokens beyond the burst,
+/// used or not.
+void ArriveAndCheck(RateFleet& aFleet, std::size_t aVm, Duration aPause)
+{
+  aFleet.Arrive(aVm);
+  aFleet.RunFor(aPause);
+  REQUIRE(aFleet.TokenSum() <= aFleet.Burst() + kRounding);
+}
+
 /// Sends requests to random VMs, mostly to one that changes every 3 s, at
 /// several times the account's rate, so that any loophole is used.
 void Flood(RateFleet& aFleet, std::mt19937_64& aRandom, Duration aDuration)
@@ -27,26 +36,30 @@
       hot = vm(aRandom);
       nextHot += 3s;
     }
-    aFleet.Arrive(aRandom() % 4 == 0 ? vm(aRandom) : hot);
-    aFleet.RunFor(std::chrono::microseconds(pause(aRandom)));
+    const std::size_t target = aRandom() % 4 == 0 ? vm(aRandom) : hot;
+    const std::chrono::microseconds gap(pause(aRandom));
+    ArriveAndCheck(aFleet, target, gap);
   }
 }
 
-/// Lets buckets fill, makes one VM borrow, and soon after drains all buckets
-/// at once: what was lent must not be there twice.
+/// Lets buckets fill, makes one VM borrow about what all of them refill, and
+/// drains all buckets at once after a time in which givers refill: what was
+/// lent must not be there twice.
 void DrainAfterLoans(RateFleet& aFleet, std::mt19937_64& aRandom)
 {
-  std::uniform_int_distribution<int> pause(0, 600);
+  std::uniform_int_distribution<int> pause(0, 300);
   aFleet.RunFor(1s);
   const std::size_t hot = aRandom() % aFleet.Size();
-  for (int i = 0; i < 60; ++i) {
-    aFleet.Arrive(hot);
-    aFleet.RunFor(2ms);
+  for (int i = 0; i < 100; ++i) {
+    ArriveAndCheck(aFleet, hot, 5ms);
+  }
+  for (int waited = pause(aRandom); waited > 0; --waited) {
+    aFleet.RunFor(1ms);
+    REQUIRE(aFleet.TokenSum() <= aFleet.Burst() + kRounding);
   }
-  aFleet.RunFor(std::chrono::milliseconds(pause(aRandom)));
   for (int i = 0; i < 400; ++i) {
-    aFleet.Arrive(aRandom() % 3 == 0 ? hot : aRandom() % aFleet.Size());
-    aFleet.RunFor(100us);
+    const std::size_t vm = aRandom() % aFleet.Size();
+    ArriveAndCheck(aFleet, aRandom() % 3 == 0 ? hot : vm, 100us);
   }
 }
 
@@ -161,6 +174,23 @@
     // What a VM without a fraction has no room for ends with the validity.
     CHECK(limiter.Tokens(account, now + 1ms) == 0);
   }
+  SECTION("unused, they go back to the giver once")
+  {
+    // The request's own wait has ended by then.
+    limiter.OnMessage(peer, transfer, now += 60ms, effects);
+    REQUIRE(limiter.Tokens(account, now) == request.mWanted);
+    effects.clear();
+    limiter.Tick(now += 200ms, effects);
+    CHECK(effects.empty());
+    limiter.Tick(now += 50ms, effects);
+    REQUIRE(effects.size() == 1);
+    const auto& back = std::get<effect::SendMessage>(effects[0]);
+    const auto& ended = std::get<message::TokenRequest>(back.mMessage).mEnded;
+    REQUIRE(ended.size() == 1);
+    CHECK(ended[0].mNumber == request.mNumber);
+    CHECK(ended[0].mReturned == request.mWanted);
+    CHECK(limiter.Tokens(account, now) == 0);
+  }
   SECTION("late, they are lost")
   {
     now += 500ms;
@@ -187,6 +217,16 @@
   bucket.Advance(kWholeShare / 2, now += 1ms);
   CHECK(bucket.Capacity() == 50);
   bucket.Advance(kWholeShare / 2, now += 10s);
+  // A return adds tokens once, and no more than were lent.
+  const TransferId transfer{ {}, 7 };
+  CHECK(bucket.Lend(transfer, 20, now + 510ms) == 20);
+  bucket.EndLoan(transfer, 5);
+  bucket.EndLoan(transfer, 5);
+  CHECK(bucket.Total() == 35);
+  CHECK(bucket.Capacity() == 50);
+  CHECK(bucket.Lend(transfer, 10, now + 510ms) == 10);
+  bucket.EndLoan(transfer, 15);
+  CHECK(bucket.Total() == 35);
   bucket.Advance(kWholeShare / 10, now);
   CHECK(bucket.Total() == 10);
   bucket.Advance(kWholeShare, now);
--- a/src/testing/rate_fleet.h
+++ b/src/testing/rate_fleet.h
@@ -80,6 +80,7 @@
   EventQueue& Queue() { return mQueue; }
   FakeStore& Store() { return mStore; }
   std::size_t Size() const { return mNodes.size(); }
+  double Burst() const { return mOptions.mBurst; }
   ShareLedger& Ledger(std::size_t aVm) { return *mNodes[aVm].mLedger; }
   RateLimiter& Limiter(std::size_t aVm) { return *mNodes[aVm].mLimiter; }
   std::uint64_t Messages() const { return mMessages; }
@@ -95,6 +96,17 @@
     return sum;
   }
 
+  /// Tokens that living processes could use at this moment.
+  double TokenSum() const
+  {
+    double sum = 0;
+    for (std::size_t i = 0; i < mNodes.size(); ++i) {
+      const Node& node = mNodes[i];
+      sum += node.mRunning ? node.mLimiter->Tokens(Account(), LocalNow(i)) : 0;
+    }
+    return sum;
+  }
+
   /// Starts a process, as a new incarnation of the VM. An earlier one is
   /// ended; the others learn of its death after the delay.
   void Start(std::size_t aVm, Duration aProofDelay = std::chrono::seconds(2))
