--- a/src/bench/membership_bench.cpp
+++ b/src/bench/membership_bench.cpp
@@ -124,6 +124,17 @@
   }
 }
 
+/// Time until a restarted VM knows all members.
+Duration TimeToJoin(MembershipFleet& aFleet, std::size_t aVm)
+{
+  const TimePoint start = aFleet.Now();
+  aFleet.Start(aVm);
+  while (aFleet.Of(aVm).Members().size() + 1 < aFleet.Size()) {
+    aFleet.RunFor(std::chrono::milliseconds(5));
+  }
+  return aFleet.Now() - start;
+}
+
 /// Times until each member knows a version that one member publishes.
 std::vector<Duration> TimesToVersion(MembershipFleet& aFleet, std::size_t aVm)
 {
@@ -153,6 +164,7 @@
 
 void ReportTimes(std::size_t aSize, std::uint64_t aSeeds, double aLoss)
 {
+  std::vector<Duration> joins;
   std::vector<Duration> crashes;
   std::vector<Duration> probed;
   std::vector<Duration> pushed;
@@ -167,13 +179,16 @@
       const std::vector<Duration> found = TimesToVersion(fleet, seed % aSize);
       times.insert(times.end(), found.begin(), found.end());
       if (isPushed) {
+        joins.push_back(TimeToJoin(fleet, (seed * 3) % aSize));
         crashes.push_back(TimeToCrashKnown(fleet, (seed * 7) % aSize));
       }
     }
   }
-  std::printf("%6zu %5.0f%% %9.2f %9.2f %9.2f %9.2f %9.3f %9.3f\n",
+  std::printf("%6zu %5.0f%% %9.3f %9.3f %9.2f %9.2f %9.2f %9.2f %9.3f %9.3f\n",
               aSize,
               100 * aLoss,
+              Quantile(joins, 0.5),
+              Quantile(joins, 0.99),
               Quantile(crashes, 0.5),
               Quantile(crashes, 0.99),
               Quantile(probed, 0.5),
@@ -326,12 +341,15 @@
     previousSize = size;
   }
 
-  std::printf("\nSeconds until all know of a crash, and until members know a "
+  std::printf("\nSeconds until a restarted VM knows all, until all know of a "
+              "crash, and until members know a "
               "new version from probes alone and with pushes; seeds 1-%d\n",
               static_cast<int>(seeds));
-  std::printf("%6s %6s %9s %9s %9s %9s %9s %9s\n",
+  std::printf("%6s %6s %9s %9s %9s %9s %9s %9s %9s %9s\n",
               "size",
               "loss",
+              "join p50",
+              "p99",
               "crash p50",
               "p99",
               "probe p50",
