--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -34,7 +34,7 @@
 start() {
   local name=$1
   shift
-  "$bin/$1" "${@:2}" >"$work/$name.out" 2>"$work/$name.log" &
+  "$bin/$1" "${@:2}" >>"$work/$name.out" 2>>"$work/$name.log" &
   pid_of[$name]=$!
   pids+=("$!")
 }
