--- a/src/include/cranberrywing/executions.h
+++ b/src/include/cranberrywing/executions.h
@@ -47,10 +47,11 @@
 
 struct ExecutionsHooks
 {
-  /// A usable VM in another failure domain, to hold copies of a slot's
-  /// answers; the same one while it is usable.
+  /// The usable VM in another failure domain with the greatest
+  /// CopyHolderWeight, to hold copies of a slot's answers.
   std::function<std::optional<VmId>(std::uint32_t)> mCopyHolder;
-  /// Every usable peer, to be asked for copies after a takeover.
+  /// Every usable peer; the likely holders are asked for copies after a
+  /// takeover.
   std::function<std::vector<VmId>()> mPeers;
   /// Wall clock in seconds, for the expiry of claims and tickets; set by the
   /// driver at each event.
@@ -96,6 +97,10 @@
     /// Wait for copies from peers after a takeover, before a repeat of an
     /// execution without an answer is told Unknown.
     Duration mCopyQueryWait = std::chrono::milliseconds(500);
+    /// Most claims of one commit over all slots, so that a transaction with
+    /// a merge stays below a megabyte in base64. One is the baseline of a
+    /// store write per request, for benchmarks.
+    std::size_t mClaimsPerCommit = kMaxBatchClaims;
   };
 
   /// Precondition: aSlots outlives this object.
@@ -115,6 +120,9 @@
              TimePoint aNow,
              EffectList& aOut);
   std::vector<ExecutionDecision> TakeDecisions();
+  /// Another VM refused a request of a slot with NotOwner: the owners are
+  /// read again.
+  void OnNotOwner();
   /// The caller has gone or the request was refused elsewhere. An execution
   /// that runs goes on, to keep its answer.
   void Forget(RequestId aRequest);
@@ -166,8 +174,7 @@
                  TimePoint aNow,
                  EffectList& aOut);
 
-  /// Whether a slot has nothing running or being committed, so that it can
-  /// be handed over.
+  /// Whether a slot has nothing running or being committed.
   bool IsIdle(std::uint32_t aSlot) const;
   /// Stops running requests of the slot and returns its state for handover.
   message::SlotHandover Freeze(std::uint32_t aSlot, std::uint64_t aEpoch);
@@ -223,8 +230,12 @@
               Record& aRecord,
               const Attempt& aAttempt,
               TimePoint aNow);
+  /// Whether a peer may still tell the answer of an unknown execution.
+  bool MayBeLearned(const SlotState& aSlot,
+                    const Record& aRecord,
+                    TimePoint aNow) const;
   void Run(SlotState& aSlot, const Attempt& aAttempt);
-  bool AcceptsNew(const SlotState& aSlot, std::uint32_t aNumber) const;
+  bool AcceptsNew(const SlotState& aSlot) const;
   void WaitAgain(TimePoint aNow, EffectList& aOut);
   void RestartQueue(SlotState& aSlot, TimePoint aNow, EffectList& aOut);
   SlotState* FindState(std::uint32_t aSlot, std::uint64_t aEpoch);
@@ -316,11 +327,15 @@
   void AddAnswers(std::uint32_t aNumber,
                   message::SlotHandover& aMessage,
                   std::vector<ExecutionId>& aRest) const;
+  bool IsCommitting(std::uint32_t aSlot, std::uint64_t aEpoch) const;
   bool HasActive(std::uint32_t aSlot, std::uint64_t aEpoch) const;
   void TickHandover(TimePoint aNow, EffectList& aOut);
+  void ContinueDeparting(std::uint32_t aNumber,
+                         Departing& aDeparting,
+                         TimePoint aNow,
+                         EffectList& aOut);
   void SendHandover(std::uint32_t aNumber,
                     Departing& aDeparting,
-                    TimePoint aNow,
                     EffectList& aOut);
   void Adopt(std::uint32_t aNumber,
              SlotState& aSlot,
@@ -328,6 +343,7 @@
              TimePoint aNow,
              EffectList& aOut);
   void AdoptRecord(SlotState& aSlot, const message::ExecutionRecord& aRecord);
+  void AdoptOutcome(SlotState& aSlot, const message::ExecutionRecord& aRecord);
   void RefuseSlot(std::uint32_t aNumber, SlotState& aSlot, bool aIsPlanned);
 
   Options mOptions;
--- a/src/include/cranberrywing/slots.h
+++ b/src/include/cranberrywing/slots.h
@@ -77,6 +77,9 @@
   std::optional<SlotOwner> Owner(std::uint32_t aSlot) const;
   /// Whether this process owns the slot, as far as it knows.
   bool IsOwner(std::uint32_t aSlot) const;
+  /// Whether no other process can have taken the slot, because this one's
+  /// lease has not run out on any clock. False says nothing.
+  bool IsSurelyOwner(std::uint32_t aSlot, TimePoint aNow) const;
   /// Slots that this process owns, in order.
   std::vector<std::uint32_t> OwnedSlots() const;
   /// Whether the present owner got the slot by a planned handover.
@@ -90,14 +93,6 @@
   /// request with NotOwner: reads them again, with backoff.
   void Refresh();
 
-  /// Whether an owned slot is about to be handed over: nothing new may be
-  /// started in it, and HandOver is to be called once nothing runs.
-  bool IsStopping(std::uint32_t aSlot) const;
-  /// Passes an owned, idle slot to its successor. After a failure IsStopping
-  /// is false for a while, then the handover is tried again.
-  /// Precondition: IsStopping.
-  void HandOver(std::uint32_t aSlot);
-
   void Tick(TimePoint aNow, EffectList& aOut);
   void OnStoreReply(const event::StoreReplied& aReply,
                     TimePoint aNow,
@@ -106,7 +101,8 @@
                TimePoint aNow,
                EffectList& aOut);
   void OnDeath(const VmIncarnation& aProcess, TimePoint aNow, EffectList& aOut);
-  /// Hands the slots to other VMs, for a planned stop.
+  /// Hands the slots to other VMs, for a planned stop. Each is served until
+  /// its record has changed; in a store outage, all of them.
   void ReleaseAll(TimePoint aNow, EffectList& aOut);
   bool IsReleased() const;
 
@@ -114,10 +110,8 @@
   enum class Release : std::uint8_t
   {
     None,
-    /// Waits until nothing runs in the slot.
-    Stopping,
-    /// Idle: to be written with the next transaction.
-    Ready,
+    /// To be handed over with the next transaction.
+    Due,
     Writing,
   };
 
@@ -183,6 +177,7 @@
   void StartWatch(TimePoint aNow, EffectList& aOut);
   bool IsViewCurrent(TimePoint aNow) const;
   bool HasUnusableOwner() const;
+  bool IsOwnerLost(TimePoint aNow) const;
   void ApplyRange(const StoreReply& aReply, TimePoint aNow, EffectList& aOut);
   void ApplyEntry(const StoreEntry& aEntry);
   void ApplyCount(const StoreEntry& aEntry);
@@ -199,7 +194,9 @@
   void OnGrantReply(const Result<StoreReply>& aReply,
                     TimePoint aNow,
                     EffectList& aOut);
-  void OnPutLiveReply(const Result<StoreReply>& aReply, TimePoint aNow);
+  void OnPutLiveReply(const Result<StoreReply>& aReply,
+                      TimePoint aNow,
+                      EffectList& aOut);
   void OnKeepAliveReply(const Result<StoreReply>& aReply);
 
   // slots_ownership.cpp
@@ -216,8 +213,8 @@
 
   // slots_release.cpp
   std::optional<VmIncarnation> Successor(std::uint32_t aSlot) const;
-  void StopMisplaced(TimePoint aNow);
-  void StopReleased(TimePoint aNow);
+  void MarkMisplaced(TimePoint aNow);
+  void MarkReleased(TimePoint aNow);
   void WriteHandovers(TimePoint aNow, EffectList& aOut);
   void OnHandOverReply(const Result<StoreReply>& aReply,
                        TimePoint aNow,
@@ -238,6 +235,9 @@
   /// Processes with a live key.
   std::set<VmIncarnation> mLive;
   std::vector<VmId> mCandidates;
+  std::size_t mHeldCount = 0;
+  /// Since when a slot has had no usable owner.
+  std::optional<TimePoint> mOwnerLostSince;
   bool mIsCandidate = false;
 
   bool mHasView = false;
@@ -253,6 +253,10 @@
   TimePoint mLeaseRetry{};
   TimePoint mLastKeepAlive{};
   TimePoint mHeldSince{};
+  TimePoint mGrantSentAt{};
+  /// Sending time of the last call that the store answered by extending the
+  /// lease.
+  TimePoint mLeaseConfirmedAt{};
 
   TimePoint mNextEvaluation{};
   bool mIsReleasing = false;
--- a/src/libcranberrywing/executions_outcomes.cpp
+++ b/src/libcranberrywing/executions_outcomes.cpp
@@ -24,6 +24,11 @@
   return std::exchange(mDecisions, {});
 }
 
+void Executions::OnNotOwner()
+{
+  mSlots.Refresh();
+}
+
 void Executions::Refuse(RequestId aRequest, Refusal aRefusal)
 {
   mRequests.erase(aRequest);
@@ -200,7 +205,7 @@
   }
 }
 
-void Executions::OnUnknown(RequestId aRequest, TimePoint, EffectList&)
+void Executions::OnUnknown(RequestId aRequest, TimePoint aNow, EffectList& aOut)
 {
   const auto runner = mRunners.find(aRequest);
   if (runner == mRunners.end()) {
@@ -212,12 +217,13 @@
   mActive.erase(it);
   ++mCounters.mUnknown;
   RefuseAll(active, UnknownRefusal("the request may have run"));
+  TickHandover(aNow, aOut);
 }
 
 void Executions::OnNotRun(RequestId aRequest,
                           Refusal aRefusal,
-                          TimePoint,
-                          EffectList&)
+                          TimePoint aNow,
+                          EffectList& aOut)
 {
   const auto runner = mRunners.find(aRequest);
   if (runner == mRunners.end()) {
@@ -229,6 +235,7 @@
   SetOutcome(active, it->first, Outcome::NotRun);
   mActive.erase(it);
   RefuseAll(active, aRefusal);
+  TickHandover(aNow, aOut);
 }
 
 } // namespace cranberrywing
--- a/src/libcranberrywing/slots_ownership.cpp
+++ b/src/libcranberrywing/slots_ownership.cpp
@@ -19,15 +19,20 @@
   mIsCandidate =
     std::find(mCandidates.begin(), mCandidates.end(), mOptions.mSelf.mVm) !=
     mCandidates.end();
+  if (!HasUnusableOwner()) {
+    mOwnerLostSince.reset();
+  } else if (!mOwnerLostSince) {
+    mOwnerLostSince = aNow;
+  }
   UpdateOrphans(aNow);
   if (!IsViewCurrent(aNow)) {
     return;
   }
   TakeOrphans(aNow, aOut);
   if (mIsReleasing) {
-    StopReleased(aNow);
+    MarkReleased(aNow);
   } else {
-    StopMisplaced(aNow);
+    MarkMisplaced(aNow);
   }
 }
 
--- a/src/libcranberrywing/execution_fleet_for_tests.h
+++ b/src/testing/execution_fleet.h
@@ -12,10 +12,10 @@
 #include <vector>
 
 #include "cranberrywing/executions.h"
-#include "execution_node_for_tests.h"
-#include "fake_store_for_tests.h"
+#include "testing/execution_node.h"
+#include "testing/execution_store.h"
 
-namespace cranberrywing::testing {
+namespace cranberrywing::execution_testing {
 
 class Fleet
 {
@@ -144,11 +144,13 @@
   int Runs(const std::string& aIdentity) { return mRuns[aIdentity]; }
   TimePoint Now() const { return mNow; }
 
-  FakeStore mStore;
+  MemoryStore mStore;
   std::map<VmId, Node> mNodes;
   std::set<VmIncarnation> mDead;
   BackendAct mAct = BackendAct::Answer;
   Duration mBackendTime = 20ms;
+  /// Each way.
+  Duration mStoreDelay = 2ms;
   std::size_t mBodyBytes = 0;
   /// Whether a message is lost.
   std::function<bool(const VmId&, const Message&)> mLoses;
@@ -261,7 +263,7 @@
     fired.mWatch = { Concern::SlotTable, 0 };
     const auto& changes = mStore.Changes();
     for (; aNode.mWatchPosition < changes.size(); ++aNode.mWatchPosition) {
-      const FakeStore::Change& change = changes[aNode.mWatchPosition];
+      const MemoryStore::Change& change = changes[aNode.mWatchPosition];
       if (change.mRevision >= aNode.mWatchFrom &&
           change.mEntry.mKey.starts_with("/cw/slots/")) {
         fired.mEntries.push_back(change.mEntry);
@@ -341,8 +343,8 @@
     const auto unknown = MakeError(ResultCode::OutcomeUnknown, "lost");
     switch (fault) {
       case StoreFault::None:
-        mScheduled.emplace(mNow + 2ms, [=, this] {
-          answer(2ms, mStore.Apply(aCall.mRequest, mNow));
+        mScheduled.emplace(mNow + mStoreDelay, [=, this] {
+          answer(mStoreDelay, mStore.Apply(aCall.mRequest, mNow));
         });
         return;
       case StoreFault::Outage:
@@ -451,4 +453,4 @@
   std::multimap<TimePoint, std::function<void()>> mScheduled;
 };
 
-} // namespace cranberrywing::testing
+} // namespace cranberrywing::execution_testing
--- a/src/testing/rate_fleet.h
+++ b/src/testing/rate_fleet.h
@@ -7,11 +7,11 @@
 #include <memory>
 #include <random>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "cranberrywing/rate_limiter.h"
 #include "cranberrywing/share_ledger.h"
+#include "testing/admissions.h"
 #include "testing/event_queue.h"
 #include "testing/fake_store.h"
 
@@ -30,6 +30,8 @@
     bool mTransfers = true;
     /// Equal fractions that never change, without the ledger.
     bool mStaticFractions = false;
+    /// VMs that hold a fraction; the others only borrow. Zero for all.
+    std::size_t mHolders = 0;
     double mLoss = 0;
     double mDuplicates = 0;
     /// Chance of a message that comes after its transfer's validity.
@@ -80,15 +82,8 @@
   std::size_t Size() const { return mNodes.size(); }
   ShareLedger& Ledger(std::size_t aVm) { return *mNodes[aVm].mLedger; }
   RateLimiter& Limiter(std::size_t aVm) { return *mNodes[aVm].mLimiter; }
-  bool Runs(std::size_t aVm) const { return mNodes[aVm].mRunning; }
-  bool IsPaused(std::size_t aVm) const { return mNodes[aVm].mPaused; }
   std::uint64_t Messages() const { return mMessages; }
-  /// True times of all admissions, in order.
-  const std::vector<TimePoint>& Admissions() const { return mAdmissions; }
-  std::uint64_t Arrivals() const { return mArrivals; }
-  std::uint64_t Refusals() const { return mRefusals; }
-  /// Waits of the requests that were admitted after one.
-  const std::vector<Duration>& Waits() const { return mWaits; }
+  const AdmissionLog& Log() const { return mLog; }
 
   /// Sum of the fractions that living processes use.
   std::uint64_t UsedSum() const
@@ -156,35 +151,18 @@
     if (!node.mRunning || node.mPaused) {
       return;
     }
-    ++mArrivals;
     EffectList effects;
+    const RequestId request = mLog.Arrive(mQueue.Now());
     const TimePoint now = LocalNow(aVm);
-    const RateDecision decision =
-      node.mLimiter->Admit(static_cast<RequestId>(mArrivals),
-                           Account(),
-                           now + std::chrono::seconds(10),
-                           now,
-                           effects);
-    if (decision == RateDecision::Waiting) {
-      mWaiting[static_cast<RequestId>(mArrivals)] = mQueue.Now();
-    } else {
-      Note(decision == RateDecision::Admitted);
+    const RateDecision decision = node.mLimiter->Admit(
+      request, Account(), now + std::chrono::seconds(10), now, effects);
+    if (decision != RateDecision::Waiting) {
+      const bool isAdmitted = decision == RateDecision::Admitted;
+      mLog.Decide(request, isAdmitted, mQueue.Now());
     }
     Carry(aVm, std::move(effects));
   }
 
-  /// Sets rate and burst on all VMs; a rate of zero removes the account.
-  void Configure(double aRate, double aBurst)
-  {
-    mOptions.mRate = aRate;
-    mOptions.mBurst = aBurst;
-    for (std::size_t i = 0; i < mNodes.size(); ++i) {
-      if (mNodes[i].mRunning) {
-        mNodes[i].mLimiter->Apply(*Settings(), LocalNow(i));
-      }
-    }
-  }
-
   void RunFor(Duration aDuration) { mQueue.RunFor(aDuration); }
 
 private:
@@ -206,15 +184,11 @@
     return std::uniform_real_distribution<double>(aLeast, aGreatest)(mRandom);
   }
 
-  SettingsSnapshotPtr Settings() const
+  SettingsSnapshot Settings() const
   {
-    auto settings = std::make_shared<SettingsSnapshot>();
-    if (mOptions.mRate > 0) {
-      settings->mAccounts[Account()] = { .mAccount = Account(),
-                                         .mRate = mOptions.mRate,
-                                         .mBurst = mOptions.mBurst,
-                                         .mKeys = {} };
-    }
+    SettingsSnapshot settings;
+    settings.mAccounts[Account()].mRate = mOptions.mRate;
+    settings.mAccounts[Account()].mBurst = mOptions.mBurst;
     return settings;
   }
 
@@ -233,30 +207,43 @@
             return std::find(node.mDead.begin(), node.mDead.end(), aProcess) !=
                    node.mDead.end();
           },
-        .mExpectedHolders =
-          [this](const std::string&) { return mNodes.size(); } });
-    node.mLedger->Want(Account().mName);
+        .mExpectedHolders = [this](const std::string&) { return Holders(); } });
+    if (aVm < Holders()) {
+      node.mLedger->Want(Account().mName);
+    }
     RateLimiter::Options limiter;
     limiter.mSeed = mRandom();
     limiter.mTransfers = mOptions.mTransfers;
     node.mLimiter = std::make_unique<RateLimiter>(
       limiter,
       RateLimiterHooks{
-        .mFraction =
-          [this, &node](const AccountId& aAccount) {
-            return mOptions.mStaticFractions
-                     ? EqualFraction(mNodes.size())
-                     : node.mLedger->Fraction(aAccount.mName);
-          },
+        .mFraction = [this, aVm](const AccountId&) { return FractionOf(aVm); },
         .mPeers = [this, aVm](const AccountId&) { return PeersOf(aVm); } });
-    node.mLimiter->Apply(*Settings(), LocalNow(aVm));
+    node.mLimiter->Apply(Settings(), LocalNow(aVm));
+  }
+
+  std::size_t Holders() const
+  {
+    return mOptions.mHolders == 0 ? mNodes.size() : mOptions.mHolders;
   }
 
+  std::uint32_t FractionOf(std::size_t aVm) const
+  {
+    if (!mOptions.mStaticFractions) {
+      return mNodes[aVm].mLedger->Fraction(Account().mName);
+    }
+    return aVm < Holders() ? EqualFraction(Holders()) : 0;
+  }
+
+  /// Holders first.
   std::vector<VmId> PeersOf(std::size_t aVm) const
   {
     std::vector<VmId> peers;
-    for (std::size_t i = 1; i < mNodes.size(); ++i) {
-      peers.push_back(mNodes[(aVm + i) % mNodes.size()].mSelf.mVm);
+    for (std::size_t i = 0; i < Holders(); ++i) {
+      const std::size_t peer = (aVm + i) % Holders();
+      if (peer != aVm) {
+        peers.push_back(mNodes[peer].mSelf.mVm);
+      }
     }
     return peers;
   }
@@ -284,29 +271,10 @@
     }
   }
 
-  void Note(bool aAdmitted)
-  {
-    if (aAdmitted) {
-      mAdmissions.push_back(mQueue.Now());
-    } else {
-      ++mRefusals;
-    }
-  }
-
-  void NoteOutcome(const RateOutcome& aOutcome)
-  {
-    const auto it = mWaiting.find(aOutcome.mRequest);
-    if (aOutcome.mAdmitted) {
-      mWaits.push_back(mQueue.Now() - it->second);
-    }
-    mWaiting.erase(it);
-    Note(aOutcome.mAdmitted);
-  }
-
   void Carry(std::size_t aVm, EffectList aEffects)
   {
     for (const RateOutcome& outcome : mNodes[aVm].mLimiter->TakeDecided()) {
-      NoteOutcome(outcome);
+      mLog.Decide(outcome.mRequest, outcome.mAdmitted, mQueue.Now());
     }
     for (Effect& effect : aEffects) {
       if (auto* send = std::get_if<effect::SendMessage>(&effect)) {
@@ -406,31 +374,7 @@
   std::vector<Node> mNodes;
   std::uint64_t mIncarnations = 0;
   std::uint64_t mMessages = 0;
-  std::uint64_t mArrivals = 0;
-  std::uint64_t mRefusals = 0;
-  std::vector<TimePoint> mAdmissions;
-  std::unordered_map<RequestId, TimePoint> mWaiting;
-  std::vector<Duration> mWaits;
+  AdmissionLog mLog;
 };
 
-/// The greatest number by which admissions exceeded rate x time + burst in
-/// any window; at most zero if the limit was kept.
-inline double GreatestExcess(const std::vector<TimePoint>& aAdmissions,
-                             double aRate,
-                             double aBurst)
-{
-  // A window from admission i to j holds j - i + 1 of them, so the excess is
-  // greatest for the i with the least i - rate x time(i) before j.
-  double least = 0;
-  double excess = -aBurst;
-  for (std::size_t j = 0; j < aAdmissions.size(); ++j) {
-    const double seconds =
-      std::chrono::duration<double>(aAdmissions[j].time_since_epoch()).count();
-    const double level = static_cast<double>(j) - aRate * seconds;
-    least = j == 0 ? level : std::min(least, level);
-    excess = std::max(excess, level - least + 1 - aBurst);
-  }
-  return excess;
-}
-
 } // namespace cranberrywing::testing
