--- a/src/cranberrywingd/admin_server.cpp
+++ b/src/cranberrywingd/admin_server.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-/// Above the largest document that is accepted, so that its error is clear.
-constexpr std::size_t kBodyBytes = 4 * 1024 * 1024;
+/// Room for 1.2 million client blocks of about 25 bytes a line.
+constexpr std::size_t kBodyBytes = 64 * 1024 * 1024;
 
 AnswerContentPtr Text(std::string aBody, std::string_view aType)
 {
@@ -36,6 +36,7 @@
                          EventSink aSink)
   : mSources(std::move(aSources))
   , mSink(std::move(aSink))
+  , mUploader(aContext, mSources.mStore, mSources.mStorePrefix)
   , mServer(aContext,
             { .mBodyBytes = kBodyBytes },
             { .mOnRequest =
@@ -66,6 +67,7 @@
     { "GET", "/v1/settings/history", &AdminServer::GetHistory, true },
     { "GET", "/v1/settings/revision", &AdminServer::GetRevision, true },
     { "POST", "/v1/keys", &AdminServer::PostKey, true },
+    { "POST", "/v1/client-blocks", &AdminServer::PostBlocks, true },
   };
   return sRoutes;
 }
--- a/src/cranberrywingd/admin_server.h
+++ b/src/cranberrywingd/admin_server.h
@@ -7,6 +7,7 @@
 
 #include "cranberrywingd/admin_settings.h"
 #include "cranberrywingd/admin_views.h"
+#include "cranberrywingd/block_uploader.h"
 #include "cranberrywingd/event_sink.h"
 #include "cranberrywingd/store_client.h"
 #include "netutil/http_server.h"
@@ -93,12 +94,14 @@
   void GetHistory(const Call& aCall);
   void GetRevision(const Call& aCall);
   void PostKey(const Call& aCall);
+  void PostBlocks(const Call& aCall);
   void ReadRecord(const Call& aCall,
                   std::string aKey,
                   std::function<void(const ConfigurationRecord&)> aHandler);
 
   AdminSources mSources;
   EventSink mSink;
+  BlockUploader mUploader;
   netutil::HttpServer mServer;
   std::uint64_t mNextEdit = 1;
   std::uint64_t mNextLookup = kFirstLookup;
--- a/src/cranberrywingd/admin_server_settings.cpp
+++ b/src/cranberrywingd/admin_server_settings.cpp
@@ -220,4 +220,35 @@
   Answer(aCall, netutil::JsonAnswer(200, body));
 }
 
+void AdminServer::PostBlocks(const Call& aCall)
+{
+  // Shards are used only once the settings name them, so whoever may name
+  // them may also put them there.
+  const auto identity =
+    IdentifyOperator(*InForce().mSnapshot, TokenOf(aCall.mRequest));
+  const auto role =
+    identity ? CheckRole(*identity, { { "client_blocks/shards", "", "" } })
+             : tl::unexpected(identity.error());
+  if (!role) {
+    Answer(aCall, netutil::ProblemOf(role.error()));
+    return;
+  }
+  const ExchangeId exchange = aCall.mExchange;
+  mUploader.Start(
+    aCall.mRequest.mBody,
+    [this, exchange](const Result<std::vector<ContentDigest>>& aDigests) {
+      if (!aDigests) {
+        mServer.Answer(exchange, netutil::ProblemOf(aDigests.error()), {});
+        return;
+      }
+      json::array shards;
+      for (const ContentDigest& digest : *aDigests) {
+        shards.emplace_back(DigestText(digest));
+      }
+      json::object body;
+      body["shards"] = std::move(shards);
+      mServer.Answer(exchange, netutil::JsonAnswer(200, body), {});
+    });
+}
+
 } // namespace cranberrywing::daemon
--- a/src/cranberrywingd/backend_client.cpp
+++ b/src/cranberrywingd/backend_client.cpp
@@ -101,7 +101,9 @@
   const AttemptId id{ aEffect.mRequest, aEffect.mAttempt };
   const netutil::Endpoint endpoint{ aEffect.mAddress, aEffect.mPort };
   mEndpoints[aEffect.mBackend] = endpoint;
-  const auto left = std::chrono::floor<Milliseconds>(aEffect.mTimeout);
+  // Zero would read as no deadline at some servers.
+  const auto left = std::max(std::chrono::floor<Milliseconds>(aEffect.mTimeout),
+                             Milliseconds(1));
   std::vector<Header> headers{ { "X-Request-Deadline-Ms",
                                  std::to_string(left.count()) } };
   const bool isHead = aEffect.mContent->mMethod == "HEAD";
--- a/src/cranberrywingd/block_loader.cpp
+++ b/src/cranberrywingd/block_loader.cpp
@@ -1,8 +1,6 @@
 #include "cranberrywingd/block_loader.h"
 
-#include <array>
 #include <boost/asio/post.hpp>
-#include <cstdio>
 
 namespace cranberrywing::daemon {
 
@@ -12,24 +10,12 @@
 
 } // namespace
 
-std::string ClientBlockKey(std::string_view aPrefix,
-                           const ContentDigest& aDigest)
-{
-  std::array<char, 40> digits{};
-  std::snprintf(digits.data(),
-                digits.size(),
-                "%016llx%016llx",
-                static_cast<unsigned long long>(aDigest.mHigh),
-                static_cast<unsigned long long>(aDigest.mLow));
-  return std::string(aPrefix) + "blocks/" + digits.data();
-}
-
 Result<std::shared_ptr<const ClientBlockTable>> BuildBlockTable(
-  const std::vector<std::string>& aShards)
+  const std::vector<ShardBytes>& aShards)
 {
   std::vector<ClientBlockShard> shards;
-  for (const std::string& bytes : aShards) {
-    auto shard = DecodeShard(bytes);
+  for (const ShardBytes& bytes : aShards) {
+    auto shard = DecodeShard(*bytes);
     if (!shard) {
       return tl::unexpected(shard.error());
     }
@@ -72,6 +58,7 @@
   ++mLoad;
   mShards.clear();
   if (mWanted.empty()) {
+    mKept.clear();
     mOnTable(std::make_shared<const ClientBlockTable>());
     return;
   }
@@ -80,6 +67,11 @@
 
 void BlockLoader::ReadNext()
 {
+  const auto kept = mKept.find(mWanted[mShards.size()]);
+  if (kept != mKept.end()) {
+    TakeShard(kept->second);
+    return;
+  }
   // One shard at a time, since every VM reads them after a change.
   StoreTxn txn;
   txn.mReads.push_back(
@@ -111,7 +103,13 @@
     RetryLater("a shard is missing or damaged in the store");
     return;
   }
-  mShards.push_back(aReply->mEntries.front().mValue);
+  TakeShard(
+    std::make_shared<const std::string>(aReply->mEntries.front().mValue));
+}
+
+void BlockLoader::TakeShard(ShardBytes aShard)
+{
+  mShards.push_back(std::move(aShard));
   if (mShards.size() < mWanted.size()) {
     ReadNext();
     return;
@@ -122,8 +120,7 @@
 void BlockLoader::Build()
 {
   boost::asio::post(
-    mWorker,
-    [this, alive = mIsAlive, load = mLoad, shards = std::move(mShards)] {
+    mWorker, [this, alive = mIsAlive, load = mLoad, shards = mShards] {
       auto table = BuildBlockTable(shards);
       boost::asio::post(mContext,
                         [this, alive, load, table = std::move(table)] {
@@ -132,7 +129,6 @@
                           }
                         });
     });
-  mShards.clear();
 }
 
 void BlockLoader::OnBuilt(
@@ -147,6 +143,10 @@
       { "client_blocks_unusable", { { "reason", aTable.error().mMessage } } });
     return;
   }
+  mKept.clear();
+  for (std::size_t n = 0; n < mWanted.size(); ++n) {
+    mKept[mWanted[n]] = mShards[n];
+  }
   mRecord({ "client_blocks_loaded",
             { { "blocks", std::to_string((*aTable)->BlockCount()) },
               { "bytes", std::to_string((*aTable)->MemoryBytes()) } } });
--- a/src/cranberrywingd/block_loader.h
+++ b/src/cranberrywingd/block_loader.h
@@ -5,24 +5,24 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/thread_pool.hpp>
+#include <map>
 #include <memory>
 #include <vector>
 
 #include "cranberrywing/client_blocks.h"
 #include "cranberrywing/settings_snapshot.h"
-#include "cranberrywingd/store_client.h"
+#include "cranberrywingd/block_uploader.h"
 #include "cranberrywingd/timeline.h"
 
 namespace cranberrywing::daemon {
 
-/// Key of a shard in the store. Thread-safe.
-std::string ClientBlockKey(std::string_view aPrefix,
-                           const ContentDigest& aDigest);
+/// An encoded shard, shared between the loader and its worker.
+using ShardBytes = std::shared_ptr<const std::string>;
 
 /// Decodes shards and builds the table. Errors: Malformed, InvalidSettings.
 /// Thread-safe.
 Result<std::shared_ptr<const ClientBlockTable>> BuildBlockTable(
-  const std::vector<std::string>& aShards);
+  const std::vector<ShardBytes>& aShards);
 
 /// Not thread-safe; belongs to the event loop's thread. The worker thread
 /// touches nothing but the shards that it was given.
@@ -47,6 +47,7 @@
 
 private:
   void ReadNext();
+  void TakeShard(ShardBytes aShard);
   void OnShard(std::uint64_t aLoad, const Result<StoreReply>& aReply);
   void Build();
   void OnBuilt(std::uint64_t aLoad,
@@ -61,7 +62,11 @@
   boost::asio::steady_timer mRetry;
   boost::asio::thread_pool mWorker{ 1 };
   std::vector<ContentDigest> mWanted;
-  std::vector<std::string> mShards;
+  /// Shards read so far, in the order of mWanted.
+  std::vector<ShardBytes> mShards;
+  /// Shards of the table in use, so that a change reads only those that it
+  /// replaced.
+  std::map<ContentDigest, ShardBytes> mKept;
   /// Distinguishes replies of an earlier load.
   std::uint64_t mLoad = 0;
   std::shared_ptr<bool> mIsAlive = std::make_shared<bool>(true);
--- a/src/cranberrywingd/daemon.cpp
+++ b/src/cranberrywingd/daemon.cpp
@@ -187,6 +187,14 @@
 void Daemon::Tick()
 {
   Deliver(event::Tick{});
+  if (mReducer.GetMembership().IsDeclaredDead()) {
+    // Others have taken over what this process owned. Going on would use its
+    // fractions twice.
+    Record({ "declared_dead", {} });
+    mIsDeclaredDead = true;
+    mContext.stop();
+    return;
+  }
   mTick.expires_after(event::kTickInterval);
   mTick.async_wait([this](boost::system::error_code aError) {
     if (!aError) {
--- a/src/cranberrywingd/daemon.h
+++ b/src/cranberrywingd/daemon.h
@@ -44,6 +44,9 @@
   Result<void> Start();
   /// Starts the planned stop, after which the event loop is stopped.
   void RequestShutdown();
+  /// Whether the loop was stopped because peers hold a proof that this
+  /// process has ended.
+  bool IsDeclaredDead() const { return mIsDeclaredDead; }
 
 private:
   void Deliver(Event aEvent);
@@ -90,6 +93,7 @@
   std::deque<Event> mEvents;
   bool mIsDelivering = false;
   bool mIsFinishing = false;
+  bool mIsDeclaredDead = false;
   boost::asio::steady_timer mTick;
   boost::asio::steady_timer mExitTimer;
   CallerServer mCallers;
--- a/src/cranberrywingd/main.cpp
+++ b/src/cranberrywingd/main.cpp
@@ -4,6 +4,7 @@
 #include <iomanip>
 #include <iostream>
 #include <sstream>
+#include <sys/resource.h>
 
 #include "cranberrywing/settings.h"
 #include "cranberrywingd/daemon.h"
@@ -91,6 +92,16 @@
           << aInfo.time.usec();
 }
 
+/// Connections to callers and backend servers exceed the usual soft limit.
+void RaiseFileLimit()
+{
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
 void StartLog(const char* aProgramPath, const std::string& aDirectory)
 {
   if (aDirectory.empty()) {
@@ -143,6 +154,7 @@
   if (!document) {
     return netutil::ReportError(kProgram, document.error());
   }
+  RaiseFileLimit();
   StartLog(aArguments[0], boot->mLogDirectory);
   const Incarnation incarnation = daemon::MakeIncarnation();
   boost::asio::io_context context(1);
@@ -158,6 +170,12 @@
   }
   netutil::RunUntilStopped(context, [&daemon] { daemon.RequestShutdown(); });
   google::FlushLogFiles(google::GLOG_INFO);
+  if (daemon.IsDeclaredDead()) {
+    return netutil::ReportError(
+      kProgram,
+      { ResultCode::ShuttingDown,
+        "peers hold a proof that this process has ended" });
+  }
   return 0;
 }
 
--- a/src/netutil/http_client.cpp
+++ b/src/netutil/http_client.cpp
@@ -207,6 +207,11 @@
       continue;
     }
     const unsigned status = mParser->get().result_int();
+    const auto coding = mParser->get()[http::field::transfer_encoding];
+    if (!coding.empty() && !boost::beast::iequals(coding, "chunked")) {
+      Fail(ExchangeFailureKind::Malformed, "unknown transfer coding");
+      return false;
+    }
     if (status == 101) {
       Fail(ExchangeFailureKind::Malformed, "unasked switch of protocols");
       return false;
--- a/src/netutil/http_server_test.cpp
+++ b/src/netutil/http_server_test.cpp
@@ -118,6 +118,8 @@
   CHECK(TalkToSmallServer("POST / HTTP/1.1\r\nContent-Length: 3\r\n"
                           "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
           .starts_with("HTTP/1.1 400 "));
+  CHECK(TalkToSmallServer("POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n")
+          .starts_with("HTTP/1.1 501 "));
   CHECK(TalkToSmallServer("GET /open/../private HTTP/1.1\r\n\r\n")
           .starts_with("HTTP/1.1 400 "));
 }
--- a/src/netutil/http_session.cpp
+++ b/src/netutil/http_session.cpp
@@ -190,6 +190,11 @@
     RefuseWith(ResultCode::InvalidArgument, target.error().mMessage, 400);
     return;
   }
+  const auto coding = message[http::field::transfer_encoding];
+  if (!coding.empty() && !boost::beast::iequals(coding, "chunked")) {
+    RefuseWith(ResultCode::Malformed, "transfer coding is not supported", 501);
+    return;
+  }
   if (message.method() == http::verb::connect ||
       message.method() == http::verb::trace) {
     RefuseWith(ResultCode::InvalidArgument, "method is not supported", 501);
