--- a/src/cranberrywingd/admin_server.cpp
+++ b/src/cranberrywingd/admin_server.cpp
@@ -23,6 +23,19 @@
   return std::make_shared<const AnswerContent>(std::move(answer));
 }
 
+/// Whether a path is that of a route, whose "*" stands for one name.
+bool IsPathOf(std::string_view aRoute, std::string_view aPath)
+{
+  const std::size_t star = aRoute.find('*');
+  if (star == std::string_view::npos) {
+    return aRoute == aPath;
+  }
+  const std::string_view before = aRoute.substr(0, star);
+  const std::string_view after = aRoute.substr(star + 1);
+  return aPath.size() > before.size() + after.size() &&
+         aPath.starts_with(before) && aPath.ends_with(after);
+}
+
 } // namespace
 
 std::string AdminServer::Call::Parameter(std::string_view aName) const
@@ -66,6 +79,7 @@
     { "GET", "/v1/settings/history", &AdminServer::GetHistory, true },
     { "GET", "/v1/settings/revision", &AdminServer::GetRevision, true },
     { "POST", "/v1/keys", &AdminServer::PostKey, true },
+    { "POST", "/v1/accounts/*/keys", &AdminServer::PostAccountKey, true },
   };
   return sRoutes;
 }
@@ -89,7 +103,7 @@
 {
   for (const Route& route : Routes()) {
     if (route.mMethod != aCall.mRequest.mMethod ||
-        route.mPath != aCall.mTarget.mPath) {
+        !IsPathOf(route.mPath, aCall.mTarget.mPath)) {
       continue;
     }
     if (route.mNeedsOperator) {
--- a/src/cranberrywingd/admin_server.h
+++ b/src/cranberrywingd/admin_server.h
@@ -97,6 +97,9 @@
                   std::string aKey,
                   std::function<void(const ConfigurationRecord&)> aHandler);
 
+  // admin_server_keys.cpp
+  void PostAccountKey(const Call& aCall);
+
   AdminSources mSources;
   EventSink mSink;
   netutil::HttpServer mServer;
--- /dev/null
+++ b/src/cranberrywingd/admin_server_keys.cpp
@@ -0,0 +1,75 @@
+#include "cranberrywing/keys.h"
+#include "cranberrywingd/admin_server.h"
+#include "netutil/json.h"
+#include "netutil/problem.h"
+
+namespace cranberrywing::daemon {
+
+namespace json = boost::json;
+
+namespace {
+
+/// Shorter keys could be guessed.
+constexpr std::size_t kShortestKey = 16;
+constexpr std::string_view kBeforeAccount = "/v1/accounts/";
+constexpr std::string_view kAfterAccount = "/keys";
+
+std::string AccountOf(std::string_view aPath)
+{
+  aPath.remove_prefix(kBeforeAccount.size());
+  aPath.remove_suffix(kAfterAccount.size());
+  return std::string(aPath);
+}
+
+/// Whether the token's operator may add keys to the account. Errors:
+/// OperatorUnknown, OperatorForbidden.
+Result<void> CheckKeyRole(const SettingsSnapshot& aSettings,
+                          const std::string& aToken,
+                          const std::string& aAccount)
+{
+  const auto identity = IdentifyOperator(aSettings, aToken);
+  if (!identity) {
+    return tl::unexpected(identity.error());
+  }
+  const SettingsChange change{ .mPath = "accounts/" + aAccount + "/keys",
+                               .mBefore = {},
+                               .mAfter = {} };
+  return CheckRole(*identity, { change });
+}
+
+} // namespace
+
+void AdminServer::PostAccountKey(const Call& aCall)
+{
+  const std::string name = AccountOf(aCall.mTarget.mPath);
+  const SettingsSnapshot& settings = *InForce().mSnapshot;
+  if (!settings.mAccounts.contains(AccountId(name))) {
+    Fail(aCall,
+         ResultCode::UnknownNode,
+         "there is no client account '" + name + "'");
+    return;
+  }
+  const auto role = CheckKeyRole(settings, TokenOf(aCall.mRequest), name);
+  if (!role) {
+    Answer(aCall, netutil::ProblemOf(role.error()));
+    return;
+  }
+  if (settings.mFleet.mKeyPepper.empty()) {
+    Fail(aCall, ResultCode::InvalidSettings, "fleet/key_pepper is not set");
+    return;
+  }
+  const auto order = netutil::ParseObject(aCall.mRequest.mBody);
+  const std::string key = order ? netutil::FindString(*order, "key") : "";
+  if (key.size() < kShortestKey) {
+    Fail(aCall,
+         ResultCode::InvalidArgument,
+         "the body must be {\"key\":\"...\"} with at least 16 characters");
+    return;
+  }
+  json::object body;
+  body["account"] = name;
+  body["digest"] = DigestKey(key, settings.mFleet.mKeyPepper).mHex;
+  Answer(aCall, netutil::JsonAnswer(200, body));
+}
+
+} // namespace cranberrywing::daemon
