--- a/src/testing/rate_fleet.h
+++ b/src/testing/rate_fleet.h
@@ -7,11 +7,11 @@
 #include <memory>
 #include <random>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "cranberrywing/rate_limiter.h"
 #include "cranberrywing/share_ledger.h"
+#include "testing/admissions.h"
 #include "testing/event_queue.h"
 #include "testing/fake_store.h"
 
@@ -82,15 +82,8 @@
   std::size_t Size() const { return mNodes.size(); }
   ShareLedger& Ledger(std::size_t aVm) { return *mNodes[aVm].mLedger; }
   RateLimiter& Limiter(std::size_t aVm) { return *mNodes[aVm].mLimiter; }
-  bool Runs(std::size_t aVm) const { return mNodes[aVm].mRunning; }
-  bool IsPaused(std::size_t aVm) const { return mNodes[aVm].mPaused; }
   std::uint64_t Messages() const { return mMessages; }
-  /// True times of all admissions, in order.
-  const std::vector<TimePoint>& Admissions() const { return mAdmissions; }
-  std::uint64_t Arrivals() const { return mArrivals; }
-  std::uint64_t Refusals() const { return mRefusals; }
-  /// Waits of the requests that were admitted after one.
-  const std::vector<Duration>& Waits() const { return mWaits; }
+  const AdmissionLog& Log() const { return mLog; }
 
   /// Sum of the fractions that living processes use.
   std::uint64_t UsedSum() const
@@ -158,35 +151,18 @@
     if (!node.mRunning || node.mPaused) {
       return;
     }
-    ++mArrivals;
     EffectList effects;
+    const RequestId request = mLog.Arrive(mQueue.Now());
     const TimePoint now = LocalNow(aVm);
-    const RateDecision decision =
-      node.mLimiter->Admit(static_cast<RequestId>(mArrivals),
-                           Account(),
-                           now + std::chrono::seconds(10),
-                           now,
-                           effects);
-    if (decision == RateDecision::Waiting) {
-      mWaiting[static_cast<RequestId>(mArrivals)] = mQueue.Now();
-    } else {
-      Note(decision == RateDecision::Admitted);
+    const RateDecision decision = node.mLimiter->Admit(
+      request, Account(), now + std::chrono::seconds(10), now, effects);
+    if (decision != RateDecision::Waiting) {
+      const bool isAdmitted = decision == RateDecision::Admitted;
+      mLog.Decide(request, isAdmitted, mQueue.Now());
     }
     Carry(aVm, std::move(effects));
   }
 
-  /// Sets rate and burst on all VMs; a rate of zero removes the account.
-  void Configure(double aRate, double aBurst)
-  {
-    mOptions.mRate = aRate;
-    mOptions.mBurst = aBurst;
-    for (std::size_t i = 0; i < mNodes.size(); ++i) {
-      if (mNodes[i].mRunning) {
-        mNodes[i].mLimiter->Apply(*Settings(), LocalNow(i));
-      }
-    }
-  }
-
   void RunFor(Duration aDuration) { mQueue.RunFor(aDuration); }
 
 private:
@@ -208,15 +184,11 @@
     return std::uniform_real_distribution<double>(aLeast, aGreatest)(mRandom);
   }
 
-  SettingsSnapshotPtr Settings() const
+  SettingsSnapshot Settings() const
   {
-    auto settings = std::make_shared<SettingsSnapshot>();
-    if (mOptions.mRate > 0) {
-      settings->mAccounts[Account()] = { .mAccount = Account(),
-                                         .mRate = mOptions.mRate,
-                                         .mBurst = mOptions.mBurst,
-                                         .mKeys = {} };
-    }
+    SettingsSnapshot settings;
+    settings.mAccounts[Account()].mRate = mOptions.mRate;
+    settings.mAccounts[Account()].mBurst = mOptions.mBurst;
     return settings;
   }
 
@@ -247,7 +219,7 @@
       RateLimiterHooks{
         .mFraction = [this, aVm](const AccountId&) { return FractionOf(aVm); },
         .mPeers = [this, aVm](const AccountId&) { return PeersOf(aVm); } });
-    node.mLimiter->Apply(*Settings(), LocalNow(aVm));
+    node.mLimiter->Apply(Settings(), LocalNow(aVm));
   }
 
   std::size_t Holders() const
@@ -299,29 +271,10 @@
     }
   }
 
-  void Note(bool aAdmitted)
-  {
-    if (aAdmitted) {
-      mAdmissions.push_back(mQueue.Now());
-    } else {
-      ++mRefusals;
-    }
-  }
-
-  void NoteOutcome(const RateOutcome& aOutcome)
-  {
-    const auto it = mWaiting.find(aOutcome.mRequest);
-    if (aOutcome.mAdmitted) {
-      mWaits.push_back(mQueue.Now() - it->second);
-    }
-    mWaiting.erase(it);
-    Note(aOutcome.mAdmitted);
-  }
-
   void Carry(std::size_t aVm, EffectList aEffects)
   {
     for (const RateOutcome& outcome : mNodes[aVm].mLimiter->TakeDecided()) {
-      NoteOutcome(outcome);
+      mLog.Decide(outcome.mRequest, outcome.mAdmitted, mQueue.Now());
     }
     for (Effect& effect : aEffects) {
       if (auto* send = std::get_if<effect::SendMessage>(&effect)) {
@@ -421,31 +374,7 @@
   std::vector<Node> mNodes;
   std::uint64_t mIncarnations = 0;
   std::uint64_t mMessages = 0;
-  std::uint64_t mArrivals = 0;
-  std::uint64_t mRefusals = 0;
-  std::vector<TimePoint> mAdmissions;
-  std::unordered_map<RequestId, TimePoint> mWaiting;
-  std::vector<Duration> mWaits;
+  AdmissionLog mLog;
 };
 
-/// The greatest number by which admissions exceeded rate x time + burst in
-/// any window; at most zero if the limit was kept.
-inline double GreatestExcess(const std::vector<TimePoint>& aAdmissions,
-                             double aRate,
-                             double aBurst)
-{
-  // A window from admission i to j holds j - i + 1 of them, so the excess is
-  // greatest for the i with the least i - rate x time(i) before j.
-  double least = 0;
-  double excess = -aBurst;
-  for (std::size_t j = 0; j < aAdmissions.size(); ++j) {
-    const double seconds =
-      std::chrono::duration<double>(aAdmissions[j].time_since_epoch()).count();
-    const double level = static_cast<double>(j) - aRate * seconds;
-    least = j == 0 ? level : std::min(least, level);
-    excess = std::max(excess, level - least + 1 - aBurst);
-  }
-  return excess;
-}
-
 } // namespace cranberrywing::testing
