Explain requests and lookups rule by rule

GET /v1/explain told policies only. They are served as /v1/explain/request, /lookup and /setting, which replace /v1/explain. Steering::Trace makes the lookup's decision on a copy, so that the explanation cannot differ from the answer.

--- a/src/cranberrywing/explain_commands.cpp
+++ b/src/cranberrywing/explain_commands.cpp
@@ -22,6 +22,7 @@
   AddText(aAdd, "path", "Path of the request", "PATH");
   AddText(aAdd, "account", "Client account of its key", "ACCOUNT");
   AddText(aAdd, "key", "Its idempotency key", "KEY");
+  AddText(aAdd, "bytes", "Length of its body (default: 0)", "NUMBER");
 }
 
 void AddSettingOptions(cxxopts::OptionAdder& aAdd)
@@ -102,7 +103,8 @@
                             { OptionOf(aInvocation, "method"),
                               OptionOf(aInvocation, "path"),
                               OptionOf(aInvocation, "account"),
-                              OptionOf(aInvocation, "key") }));
+                              OptionOf(aInvocation, "key"),
+                              OptionOf(aInvocation, "bytes") }));
 }
 
 Result<void> RunLookup(Invocation& aInvocation)
--- a/src/cranberrywingd/admin_server.cpp
+++ b/src/cranberrywingd/admin_server.cpp
@@ -72,7 +72,9 @@
     { "GET", "/metrics", &AdminServer::GetMetrics, false },
     { "GET", "/v1/lookup", &AdminServer::GetLookup, false },
     { "GET", "/v1/timeline", &AdminServer::GetTimeline, true },
-    { "GET", "/v1/explain", &AdminServer::GetExplain, true },
+    { "GET", "/v1/explain/request", &AdminServer::GetExplainRequest, true },
+    { "GET", "/v1/explain/lookup", &AdminServer::GetExplainLookup, true },
+    { "GET", "/v1/explain/setting", &AdminServer::GetExplainSetting, true },
     { "GET", "/v1/settings", &AdminServer::GetSettings, true },
     { "PUT", "/v1/settings", &AdminServer::PutSettings, true },
     { "POST", "/v1/settings/check", &AdminServer::CheckSettings, true },
@@ -174,23 +176,6 @@
   Answer(aCall, Text(writer.Take(), "text/plain; version=0.0.4"));
 }
 
-void AdminServer::GetExplain(const Call& aCall)
-{
-  const auto sources = ExplainPolicy(InForce().mDocument,
-                                     RegionId(aCall.Parameter("region")),
-                                     ServiceId(aCall.Parameter("service")),
-                                     AccountId(aCall.Parameter("account")),
-                                     RouteId(aCall.Parameter("route")));
-  if (!sources) {
-    Answer(aCall, netutil::ProblemOf(sources.error()));
-    return;
-  }
-  json::object body;
-  body["revision"] = InForce().mSnapshot->mRevision.mNumber;
-  body["policy"] = PolicyView(*sources);
-  Answer(aCall, netutil::JsonAnswer(200, body));
-}
-
 void AdminServer::GetLookup(const Call& aCall)
 {
   auto query = ReadLookup(aCall.mRequest.mTarget,
--- a/src/cranberrywingd/admin_server.h
+++ b/src/cranberrywingd/admin_server.h
@@ -83,7 +83,6 @@
   void GetMembers(const Call& aCall);
   void GetTimeline(const Call& aCall);
   void GetMetrics(const Call& aCall);
-  void GetExplain(const Call& aCall);
   void GetLookup(const Call& aCall);
 
   // admin_server_settings.cpp
@@ -97,6 +96,11 @@
                   std::string aKey,
                   std::function<void(const ConfigurationRecord&)> aHandler);
 
+  // admin_server_explain.cpp
+  void GetExplainRequest(const Call& aCall);
+  void GetExplainLookup(const Call& aCall);
+  void GetExplainSetting(const Call& aCall);
+
   // admin_server_keys.cpp
   void PostAccountKey(const Call& aCall);
 
--- a/src/include/cranberrywing/reducer.h
+++ b/src/include/cranberrywing/reducer.h
@@ -79,6 +79,8 @@
   const ShiftController& GetShifts() const;
   const RequestPipeline& GetRequests() const;
   const DrainController& GetDrain() const;
+  const Steering& GetSteering() const;
+  const Executions& GetExecutions() const;
 
   /// Replaces the client-block table, which the driver builds off the
   /// reducer's thread because that takes long at 1.2 million blocks.
--- a/src/include/cranberrywing/steering.h
+++ b/src/include/cranberrywing/steering.h
@@ -34,6 +34,25 @@
     mExecutionOwner;
 };
 
+/// How a lookup is decided, for explanations.
+struct LookupTrace
+{
+  /// Site of the client's block; nullopt if no block holds the address.
+  std::optional<SiteId> mSite;
+  /// Region of the site, else this VM's own.
+  RegionId mWanted;
+  /// Region whose VMs are named; empty if no VM is usable.
+  RegionId mRegion;
+  /// Usable VMs of that region, and of the site among them.
+  std::size_t mRegionVms = 0;
+  std::size_t mSiteVms = 0;
+  /// Whether the account's subset counts in place of the site's VMs.
+  bool mHasSubset = false;
+  /// Owner of the execution's slot, if an idempotency key came.
+  std::optional<VmId> mExecutionOwner;
+  effect::AnswerLookup mAnswer;
+};
+
 /// Not thread-safe; owned by the reducer.
 class Steering
 {
@@ -54,6 +73,9 @@
 
   effect::AnswerLookup Lookup(const event::LookupArrived& aEvent,
                               TimePoint aNow);
+  /// The same decision with its reasons. Slower than Lookup, since it works on
+  /// a copy.
+  LookupTrace Trace(const event::LookupArrived& aEvent, TimePoint aNow) const;
   /// VMs among which an account is spread in a region, best first.
   std::vector<VmId> AccountSubset(const AccountId& aAccount,
                                   const RegionId& aRegion);
@@ -67,6 +89,7 @@
   };
 
   void Refresh();
+  const RegionId& WantedRegion(const SiteId* aSite) const;
   const RegionTargets* NearestRegion(const SiteId* aSite) const;
   std::vector<std::size_t> Rank(const RegionTargets& aRegion,
                                 const SiteId* aSite,
--- a/src/libcranberrywing/reducer.cpp
+++ b/src/libcranberrywing/reducer.cpp
@@ -486,4 +486,14 @@
   return mState->mDrain;
 }
 
+const Steering& Reducer::GetSteering() const
+{
+  return mState->mSteering;
+}
+
+const Executions& Reducer::GetExecutions() const
+{
+  return mState->mExecutions;
+}
+
 } // namespace cranberrywing
--- a/src/libcranberrywing/steering.cpp
+++ b/src/libcranberrywing/steering.cpp
@@ -67,16 +67,21 @@
   }
 }
 
-const Steering::RegionTargets* Steering::NearestRegion(
-  const SiteId* aSite) const
+const RegionId& Steering::WantedRegion(const SiteId* aSite) const
 {
-  RegionId wanted = mOptions.mRegion;
   if (aSite) {
     const auto it = mRegionOfSite.find(*aSite);
     if (it != mRegionOfSite.end()) {
-      wanted = it->second;
+      return it->second;
     }
   }
+  return mOptions.mRegion;
+}
+
+const Steering::RegionTargets* Steering::NearestRegion(
+  const SiteId* aSite) const
+{
+  const RegionId& wanted = WantedRegion(aSite);
   if (const auto it = mRegions.find(wanted); it != mRegions.end()) {
     return &it->second;
   }
