--- a/src/cranberrywing/key_commands.cpp
+++ b/src/cranberrywing/key_commands.cpp
@@ -66,19 +66,28 @@
   return digest;
 }
 
-/// The key as text or JSON; the only place that shows it.
-void ShowKey(Invocation& aInvocation, const std::string& aKey, bool aIsCertain)
+/// The key as text or JSON; the only place that shows it. aOutcome is null if
+/// it is not known whether the key was accepted.
+void ShowKey(Invocation& aInvocation,
+             const std::string& aKey,
+             const SettingsOutcome* aOutcome)
 {
   if (aInvocation.mIsJson) {
     json::object body;
     body["account"] = aInvocation.mWords[0];
     body["name"] = aInvocation.mWords[1];
     body["key"] = aKey;
-    body["accepted"] = aIsCertain ? json::value(true) : json::value(nullptr);
+    if (aOutcome) {
+      body["revision"] = aOutcome->mRevision.mNumber;
+    }
     PrintJson(aInvocation.Out(), body);
     return;
   }
   aInvocation.Out() << "key " << aKey << '\n';
+  if (aOutcome) {
+    aInvocation.Out() << "accepted as revision " << aOutcome->mRevision.mNumber
+                      << '\n';
+  }
   aInvocation.Notes() << "Keep this key; it is not stored and cannot be shown "
                          "again.\n";
 }
@@ -92,9 +101,12 @@
   if (!base) {
     return tl::unexpected(base.error());
   }
-  auto document = EditSetting(base->mText,
-                              "accounts/" + account + "/keys/-",
-                              "{name: " + name + ", digest: " + aDigest + "}");
+  // An account without a list of keys has no end to add one to.
+  const std::string path = "accounts/" + account + "/keys";
+  const std::string key = "{name: " + name + ", digest: " + aDigest + "}";
+  const bool hasList = ReadSetting(base->mText, path).has_value();
+  auto document = hasList ? EditSetting(base->mText, path + "/-", key)
+                          : EditSetting(base->mText, path, "[" + key + "]");
   if (!document) {
     return tl::unexpected(document.error());
   }
@@ -104,7 +116,9 @@
                        { .mBase = std::move(*base),
                          .mDocument = std::move(*document),
                          .mSummary = summary.empty() ? usual : summary,
-                         .mFile = {} });
+                         .mFile = {},
+                         // The digest is of no use without the key.
+                         .mIsKept = false });
 }
 
 bool IsName(const std::string& aName)
@@ -158,11 +172,11 @@
   if (!outcome) {
     // If the key may have been accepted, it must not be lost.
     if (outcome.error().mCode == ResultCode::OutcomeUnknown) {
-      ShowKey(aInvocation, *key, false);
+      ShowKey(aInvocation, *key, nullptr);
     }
     return tl::unexpected(outcome.error());
   }
-  ShowKey(aInvocation, *key, true);
+  ShowKey(aInvocation, *key, &*outcome);
   return {};
 }
 
--- a/src/cranberrywing/run_tool.cpp
+++ b/src/cranberrywing/run_tool.cpp
@@ -93,9 +93,7 @@
       "DURATION");
   add("json", "Write JSON");
   add("help", "Show this help");
-  options.add_options("hidden")("words", "", cxxopts::value<Texts>());
-  options.parse_positional({ "words" });
-  options.positional_help(std::string(aCommand.mWords));
+  options.custom_help(std::string(aCommand.mWords) + " [OPTION...]");
   return options;
 }
 
@@ -141,10 +139,9 @@
 Result<std::vector<std::string>> ReadWords(const Command& aCommand,
                                            const cxxopts::ParseResult& aParsed)
 {
-  std::vector<std::string> words;
-  if (aParsed.count("words") > 0) {
-    words = aParsed["words"].as<std::vector<std::string>>();
-  }
+  // Not a positional list option: cxxopts splits those at commas, which are
+  // frequent in YAML values.
+  std::vector<std::string> words = aParsed.unmatched();
   if (words.size() < aCommand.mLeastWords) {
     return MakeError(ResultCode::InvalidArgument,
                      "'" + std::string(aCommand.mName) + "' needs " +
@@ -189,7 +186,7 @@
     options.parse(static_cast<int>(values.size()), values.data());
   const bool isJson = parsed.count("json") > 0;
   if (parsed.count("help") > 0) {
-    aContext.mOut << options.help({ "" });
+    aContext.mOut << options.help();
     return 0;
   }
   auto words = ReadWords(aCommand, parsed);
--- a/src/cranberrywing/settings_access.cpp
+++ b/src/cranberrywing/settings_access.cpp
@@ -160,7 +160,9 @@
   if (code == ResultCode::RevisionConflict) {
     ShowOthersChanges(aInvocation, aOrder);
   }
-  KeepDocument(aInvocation, aOrder, *operation);
+  if (aOrder.mIsKept) {
+    KeepDocument(aInvocation, aOrder, *operation);
+  }
   return tl::unexpected(revision.error());
 }
 
--- a/src/cranberrywing/settings_access.h
+++ b/src/cranberrywing/settings_access.h
@@ -31,6 +31,8 @@
   std::string mSummary;
   /// File that already holds the new document, if there is one.
   std::string mFile;
+  /// Whether the new document is kept in a file if it is not accepted.
+  bool mIsKept = true;
 };
 
 /// What became of an order.
