Show an empty history before the first change

'settings history' ended with unknown_node on a new deployment, because the store has no record then. It now shows an empty list. The time line named an unreachable daemon twice.

--- a/src/cranberrywing/api_client.cpp
+++ b/src/cranberrywing/api_client.cpp
@@ -78,6 +78,13 @@
   return { code ? CodeOf(*code) : ResultCode::Malformed, std::move(detail) };
 }
 
+std::string WithDaemon(const netutil::Endpoint& aDaemon, const Error& aError)
+{
+  const std::string name = netutil::ToString(aDaemon);
+  const std::string& message = aError.mMessage;
+  return message.starts_with(name) ? message : name + ": " + message;
+}
+
 ApiClient::ApiClient(Options aOptions, Transport aTransport)
   : mOptions(std::move(aOptions))
   , mTransport(std::move(aTransport))
@@ -113,10 +120,8 @@
     if (answer || !IsOtherDaemonWorthTrying(answer.error().mCode, aIsRead)) {
       return answer;
     }
-    const std::string name = netutil::ToString(daemon);
-    const std::string& message = answer.error().mMessage;
     failures += failures.empty() ? "" : "; ";
-    failures += message.starts_with(name) ? message : name + ": " + message;
+    failures += WithDaemon(daemon, answer.error());
   }
   if (!answer && !failures.empty()) {
     return MakeError(answer.error().mCode, failures);
--- a/src/cranberrywing/api_client.h
+++ b/src/cranberrywing/api_client.h
@@ -24,6 +24,9 @@
 /// The error that an answer of a daemon holds. Thread-safe.
 Error ReadProblem(const AnswerContent& aAnswer);
 
+/// The error's message with the daemon that it comes from. Thread-safe.
+std::string WithDaemon(const netutil::Endpoint& aDaemon, const Error& aError);
+
 /// Not thread-safe.
 class ApiClient
 {
--- a/src/cranberrywing/settings_history_commands.cpp
+++ b/src/cranberrywing/settings_history_commands.cpp
@@ -145,7 +145,11 @@
 
 Result<void> RunHistory(Invocation& aInvocation)
 {
-  const auto body = aInvocation.mClient.GetObject("/v1/settings/history");
+  auto body = aInvocation.mClient.GetObject("/v1/settings/history");
+  if (!body && body.error().mCode == ResultCode::UnknownNode) {
+    // No change was accepted yet, so the store has no record.
+    body = json::object{ { "changes", json::array() } };
+  }
   if (!body) {
     return tl::unexpected(body.error());
   }
--- a/src/cranberrywing/status_commands.cpp
+++ b/src/cranberrywing/status_commands.cpp
@@ -258,8 +258,8 @@
   for (const netutil::Endpoint& daemon : aInvocation.mClient.Daemons()) {
     auto read = ReadTimeline(aInvocation.mClient, daemon, *since);
     if (!read) {
-      aInvocation.Notes() << netutil::ToString(daemon) << ": "
-                          << Printable(read.error().mMessage) << '\n';
+      aInvocation.Notes() << Printable(WithDaemon(daemon, read.error()))
+                          << '\n';
       failure = tl::unexpected(read.error());
       continue;
     }
