--- a/src/cranberrywingd/admin_server.h
+++ b/src/cranberrywingd/admin_server.h
@@ -84,7 +84,6 @@
   void GetMembers(const Call& aCall);
   void GetTimeline(const Call& aCall);
   void GetMetrics(const Call& aCall);
-  void GetExplain(const Call& aCall);
   void GetLookup(const Call& aCall);
 
   // admin_server_settings.cpp
@@ -99,6 +98,14 @@
                   std::string aKey,
                   std::function<void(const ConfigurationRecord&)> aHandler);
 
+  // admin_server_explain.cpp
+  void GetExplainRequest(const Call& aCall);
+  void GetExplainLookup(const Call& aCall);
+  void GetExplainSetting(const Call& aCall);
+
+  // admin_server_keys.cpp
+  void PostAccountKey(const Call& aCall);
+
   AdminSources mSources;
   EventSink mSink;
   BlockUploader mUploader;
