--- a/src/cranberrywingd/admin_server.cpp
+++ b/src/cranberrywingd/admin_server.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-/// Above the largest document that is accepted, so that its error is clear.
-constexpr std::size_t kBodyBytes = 4 * 1024 * 1024;
+/// Room for 1.2 million client blocks of about 25 bytes a line.
+constexpr std::size_t kBodyBytes = 64 * 1024 * 1024;
 
 AnswerContentPtr Text(std::string aBody, std::string_view aType)
 {
@@ -23,6 +23,19 @@
   return std::make_shared<const AnswerContent>(std::move(answer));
 }
 
+/// Whether a path is that of a route, whose "*" stands for one name.
+bool IsPathOf(std::string_view aRoute, std::string_view aPath)
+{
+  const std::size_t star = aRoute.find('*');
+  if (star == std::string_view::npos) {
+    return aRoute == aPath;
+  }
+  const std::string_view before = aRoute.substr(0, star);
+  const std::string_view after = aRoute.substr(star + 1);
+  return aPath.size() > before.size() + after.size() &&
+         aPath.starts_with(before) && aPath.ends_with(after);
+}
+
 } // namespace
 
 std::string AdminServer::Call::Parameter(std::string_view aName) const
@@ -36,6 +49,7 @@
                          EventSink aSink)
   : mSources(std::move(aSources))
   , mSink(std::move(aSink))
+  , mUploader(aContext, mSources.mStore, mSources.mStorePrefix)
   , mServer(aContext,
             { .mBodyBytes = kBodyBytes },
             { .mOnRequest =
@@ -59,13 +73,17 @@
     { "GET", "/metrics", &AdminServer::GetMetrics, false },
     { "GET", "/v1/lookup", &AdminServer::GetLookup, false },
     { "GET", "/v1/timeline", &AdminServer::GetTimeline, true },
-    { "GET", "/v1/explain", &AdminServer::GetExplain, true },
+    { "GET", "/v1/explain/request", &AdminServer::GetExplainRequest, true },
+    { "GET", "/v1/explain/lookup", &AdminServer::GetExplainLookup, true },
+    { "GET", "/v1/explain/setting", &AdminServer::GetExplainSetting, true },
     { "GET", "/v1/settings", &AdminServer::GetSettings, true },
     { "PUT", "/v1/settings", &AdminServer::PutSettings, true },
     { "POST", "/v1/settings/check", &AdminServer::CheckSettings, true },
     { "GET", "/v1/settings/history", &AdminServer::GetHistory, true },
     { "GET", "/v1/settings/revision", &AdminServer::GetRevision, true },
     { "POST", "/v1/keys", &AdminServer::PostKey, true },
+    { "POST", "/v1/client-blocks", &AdminServer::PostBlocks, true },
+    { "POST", "/v1/accounts/*/keys", &AdminServer::PostAccountKey, true },
   };
   return sRoutes;
 }
@@ -89,7 +107,7 @@
 {
   for (const Route& route : Routes()) {
     if (route.mMethod != aCall.mRequest.mMethod ||
-        route.mPath != aCall.mTarget.mPath) {
+        !IsPathOf(route.mPath, aCall.mTarget.mPath)) {
       continue;
     }
     if (route.mNeedsOperator) {
@@ -160,23 +178,6 @@
   Answer(aCall, Text(writer.Take(), "text/plain; version=0.0.4"));
 }
 
-void AdminServer::GetExplain(const Call& aCall)
-{
-  const auto sources = ExplainPolicy(InForce().mDocument,
-                                     RegionId(aCall.Parameter("region")),
-                                     ServiceId(aCall.Parameter("service")),
-                                     AccountId(aCall.Parameter("account")),
-                                     RouteId(aCall.Parameter("route")));
-  if (!sources) {
-    Answer(aCall, netutil::ProblemOf(sources.error()));
-    return;
-  }
-  json::object body;
-  body["revision"] = InForce().mSnapshot->mRevision.mNumber;
-  body["policy"] = PolicyView(*sources);
-  Answer(aCall, netutil::JsonAnswer(200, body));
-}
-
 void AdminServer::GetLookup(const Call& aCall)
 {
   auto query = ReadLookup(aCall.mRequest.mTarget,
--- a/src/cranberrywingd/admin_server.h
+++ b/src/cranberrywingd/admin_server.h
@@ -7,6 +7,7 @@
 
 #include "cranberrywingd/admin_settings.h"
 #include "cranberrywingd/admin_views.h"
+#include "cranberrywingd/block_uploader.h"
 #include "cranberrywingd/event_sink.h"
 #include "cranberrywingd/store_client.h"
 #include "netutil/http_server.h"
@@ -83,7 +84,6 @@
   void GetMembers(const Call& aCall);
   void GetTimeline(const Call& aCall);
   void GetMetrics(const Call& aCall);
-  void GetExplain(const Call& aCall);
   void GetLookup(const Call& aCall);
 
   // admin_server_settings.cpp
@@ -93,12 +93,22 @@
   void GetHistory(const Call& aCall);
   void GetRevision(const Call& aCall);
   void PostKey(const Call& aCall);
+  void PostBlocks(const Call& aCall);
   void ReadRecord(const Call& aCall,
                   std::string aKey,
                   std::function<void(const ConfigurationRecord&)> aHandler);
 
+  // admin_server_explain.cpp
+  void GetExplainRequest(const Call& aCall);
+  void GetExplainLookup(const Call& aCall);
+  void GetExplainSetting(const Call& aCall);
+
+  // admin_server_keys.cpp
+  void PostAccountKey(const Call& aCall);
+
   AdminSources mSources;
   EventSink mSink;
+  BlockUploader mUploader;
   netutil::HttpServer mServer;
   std::uint64_t mNextEdit = 1;
   std::uint64_t mNextLookup = kFirstLookup;
--- a/src/include/cranberrywing/executions.h
+++ b/src/include/cranberrywing/executions.h
@@ -197,6 +197,7 @@
   using WaitingPlace = detail::WaitingPlace;
   using Deadline = detail::WaitDeadline;
   using BatchPart = detail::BatchPart;
+  using BatchMerge = detail::BatchMerge;
   using CommitGroup = detail::CommitGroup;
   using Departing = detail::DepartingSlot;
 
@@ -252,10 +253,13 @@
   void RefuseAll(const Active& aActive, const Refusal& aRefusal);
   void RefuseKnown(RequestId aRequest, Outcome aOutcome);
   void ExpireWaiters(TimePoint aNow);
-  void ExpireWaiter(RequestId aRequest);
-  bool IsKnownNotRun(std::uint32_t aSlot, RequestId aRequest) const;
-  bool IsKnownNotRun(const SlotState& aSlot, const Attempt& aAttempt) const;
-  void RemoveWaiter(const WaitingPlace& aPlace, RequestId aRequest);
+  void ExpireWaiter(RequestId aRequest, TimePoint aNow);
+  void ExpireQueue(std::uint32_t aSlot, TimePoint aNow);
+  /// Whether neither this request nor an earlier one of its identity ran.
+  bool IsKnownNotRun(const SlotState& aSlot,
+                     const Attempt& aAttempt,
+                     TimePoint aNow) const;
+  void RemoveWaiter(const ExecutionId& aExecution, RequestId aRequest);
   void SetOutcome(const Active& aActive,
                   const ExecutionId& aExecution,
                   Outcome aOutcome);
@@ -266,7 +270,10 @@
   bool TakeCommitToken(TimePoint aNow);
   CommitGroup BuildGroup();
   bool AddPart(CommitGroup& aGroup, std::uint32_t aNumber, SlotState& aSlot);
-  void AddMerge(CommitGroup& aGroup, std::uint32_t aNumber, SlotState& aSlot);
+  void AddMerge(CommitGroup& aGroup,
+                std::uint32_t aNumber,
+                const SlotState& aSlot,
+                std::uint64_t aBatchNumber);
   void AddPut(StoreTxn& aTxn,
               const std::string& aKey,
               const ClaimBatch& aBatch);
@@ -344,7 +351,7 @@
              EffectList& aOut);
   void AdoptRecord(SlotState& aSlot, const message::ExecutionRecord& aRecord);
   void AdoptOutcome(SlotState& aSlot, const message::ExecutionRecord& aRecord);
-  void RefuseSlot(std::uint32_t aNumber, SlotState& aSlot, bool aIsPlanned);
+  void RefuseSlot(std::uint32_t aNumber, SlotState& aSlot, TimePoint aNow);
 
   Options mOptions;
   ExecutionsHooks mHooks;
