Probe remote servers in use at their interval and fall back to the own region

Cause: a server of another region that drains by its own health answer was seen up to 12 s late, and probes up to 2.4 s apart missed the 2 s target of a drain. A remote region without a usable server refused the request. Change: servers in use are probed at most the interval apart; a request whose reserved region has no server goes to the own region.

--- a/src/include/cranberrywing/backend_health.h
+++ b/src/include/cranberrywing/backend_health.h
@@ -42,6 +42,8 @@
   /// it is warm.
   std::optional<TimePoint> mColdSince;
   std::optional<TimePoint> mLastSuccess;
+  /// When an own exchange last ended.
+  std::optional<TimePoint> mLastUse;
   TimePoint mNextProbe{};
   std::optional<event::LoadReport> mLoad;
   TimePoint mLoadTime{};
@@ -74,7 +76,8 @@
     /// Region whose servers are probed at the service's interval; empty for
     /// all regions.
     RegionId mRegion{};
-    /// Servers of other regions are probed this many times less often.
+    /// Servers of other regions are probed this many times less often while
+    /// this VM sends them nothing.
     double mRemoteProbeFactor = 5;
     /// Time between comparisons of servers with each other.
     Duration mCompareInterval = std::chrono::seconds(5);
@@ -174,6 +177,9 @@
   void EndEjections(TimePoint aNow, EffectList& aOut);
   void Compare(const Group& aGroup, TimePoint aNow, EffectList& aOut);
   void Probe(BackendStatus& aStatus, TimePoint aNow, EffectList& aOut);
+  /// Takes note of an own exchange, from which on the server is probed at its
+  /// interval.
+  void NoteUse(BackendStatus& aStatus, TimePoint aNow);
   Duration Jittered(Duration aInterval, double aFactor);
 
   Options mOptions;
--- a/src/libcranberrywing/backend_health.cpp
+++ b/src/libcranberrywing/backend_health.cpp
@@ -17,7 +17,11 @@
 constexpr double kLeastWarmth = 0.02;
 /// Reports of at least this part of the usable servers must be fresh.
 constexpr double kFreshPart = 0.8;
-constexpr double kProbeJitter = 0.2;
+/// Probes come earlier than their interval by up to this part of it: a drain
+/// must be seen within the interval.
+constexpr double kProbeJitter = 0.25;
+/// Time for which a server counts as used after an exchange.
+constexpr Duration kUseMemory = std::chrono::seconds(10);
 
 double Seconds(Duration aDuration)
 {
@@ -170,17 +174,28 @@
 {
   const bool isRemote = !mOptions.mRegion.IsEmpty() &&
                         aStatus.mSettings.mRegion != mOptions.mRegion;
-  const double factor = isRemote ? mOptions.mRemoteProbeFactor : 1;
+  const bool isUsed = aStatus.mLastUse && aNow - *aStatus.mLastUse < kUseMemory;
+  const double factor = isRemote && !isUsed ? mOptions.mRemoteProbeFactor : 1;
   aStatus.mNextProbe = aNow + Jittered(aStatus.mProbeInterval, factor);
   aOut.push_back(effect::ProbeBackend{ aStatus.mSettings.mBackend,
                                        aStatus.mSettings.mAddress,
                                        aStatus.mSettings.mPort });
 }
 
+void BackendHealth::NoteUse(BackendStatus& aStatus, TimePoint aNow)
+{
+  const bool isNew =
+    !aStatus.mLastUse || aNow - *aStatus.mLastUse >= kUseMemory;
+  aStatus.mLastUse = aNow;
+  if (isNew && aStatus.mNextProbe > aNow + aStatus.mProbeInterval) {
+    aStatus.mNextProbe = aNow;
+    mNextWork = aNow;
+  }
+}
+
 Duration BackendHealth::Jittered(Duration aInterval, double aFactor)
 {
-  std::uniform_real_distribution<double> factor(1 - kProbeJitter,
-                                                1 + kProbeJitter);
+  std::uniform_real_distribution<double> factor(1 - kProbeJitter, 1);
   const double seconds = Seconds(aInterval) * aFactor * factor(mRandom);
   return std::chrono::duration_cast<Duration>(
     std::chrono::duration<double>(std::max(seconds, 0.01)));
@@ -223,6 +238,7 @@
   if (status == nullptr) {
     return;
   }
+  NoteUse(*status, aNow);
   status->mConsecutiveFailures = 0;
   status->mLastSuccess = aNow;
   ++status->mSuccesses;
@@ -239,6 +255,7 @@
   if (status == nullptr || aKind == event::FailureKind::Shed) {
     return;
   }
+  NoteUse(*status, aNow);
   ++status->mConsecutiveFailures;
   ++status->mFailures;
   if (status->mConsecutiveFailures >= mOptions.mConsecutiveFailures) {
--- a/src/libcranberrywing/requests.cpp
+++ b/src/libcranberrywing/requests.cpp
@@ -292,12 +292,17 @@
     return;
   }
   const ServiceId& service = aRequest.mRoute.mService;
-  const BackendSettings* backend = mConcerns.mSelector.Select(
-    { .mService = service,
-      .mRegion = mConcerns.mOffers.ChooseRegion(service, aNow),
-      .mAvoidedDomains = aRequest.mTriedDomains,
-      .mAvoidedBackends = aRequest.mTriedBackends },
-    aNow);
+  SelectionRequest selection{
+    .mService = service,
+    .mRegion = mConcerns.mOffers.ChooseRegion(service, aNow),
+    .mAvoidedDomains = aRequest.mTriedDomains,
+    .mAvoidedBackends = aRequest.mTriedBackends,
+  };
+  const BackendSettings* backend = mConcerns.mSelector.Select(selection, aNow);
+  if (!backend && selection.mRegion != mOptions.mRegion) {
+    selection.mRegion = mOptions.mRegion;
+    backend = mConcerns.mSelector.Select(selection, aNow);
+  }
   if (!backend) {
     EndNotRun(aRequest,
               RefuseWith(ResultCode::NoBackend,
