--- a/src/libcranberrywing/capacity_reservations.cpp
+++ b/src/libcranberrywing/capacity_reservations.cpp
@@ -13,6 +13,9 @@
 constexpr double kSurplus = 1.3;
 /// Time in which the memory of a greater need fades.
 constexpr double kNeedMemory = 5;
+/// What a region is asked for at least; a shift that has just begun moves a few
+/// requests a minute, and goes on only when they are covered.
+constexpr double kLeastNeed = 0.5;
 /// Smaller amounts are not reserved.
 constexpr double kLeastAmount = 0.05;
 /// Time of unused reservation that may be sent at once.
@@ -185,7 +188,7 @@
 {
   std::map<RegionId, double> wanted;
   for (const auto& [region, amount] : aNeed.mByRegion) {
-    wanted[region] = amount * kMargin;
+    wanted[region] = amount > 0 ? std::max(amount * kMargin, kLeastNeed) : 0;
   }
   double left = aNeed.mAnywhere * kMargin;
   for (const RegionId& region : mLinks.Nearest()) {
--- a/src/libcranberrywing/offers_test.cpp
+++ b/src/libcranberrywing/offers_test.cpp
@@ -168,6 +168,19 @@
   CHECK(fleet.Load(0) + fleet.Load(1) == Approx(1200).margin(5));
 }
 
+// Guards against a shift that stays at its first step, because what it moves
+// is too little to be reserved.
+TEST_CASE("a shift of little traffic is covered")
+{
+  OfferFleet fleet({ .mDemand = { Constant(6), Constant(300) } });
+  fleet.mShifted = [](std::size_t aRegion) {
+    const double part = aRegion == 0 ? 0.002 : 0;
+    return std::vector<std::pair<RegionId, double>>{ { Region(1), part } };
+  };
+  fleet.Run(10);
+  CHECK(fleet.IsCovered(0, 1));
+}
+
 // Guards against offers that rest on load reports which have stopped.
 TEST_CASE("nothing new is offered without fresh load reports")
 {
--- a/src/libcranberrywing/offers_test_fleet.h
+++ b/src/libcranberrywing/offers_test_fleet.h
@@ -95,6 +95,15 @@
     });
   }
 
+  /// Whether all VMs of a region have reserved what shifts move.
+  bool IsCovered(std::size_t aFrom, std::size_t aTo) const
+  {
+    return std::all_of(mVms.begin(), mVms.end(), [&](const Vm& aVm) {
+      return aVm.mRegion != aFrom ||
+             aVm.mBook->IsCovered(kService, Region(aTo), At(mNow));
+    });
+  }
+
   /// While set, no message passes.
   bool mIsCut = false;
   /// While set, load reports are missing.
