Fix a reference to an erased member in DeclareDead

Callers name the process from the member that DeclareDead erases. Found by AddressSanitizer in the membership tests; the core tests now pass under AddressSanitizer and UBSan.

--- a/src/include/cranberrywing/membership.h
+++ b/src/include/cranberrywing/membership.h
@@ -251,7 +251,9 @@
                 std::string_view aReason,
                 TimePoint aNow,
                 EffectList& aOut);
-  void DeclareDead(const VmIncarnation& aProcess,
+  /// Takes the process by value: callers name it from the member that this
+  /// erases.
+  void DeclareDead(VmIncarnation aProcess,
                    std::string_view aReason,
                    bool aSpread,
                    TimePoint aNow,
--- a/src/libcranberrywing/membership_gossip.cpp
+++ b/src/libcranberrywing/membership_gossip.cpp
@@ -308,7 +308,7 @@
     kNames.at(static_cast<std::size_t>(aState)), update.mMember, aReason, aOut);
 }
 
-void Membership::DeclareDead(const VmIncarnation& aProcess,
+void Membership::DeclareDead(VmIncarnation aProcess,
                              std::string_view aReason,
                              bool aSpread,
                              TimePoint aNow,
