Authenticate messages between daemons

Peer messages were not authenticated, and cereal allocated whatever a damaged length said, so one UDP datagram could end the process.

It is checked in constant time, after the size limit of 32 MiB and before anything is decoded. Lengths beyond the remaining bytes are refused before allocation, also in messages that are authentic. The boot field peer_secret_file names a file with one secret a line; the first signs and every one verifies, so that the secret can be rotated. Without the field the daemon logs a warning and uses the empty secret. The wire version is now 2.

--- /dev/null
+++ b/src/bench/message_bench.cpp
@@ -0,0 +1,60 @@
+// Cost of the codec and of the authentication of peer messages, for a
+// datagram and for a forwarded request with a body.
+
+#include <benchmark/benchmark.h>
+#include <string>
+
+#include "cranberrywing/message.h"
+
+namespace {
+
+using namespace cranberrywing;
+
+Envelope MakeEnvelope(std::size_t aBytes)
+{
+  return { { VmId("vm-1"), Incarnation{ 7 } },
+           message::ConfigurationBody{ .mDocument =
+                                         std::string(aBytes, 'x') } };
+}
+
+MessageCodec MakeCodec()
+{
+  return MessageCodec({ "secret-of-the-benchmark" });
+}
+
+void EncodeMessage(benchmark::State& aState)
+{
+  const MessageCodec codec = MakeCodec();
+  const Envelope envelope = MakeEnvelope(aState.range(0));
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(EncodeEnvelope(envelope, codec));
+  }
+}
+
+void DecodeMessage(benchmark::State& aState)
+{
+  const MessageCodec codec = MakeCodec();
+  const std::string bytes =
+    EncodeEnvelope(MakeEnvelope(aState.range(0)), codec);
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(DecodeEnvelope(bytes, codec));
+  }
+}
+
+/// The part of both that is the authentication.
+void SignMessage(benchmark::State& aState)
+{
+  const MessageCodec codec = MakeCodec();
+  const std::string body(aState.range(0), 'x');
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(codec.Sign(body));
+  }
+}
+
+BENCHMARK(EncodeMessage)->Arg(64)->Arg(1024)->Arg(65536);
+BENCHMARK(DecodeMessage)->Arg(64)->Arg(1024)->Arg(65536);
+BENCHMARK(SignMessage)->Arg(64)->Arg(1024)->Arg(65536);
+
+} // namespace
+
+BENCHMARK_MAIN();
--- a/src/cranberrywingd/boot_settings.cpp
+++ b/src/cranberrywingd/boot_settings.cpp
@@ -156,6 +156,12 @@
               aOut.mSettingsFile = aText;
               return {};
             } },
+  FieldRow{ { "peer_secret_file",
+              "File with the secrets of peer messages; none by default" },
+            [](BootSettings& aOut, std::string_view aText) -> Result<void> {
+              aOut.mPeerSecretFile = aText;
+              return {};
+            } },
   FieldRow{ { "log", "Directory of log files; standard error by default" },
             [](BootSettings& aOut, std::string_view aText) -> Result<void> {
               aOut.mLogDirectory = aText;
--- a/src/cranberrywingd/boot_settings.h
+++ b/src/cranberrywingd/boot_settings.h
@@ -44,6 +44,9 @@
   /// File with the settings in force until the store or a peer gives some;
   /// empty for none.
   std::string mSettingsFile;
+  /// File with the secrets of messages between daemons, one a line; empty for
+  /// none.
+  std::string mPeerSecretFile;
   /// Directory of log files; empty for standard error.
   std::string mLogDirectory;
 };
--- a/src/cranberrywingd/daemon.cpp
+++ b/src/cranberrywingd/daemon.cpp
@@ -85,14 +85,15 @@
   : mContext(aContext)
   , mBoot(aOptions.mBoot)
   , mSelf{ aOptions.mBoot.mVm, aOptions.mIncarnation }
+  , mCodec(aOptions.mPeerSecrets)
   , mReducer(MakeReducerOptions(aOptions))
   , mTick(aContext)
   , mExitTimer(aContext)
   , mCallers(aContext, {}, mMetrics, Sink())
   , mBackends(aContext, mMetrics, Sink())
   , mProber(aContext, Sink())
-  , mDatagrams(aContext, mMetrics, Sink())
-  , mStreams(aContext, mMetrics, Sink())
+  , mDatagrams(aContext, mMetrics, Sink(), mCodec)
+  , mStreams(aContext, mMetrics, Sink(), mCodec)
   , mStore(aContext, mBoot.mStore, mMetrics, Sink())
   , mWatches(aContext, mStore, mMetrics, Sink())
   , mVmList(aContext, mBoot.mVmList, Sink())
@@ -235,7 +236,7 @@
     endpoint = { member->mUpdate.mAddress, member->mUpdate.mPeerPort };
   }
   const std::string envelope =
-    EncodeEnvelope({ .mFrom = mSelf, .mMessage = aEffect.mMessage });
+    EncodeEnvelope({ .mFrom = mSelf, .mMessage = aEffect.mMessage }, mCodec);
   if (aEffect.mTransport == effect::Transport::Datagram) {
     mDatagrams.Send(endpoint, envelope);
   } else {
--- a/src/cranberrywingd/daemon.h
+++ b/src/cranberrywingd/daemon.h
@@ -26,6 +26,8 @@
   BootSettings mBoot;
   /// Settings in force until the store or a peer gives some; may be empty.
   std::string mInitialDocument;
+  /// The first signs and every one verifies; none stands for the empty secret.
+  std::vector<std::string> mPeerSecrets;
   Incarnation mIncarnation;
   std::uint64_t mSeed = 1;
 };
@@ -87,6 +89,7 @@
   boost::asio::io_context& mContext;
   BootSettings mBoot;
   VmIncarnation mSelf;
+  MessageCodec mCodec;
   Reducer mReducer;
   DaemonMetrics mMetrics;
   Timeline mTimeline;
--- a/src/cranberrywingd/frame_codec.h
+++ b/src/cranberrywingd/frame_codec.h
@@ -8,13 +8,12 @@
 #include <string_view>
 #include <vector>
 
+#include "cranberrywing/message_codec.h"
 #include "cranberrywing/result_code.h"
 
 namespace cranberrywing::daemon {
 
-/// Longest envelope. A configuration is at most a megabyte and a forwarded
-/// request's body is bounded by its route.
-inline constexpr std::size_t kFrameLimit = 32 * 1024 * 1024;
+inline constexpr std::size_t kFrameLimit = kMaxEnvelopeBytes;
 
 /// Thread-safe.
 std::string EncodeFrame(std::string_view aEnvelope);
--- a/src/cranberrywingd/main.cpp
+++ b/src/cranberrywingd/main.cpp
@@ -79,6 +79,24 @@
   return text;
 }
 
+/// None without a file.
+Result<std::vector<std::string>> ReadPeerSecrets(const std::string& aPath)
+{
+  if (aPath.empty()) {
+    return std::vector<std::string>();
+  }
+  const auto text = ReadFile(aPath);
+  if (!text) {
+    return tl::unexpected(text.error());
+  }
+  auto secrets = ParsePeerSecrets(*text);
+  if (!secrets) {
+    return MakeError(secrets.error().mCode,
+                     aPath + ": " + secrets.error().mMessage);
+  }
+  return secrets;
+}
+
 /// Prefix of each log line, as key=value pairs like the rest.
 void WriteLogPrefix(std::ostream& aStream,
                     const google::LogMessageInfo& aInfo,
@@ -154,14 +172,23 @@
   if (!document) {
     return netutil::ReportError(kProgram, document.error());
   }
+  const auto secrets = ReadPeerSecrets(boot->mPeerSecretFile);
+  if (!secrets) {
+    return netutil::ReportError(kProgram, secrets.error());
+  }
   RaiseFileLimit();
   StartLog(aArguments[0], boot->mLogDirectory);
+  if (secrets->empty()) {
+    LOG(WARNING) << " event=peer_messages_not_authenticated"
+                 << " reason=no_peer_secret_file";
+  }
   const Incarnation incarnation = daemon::MakeIncarnation();
   boost::asio::io_context context(1);
   daemon::Daemon daemon(
     context,
     { .mBoot = *boot,
       .mInitialDocument = *document,
+      .mPeerSecrets = *secrets,
       .mIncarnation = incarnation,
       .mSeed = HashBytes(boot->mVm.mName, incarnation.mNumber) });
   const auto started = daemon.Start();
--- a/src/cranberrywingd/peer_datagrams.cpp
+++ b/src/cranberrywingd/peer_datagrams.cpp
@@ -18,9 +18,11 @@
 
 PeerDatagrams::PeerDatagrams(asio::io_context& aContext,
                              DaemonMetrics& aMetrics,
-                             EventSink aSink)
+                             EventSink aSink,
+                             MessageCodec aCodec)
   : mMetrics(aMetrics)
   , mSink(std::move(aSink))
+  , mCodec(std::move(aCodec))
   , mSocket(aContext)
 {
 }
@@ -90,7 +92,7 @@
 void PeerDatagrams::OnReceived(std::size_t aBytes)
 {
   ++mMetrics.mDatagramsReceived;
-  auto envelope = DecodeEnvelope({ mBuffer.data(), aBytes });
+  auto envelope = DecodeEnvelope({ mBuffer.data(), aBytes }, mCodec);
   if (!envelope) {
     ++mMetrics.mPeerMessagesMalformed;
     return;
--- a/src/cranberrywingd/peer_datagrams.h
+++ b/src/cranberrywingd/peer_datagrams.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <boost/asio/ip/udp.hpp>
 
+#include "cranberrywing/message.h"
 #include "cranberrywingd/event_sink.h"
 #include "cranberrywingd/metrics.h"
 #include "netutil/endpoint.h"
@@ -18,7 +19,8 @@
   /// aMetrics outlives the transport.
   PeerDatagrams(boost::asio::io_context& aContext,
                 DaemonMetrics& aMetrics,
-                EventSink aSink);
+                EventSink aSink,
+                MessageCodec aCodec);
 
   /// Errors: InvalidArgument with the address.
   Result<void> Listen(const netutil::Endpoint& aEndpoint);
@@ -33,6 +35,7 @@
 
   DaemonMetrics& mMetrics;
   EventSink mSink;
+  MessageCodec mCodec;
   boost::asio::ip::udp::socket mSocket;
   boost::asio::ip::udp::endpoint mSender;
   std::array<char, 65536> mBuffer{};
--- a/src/cranberrywingd/peer_streams.cpp
+++ b/src/cranberrywingd/peer_streams.cpp
@@ -149,10 +149,12 @@
 
 PeerStreams::PeerStreams(asio::io_context& aContext,
                          DaemonMetrics& aMetrics,
-                         EventSink aSink)
+                         EventSink aSink,
+                         MessageCodec aCodec)
   : mContext(aContext)
   , mMetrics(aMetrics)
   , mSink(std::move(aSink))
+  , mCodec(std::move(aCodec))
   , mAcceptor(aContext)
   , mAcceptTimer(aContext)
 {
@@ -237,7 +239,7 @@
     return false;
   }
   for (const std::string& frame : *frames) {
-    auto envelope = DecodeEnvelope(frame);
+    auto envelope = DecodeEnvelope(frame, mCodec);
     if (!envelope) {
       ++mMetrics.mPeerMessagesMalformed;
       return false;
--- a/src/cranberrywingd/peer_streams.h
+++ b/src/cranberrywingd/peer_streams.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "cranberrywing/message.h"
 #include "cranberrywingd/event_sink.h"
 #include "cranberrywingd/frame_codec.h"
 #include "cranberrywingd/metrics.h"
@@ -60,7 +61,8 @@
   /// aMetrics outlives the transport.
   PeerStreams(boost::asio::io_context& aContext,
               DaemonMetrics& aMetrics,
-              EventSink aSink);
+              EventSink aSink,
+              MessageCodec aCodec);
   ~PeerStreams();
   PeerStreams(const PeerStreams&) = delete;
   PeerStreams& operator=(const PeerStreams&) = delete;
@@ -87,6 +89,7 @@
   boost::asio::io_context& mContext;
   DaemonMetrics& mMetrics;
   EventSink mSink;
+  MessageCodec mCodec;
   boost::asio::ip::tcp::acceptor mAcceptor;
   boost::asio::steady_timer mAcceptTimer;
   std::unordered_map<VmId, std::shared_ptr<PeerSender>> mSenders;
--- /dev/null
+++ b/src/fuzz/envelope_fuzz.cpp
@@ -0,0 +1,25 @@
+// Peer messages. The first byte chooses whether the rest is taken as it came
+// or signed first, since otherwise nothing would get past the authentication.
+
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+#include "cranberrywing/message.h"
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* aData,
+                                      std::size_t aSize)
+{
+  using namespace cranberrywing;
+  static const MessageCodec sCodec({ "secret-of-the-fuzzer" });
+  std::string bytes(reinterpret_cast<const char*>(aData), aSize);
+  if (aSize > 0 && aData[0] % 8 != 0) {
+    bytes.erase(0, 1);
+    bytes.insert(0, sCodec.Sign(bytes));
+  }
+  const auto envelope = DecodeEnvelope(bytes, sCodec);
+  if (envelope && !DecodeEnvelope(EncodeEnvelope(*envelope, sCodec), sCodec)) {
+    std::abort();
+  }
+  return 0;
+}
--- a/src/include/cranberrywing/message.h
+++ b/src/include/cranberrywing/message.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <variant>
 
+#include "cranberrywing/message_codec.h"
 #include "cranberrywing/messages/configuration.h"
 #include "cranberrywing/messages/execution.h"
 #include "cranberrywing/messages/membership.h"
@@ -46,11 +47,15 @@
   Message mMessage;
 };
 
-/// Encodes an envelope in cereal's portable binary format. Thread-safe.
-std::string EncodeEnvelope(const Envelope& aEnvelope);
+/// Encodes an envelope in cereal's portable binary format, behind the codec's
+/// authentication code over version, sender and message.
+std::string EncodeEnvelope(const Envelope& aEnvelope,
+                           const MessageCodec& aCodec);
 
-/// Decodes what EncodeEnvelope made. Bytes that are cut, of another version
-/// or otherwise unusable give Malformed and never throw. Thread-safe.
-Result<Envelope> DecodeEnvelope(std::string_view aBytes);
+/// Decodes what EncodeEnvelope made. Bytes that are cut, too many, not
+/// authentic, of another version or otherwise unusable give Malformed and
+/// never throw. Nothing is decoded before it is known to be authentic.
+Result<Envelope> DecodeEnvelope(std::string_view aBytes,
+                                const MessageCodec& aCodec);
 
 } // namespace cranberrywing
--- a/src/libcranberrywing/message.cpp
+++ b/src/libcranberrywing/message.cpp
@@ -6,30 +6,39 @@
 #include <cereal/types/vector.hpp>
 #include <sstream>
 
+#include "bounded_archive.h"
+
 namespace cranberrywing {
 
 namespace {
 
 /// Raised whenever the layout of any message changes.
-constexpr std::uint16_t kWireVersion = 1;
+/// Version 2 put the authentication code first.
+constexpr std::uint16_t kWireVersion = 2;
 
 } // namespace
 
-std::string EncodeEnvelope(const Envelope& aEnvelope)
+std::string EncodeEnvelope(const Envelope& aEnvelope,
+                           const MessageCodec& aCodec)
 {
   std::ostringstream buf;
   {
     cereal::PortableBinaryOutputArchive archive(buf);
     archive(kWireVersion, aEnvelope.mFrom, aEnvelope.mMessage);
   }
-  return std::move(buf).str();
+  const std::string body = std::move(buf).str();
+  return aCodec.Sign(body) + body;
 }
 
-Result<Envelope> DecodeEnvelope(std::string_view aBytes)
+Result<Envelope> DecodeEnvelope(std::string_view aBytes,
+                                const MessageCodec& aCodec)
 {
+  const auto body = aCodec.Verify(aBytes);
+  if (!body) {
+    return tl::unexpected(body.error());
+  }
   try {
-    std::istringstream buf{ std::string(aBytes) };
-    cereal::PortableBinaryInputArchive archive(buf);
+    BoundedInputArchive archive(*body);
     std::uint16_t version = 0;
     archive(version);
     if (version != kWireVersion) {
@@ -39,7 +48,7 @@
     }
     Envelope envelope;
     archive(envelope.mFrom, envelope.mMessage);
-    if (buf.peek() != std::istringstream::traits_type::eof()) {
+    if (archive.Remaining() > 0) {
       return MakeError(ResultCode::Malformed, "bytes after the message's end");
     }
     return envelope;
--- a/src/libcranberrywing/message_test.cpp
+++ b/src/libcranberrywing/message_test.cpp
@@ -14,9 +14,10 @@
                                         .mTokens = 2.5,
                                         .mSpare = 1 },
   };
-  const std::string bytes = EncodeEnvelope(sent);
+  const MessageCodec codec({ "a-secret-of-the-tests" });
+  const std::string bytes = EncodeEnvelope(sent, codec);
 
-  const auto read = DecodeEnvelope(bytes);
+  const auto read = DecodeEnvelope(bytes, codec);
   REQUIRE(read.has_value());
   CHECK(read->mFrom == sent.mFrom);
   const auto& transfer = std::get<message::TokenTransfer>(read->mMessage);
@@ -25,7 +26,54 @@
   CHECK(transfer.mTokens == 2.5);
 
   for (std::size_t n = 0; n < bytes.size(); ++n) {
-    CHECK_FALSE(DecodeEnvelope(bytes.substr(0, n)).has_value());
+    CHECK_FALSE(DecodeEnvelope(bytes.substr(0, n), codec).has_value());
   }
-  CHECK_FALSE(DecodeEnvelope(bytes + "x").has_value());
+  CHECK_FALSE(DecodeEnvelope(bytes + "x", codec).has_value());
+}
+
+// Guards against messages of another deployment, changed messages, and a
+// rotation of the secret that cuts old VMs off from new ones.
+TEST_CASE("only a message under a known peer secret is accepted")
+{
+  const std::string first = "first-secret-of-the-tests";
+  const std::string second = "second-secret-of-the-tests";
+  const MessageCodec oldOnly({ first });
+  const MessageCodec both({ second, first });
+  const MessageCodec newOnly({ second });
+  const Envelope sent{ .mFrom = { VmId("vm-1"), Incarnation{ 7 } },
+                       .mMessage = message::Leave{} };
+
+  const std::string bytes = EncodeEnvelope(sent, oldOnly);
+  CHECK(DecodeEnvelope(bytes, both).has_value());
+  CHECK(DecodeEnvelope(EncodeEnvelope(sent, both), newOnly).has_value());
+  CHECK_FALSE(DecodeEnvelope(bytes, newOnly).has_value());
+  CHECK_FALSE(DecodeEnvelope(bytes, MessageCodec()).has_value());
+  for (std::size_t n = 0; n < bytes.size(); ++n) {
+    std::string changed = bytes;
+    changed[n] = static_cast<char>(changed[n] ^ 1);
+    CHECK_FALSE(DecodeEnvelope(changed, oldOnly).has_value());
+  }
+}
+
+// Guards against a length in a signed message that allocates what it says.
+TEST_CASE("lengths beyond the message are refused before allocation")
+{
+  const MessageCodec codec;
+  const std::string body = std::string("\x01\x02\x00", 3) +
+                           std::string("\xff\xff\xff\xff\xff\xff\xff\x0f", 8);
+  const auto read = DecodeEnvelope(codec.Sign(body) + body, codec);
+  REQUIRE_FALSE(read.has_value());
+  CHECK(read.error().mMessage.ends_with("length beyond the message's end"));
+  const std::string huge(kMaxEnvelopeBytes + 1, 'x');
+  CHECK(DecodeEnvelope(huge, codec).error().mMessage ==
+        "message of 33554433 bytes");
+}
+
+// Guards against a daemon that starts with a secret that protects nothing.
+TEST_CASE("peer secrets are read one a line and short ones refused")
+{
+  CHECK(ParsePeerSecrets("sixteen-letters!\r\n\nanother-secret-here").value() ==
+        std::vector<std::string>{ "sixteen-letters!", "another-secret-here" });
+  CHECK_FALSE(ParsePeerSecrets("fifteen-letters\n").has_value());
+  CHECK_FALSE(ParsePeerSecrets("\n").has_value());
 }
--- a/src/testing/membership_fleet.h
+++ b/src/testing/membership_fleet.h
@@ -269,7 +269,7 @@
     Envelope envelope{ node.mMembership->Self(), std::move(aSend.mMessage) };
     ++node.mMessages;
     if (mOptions.mCountBytes) {
-      const std::size_t bytes = EncodeEnvelope(envelope).size();
+      const std::size_t bytes = EncodeEnvelope(envelope, MessageCodec()).size();
       node.mBytes += bytes;
       if (aSend.mTransport == effect::Transport::Datagram) {
         mLargestDatagram = std::max(mLargestDatagram, bytes);
--- a/testsuite/world_effects.cpp
+++ b/testsuite/world_effects.cpp
@@ -182,8 +182,11 @@
   const bool isRegional = aVm.mSelf.mRegion == receiver->mSelf.mRegion;
   const Duration delay = isRegional ? kLocalDelay : kRegionDelay;
   // Through the codec, so that a field that it forgets shows here.
-  const auto envelope = DecodeEnvelope(EncodeEnvelope(
-    { .mFrom = aVm.mSelf.mMember, .mMessage = aMessage.mMessage }));
+  const MessageCodec codec;
+  const auto envelope = DecodeEnvelope(
+    EncodeEnvelope(
+      { .mFrom = aVm.mSelf.mMember, .mMessage = aMessage.mMessage }, codec),
+    codec);
   const event::PeerMessageReceived received{ .mFrom = envelope.value().mFrom,
                                              .mMessage =
                                                envelope.value().mMessage };
