--- /dev/null
+++ b/src/bench/reducer_bench.cpp
@@ -0,0 +1,296 @@
+// Events a second through the reducer on one core, and the bytes of state for
+// each member and each request in flight. The store is in memory and answers
+// at once; the clock is virtual.
+#include <benchmark/benchmark.h>
+#include <malloc.h>
+
+#include <deque>
+#include <memory>
+#include <string>
+
+#include "cranberrywing/keys.h"
+#include "cranberrywing/reducer.h"
+#include "testing/execution_store.h"
+
+namespace {
+
+using namespace cranberrywing;
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t kSeed = 1;
+constexpr std::int64_t kWallSeconds = 1'700'000'000;
+constexpr int kBackends = 30;
+/// Unix time, virtual time and the store's answers advance together in the
+/// warm-up, in which the reducer takes its shares and slots.
+constexpr Duration kWarmUp = 30s;
+constexpr std::string_view kPepper = "pepper-for-benchmarks";
+constexpr std::string_view kKey = "benchmark-key";
+
+std::size_t AllocatedBytes()
+{
+  return mallinfo2().uordblks;
+}
+
+/// One region with 30 servers, as ordering has in Ghana, and one account whose
+/// rate is never reached.
+std::string MakeDocument()
+{
+  std::string text = "format: 1\nfleet: {isolation_limit: 0s, key_pepper: ";
+  text += kPepper;
+  text += ", ticket_secret: secret-for-benchmarks}\n"
+          "regions: {r0: {failure_domains: [d0, d1]}}\n"
+          "vms: {vm-0: {region: r0, failure_domain: d0, site: s0, address: "
+          "10.0.0.1, caller_port: 80, peer_port: 81, admin_port: 82}}\n"
+          "accounts: {shops: {rate: 1000000000, burst: 1000000000, keys: "
+          "[{name: k, digest: ";
+  text += DigestKey(std::string(kKey), kPepper).mHex;
+  text += "}]}}\nservices:\n  ordering:\n    routes: {prices: {method: GET, "
+          "path: /prices, idempotent: true}}\n    backends:\n";
+  for (int n = 0; n < kBackends; ++n) {
+    text += "      b" + std::to_string(n) + ": {region: r0, failure_domain: d" +
+            std::to_string(n % 2) + ", address: 10.1.0." + std::to_string(n) +
+            ", port: 9000, connections: 100000, capacity: 1000000}\n";
+  }
+  return text + "root: {timeout: 3600s}\n";
+}
+
+MemberUpdate MakeMember(std::size_t aNumber)
+{
+  return { .mMember = { VmId("vm-" + std::to_string(aNumber)),
+                        Incarnation{ 1 } },
+           .mAddress = "10.0.0.1",
+           .mPeerPort = 81,
+           .mCallerPort = 80,
+           .mRegion = RegionId("r0"),
+           .mFailureDomain = FailureDomainId("d" + std::to_string(aNumber % 2)),
+           .mSite = SiteId("s0") };
+}
+
+/// A reducer with its store and healthy servers.
+class Node
+{
+public:
+  explicit Node(std::size_t aPeers)
+    : mReducer({ .mSelf = MakeMember(0),
+                 .mInitialDocument = MakeDocument(),
+                 .mSeed = kSeed })
+    , mPeers(aPeers)
+  {
+    CarryOut(mReducer.Start(mNow, kWallSeconds));
+    while (mNow < TimePoint{ kWarmUp }) {
+      Step();
+    }
+  }
+
+  EffectList Reduce(const Event& aEvent)
+  {
+    ++mEvents;
+    return mReducer.Reduce(aEvent, mNow, kWallSeconds);
+  }
+
+  /// One tick with everything that follows from it.
+  void Step()
+  {
+    mNow += event::kTickInterval;
+    CarryOut(Reduce(event::Tick{}));
+  }
+
+  void CarryOut(const EffectList& aEffects)
+  {
+    Collect(aEffects);
+    while (!mPending.empty()) {
+      const Event next = std::move(mPending.front());
+      mPending.pop_front();
+      Collect(Reduce(next));
+    }
+  }
+
+  /// A peer probes this VM and tells of itself and one other member.
+  Event MakeProbe(std::size_t aPeer)
+  {
+    message::Probe probe{ .mSequence = ++mSequence };
+    probe.mGossip.mVersion = mReducer.GetConfiguration().Version();
+    probe.mGossip.mKnownMembers = static_cast<std::uint32_t>(mPeers);
+    probe.mGossip.mUpdates = { MakeMember(aPeer),
+                               MakeMember(aPeer % mPeers + 1) };
+    return event::PeerMessageReceived{ .mFrom = MakeMember(aPeer).mMember,
+                                       .mMessage = std::move(probe) };
+  }
+
+  void ProbeFromAll()
+  {
+    for (std::size_t n = 1; n <= mPeers; ++n) {
+      Reduce(MakeProbe(n));
+    }
+  }
+
+  Event MakeRequest()
+  {
+    return event::RequestArrived{ .mRequest = RequestId{ ++mRequest },
+                                  .mCaller = CallerId{ 1 },
+                                  .mKey = std::string(kKey),
+                                  .mContent = mContent };
+  }
+
+  /// Runs a request up to its dispatch; null if it was refused.
+  std::optional<effect::Dispatch> Begin()
+  {
+    for (Effect& effect : Reduce(MakeRequest())) {
+      if (auto* dispatch = std::get_if<effect::Dispatch>(&effect)) {
+        return std::move(*dispatch);
+      }
+    }
+    return std::nullopt;
+  }
+
+  void Answer(const effect::Dispatch& aDispatch)
+  {
+    Reduce(event::BackendResponded{ .mRequest = aDispatch.mRequest,
+                                    .mAttempt = aDispatch.mAttempt,
+                                    .mAnswer = mAnswer,
+                                    .mLatency = 5ms });
+  }
+
+  Reducer mReducer;
+  TimePoint mNow{ 1ms };
+  std::uint64_t mEvents = 0;
+
+private:
+  void Collect(const EffectList& aEffects)
+  {
+    for (const Effect& effect : aEffects) {
+      if (const auto* call = std::get_if<effect::CallStore>(&effect)) {
+        mPending.push_back(event::StoreReplied{
+          .mCall = call->mCall, .mReply = mStore.Apply(call->mRequest, mNow) });
+      } else if (const auto* probe =
+                   std::get_if<effect::ProbeBackend>(&effect)) {
+        mPending.push_back(event::HealthReported{ .mBackend = probe->mBackend,
+                                                  .mHealthy = true });
+      }
+    }
+  }
+
+  std::size_t mPeers;
+  execution_testing::MemoryStore mStore;
+  std::deque<Event> mPending;
+  std::uint64_t mSequence = 0;
+  std::uint64_t mRequest = 0;
+  RequestContentPtr mContent = std::make_shared<RequestContent>(
+    RequestContent{ .mMethod = "GET", .mTarget = "/prices" });
+  AnswerContentPtr mAnswer = std::make_shared<AnswerContent>(
+    AnswerContent{ .mStatus = 200, .mBody = std::string(200, 'x') });
+};
+
+void ReportRate(benchmark::State& aState, std::uint64_t aEvents)
+{
+  aState.counters["events/s"] = benchmark::Counter(static_cast<double>(aEvents),
+                                                   benchmark::Counter::kIsRate);
+}
+
+/// Argument: other members. Those are heard once and not again, so members
+/// stay known while the ticks run in the same virtual instant.
+void IdleTicks(benchmark::State& aState)
+{
+  Node node(static_cast<std::size_t>(aState.range(0)));
+  node.ProbeFromAll();
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(node.Reduce(event::Tick{}));
+  }
+  ReportRate(aState, static_cast<std::uint64_t>(aState.iterations()));
+}
+
+/// Ticks 10 ms apart with all that follows from them: probes, store calls.
+void TimedTicks(benchmark::State& aState)
+{
+  Node node(static_cast<std::size_t>(aState.range(0)));
+  node.ProbeFromAll();
+  const std::uint64_t before = node.mEvents;
+  for (auto _ : aState) {
+    node.Step();
+  }
+  ReportRate(aState, node.mEvents - before);
+}
+
+void IdempotentRequests(benchmark::State& aState)
+{
+  Node node(static_cast<std::size_t>(aState.range(0)));
+  node.ProbeFromAll();
+  std::uint64_t count = 0;
+  for (auto _ : aState) {
+    const auto dispatch = node.Begin();
+    if (!dispatch) {
+      aState.SkipWithError("the request was not dispatched");
+      return;
+    }
+    node.Answer(*dispatch);
+    // A request each 50 us, as at 20,000 requests a second, with no tick.
+    count += 2;
+    node.mNow += 50us;
+  }
+  ReportRate(aState, count);
+}
+
+void PeerProbes(benchmark::State& aState)
+{
+  const auto peers = static_cast<std::size_t>(aState.range(0));
+  Node node(peers);
+  node.ProbeFromAll();
+  std::vector<Event> probes;
+  for (std::size_t n = 1; n <= peers; ++n) {
+    probes.push_back(node.MakeProbe(n));
+  }
+  std::size_t n = 0;
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(node.Reduce(probes[n++ % peers]));
+  }
+  ReportRate(aState, static_cast<std::uint64_t>(aState.iterations()));
+}
+
+void MemberMemory(benchmark::State& aState)
+{
+  const auto peers = static_cast<std::size_t>(aState.range(0));
+  for (auto _ : aState) {
+    Node node(peers);
+    const std::size_t before = AllocatedBytes();
+    node.ProbeFromAll();
+    aState.counters["bytes/member"] =
+      static_cast<double>(AllocatedBytes() - before) /
+      static_cast<double>(node.mReducer.GetMembership().Members().size());
+  }
+}
+
+void RequestMemory(benchmark::State& aState)
+{
+  for (auto _ : aState) {
+    Node node(1);
+    const std::size_t before = AllocatedBytes();
+    for (std::int64_t n = 0; n < aState.range(0); ++n) {
+      node.Begin();
+    }
+    aState.counters["in_flight"] =
+      static_cast<double>(node.mReducer.GetRequests().InFlight());
+    aState.counters["bytes/request"] =
+      static_cast<double>(AllocatedBytes() - before) /
+      static_cast<double>(node.mReducer.GetRequests().InFlight());
+  }
+}
+
+BENCHMARK(IdleTicks)->ArgName("peers")->Arg(10)->Arg(115)->Arg(459);
+BENCHMARK(TimedTicks)->ArgName("peers")->Arg(10)->Arg(115)->Arg(459);
+BENCHMARK(IdempotentRequests)->ArgName("peers")->Arg(10)->Arg(115)->Arg(459);
+BENCHMARK(PeerProbes)->ArgName("peers")->Arg(10)->Arg(115)->Arg(459);
+BENCHMARK(MemberMemory)
+  ->ArgName("peers")
+  ->Arg(115)
+  ->Arg(230)
+  ->Arg(459)
+  ->Iterations(1);
+BENCHMARK(RequestMemory)
+  ->ArgName("requests")
+  ->Arg(1'000)
+  ->Arg(10'000)
+  ->Iterations(1);
+
+} // namespace
+
+BENCHMARK_MAIN();
