--- /dev/null
+++ b/scripts/plot.py
@@ -0,0 +1,171 @@
+"""Tables and plots of benchmark results, for scripts/report.
+
+plot.py table FILE.json      prints a Google Benchmark result as a table
+plot.py plots RESULTS PLOTS  draws the slopes of all benchmarks as PNG files
+"""
+
+import json
+import pathlib
+import re
+import sys
+
+import matplotlib
+
+matplotlib.use("Agg")
+from matplotlib import pyplot  # noqa: E402  the backend is chosen first
+
+# Fields of each result that are not user counters.
+STANDARD_FIELDS = {
+    "family_index", "per_family_instance_index", "repetitions",
+    "repetition_index", "threads", "iterations", "real_time", "cpu_time",
+}
+NANOSECONDS = {"ns": 1, "us": 1e3, "ms": 1e6, "s": 1e9}
+
+
+def read_benchmarks(path):
+    benchmarks = json.loads(path.read_text())["benchmarks"]
+    for benchmark in benchmarks:
+        if benchmark.get("error_occurred"):
+            sys.exit(f"{benchmark['name']}: {benchmark['error_message']}")
+    return benchmarks
+
+
+def counters(benchmark):
+    return {
+        name: value for name, value in benchmark.items()
+        if name not in STANDARD_FIELDS and isinstance(value, (int, float))
+    }
+
+
+def print_table(path):
+    print(f"{'benchmark':<46} {'cpu ns':>12}  counters")
+    for benchmark in read_benchmarks(path):
+        time = benchmark["cpu_time"] * NANOSECONDS[benchmark["time_unit"]]
+        extra = "  ".join(
+            f"{name} {value:,.0f}" for name, value in counters(benchmark).items()
+        )
+        print(f"{benchmark['name']:<46} {time:>12,.0f}  {extra}".rstrip())
+
+
+def arguments(benchmark):
+    """The named arguments in a name such as Lookup/blocks:300000/vms:11."""
+    return {
+        name: int(value)
+        for name, value in re.findall(r"/(\w+):(\d+)", benchmark["name"])
+    }
+
+
+def series(benchmarks, family, x, value, **fixed):
+    points = []
+    for benchmark in benchmarks:
+        given = arguments(benchmark)
+        is_family = benchmark["name"].split("/")[0] == family
+        if is_family and fixed.items() <= given.items():
+            points.append((given[x], value(benchmark)))
+    return sorted(points)
+
+
+def text_rows(path, start):
+    """Rows of numbers that follow the first line that begins with start."""
+    rows = []
+    is_inside = False
+    for line in path.read_text().splitlines():
+        if line.startswith(start):
+            is_inside = True
+        elif is_inside and not line.strip():
+            break
+        elif is_inside and re.match(r"\s*\d+\s", line):
+            rows.append([float(n.rstrip("%")) for n in line.split()
+                         if re.fullmatch(r"-?[\d.]+%?", n)])
+    if not rows:
+        sys.exit(f"{path}: no table after '{start}'")
+    return rows
+
+
+def draw(path, title, x_label, y_label, lines, limit=None):
+    figure, axes = pyplot.subplots(figsize=(6, 3.6))
+    for label, points in lines.items():
+        axes.plot(*zip(*points), marker="o", label=label)
+    if limit:
+        axes.axhline(limit[1], color="grey", linestyle="--", label=limit[0])
+    axes.set(title=title, xlabel=x_label, ylabel=y_label)
+    axes.set_ylim(bottom=0)
+    axes.set_xlim(left=0)
+    axes.grid(alpha=0.3)
+    axes.legend(fontsize=8)
+    figure.tight_layout()
+    figure.savefig(path, dpi=80)
+    pyplot.close(figure)
+
+
+def draw_lookup(results, plots):
+    benchmarks = read_benchmarks(results / "lookup_bench.json")
+
+    def lookups(vms, subset):
+        return series(benchmarks, "SteeringLookup", "blocks",
+                      lambda b: b["cpu_time"], vms=vms, subset=subset)
+
+    lines = {"search alone": series(benchmarks, "FindSite", "blocks",
+                                    lambda b: b["cpu_time"])}
+    for vms in (11, 460):
+        lines[f"decision, {vms} VMs, site"] = lookups(vms, 0)
+        lines[f"decision, {vms} VMs, account subset"] = lookups(vms, 1)
+    draw(plots / "lookup.png", "Lookup time by table size", "client blocks",
+         "ns", lines, ("target 1 us", 1000))
+
+
+def draw_reducer(results, plots):
+    benchmarks = read_benchmarks(results / "reducer_bench.json")
+    lines = {
+        label: series(benchmarks, family, "peers",
+                      lambda b: b["events/s"] / 1e6)
+        for label, family in (
+            ("ticks, nothing due", "IdleTicks"),
+            ("ticks 10 ms apart", "TimedTicks"),
+            ("idempotent requests", "IdempotentRequests"),
+            ("peer probes", "PeerProbes"))
+    }
+    draw(plots / "reducer.png", "Reducer events on one core", "other members",
+         "million events/s", lines, ("target 1 million/s", 1))
+
+
+def draw_membership(results, plots):
+    rows = text_rows(results / "membership_bench.txt", "Steady state")
+    figure, (left, right) = pyplot.subplots(1, 2, figsize=(8, 3.4))
+    sizes = [row[0] for row in rows]
+    left.plot(sizes, [row[2] for row in rows], marker="o")
+    left.set(title="Bytes sent", ylabel="bytes/s per daemon")
+    right.plot(sizes, [row[3] for row in rows], marker="o")
+    right.set(title="Processor time", ylabel="us/s per daemon")
+    for axes in (left, right):
+        axes.set_xlabel("VMs")
+        axes.set_ylim(bottom=0)
+        axes.set_xlim(left=0)
+        axes.grid(alpha=0.3)
+    figure.tight_layout()
+    figure.savefig(plots / "membership.png", dpi=80)
+    pyplot.close(figure)
+
+
+def draw_rates(results, plots):
+    rows = text_rows(results / "rates_bench.txt", "Store calls")
+    draw(plots / "rates.png", "Store calls of one account by fleet size",
+         "VMs", "calls/s", {
+             "most reads in a second": [(r[0], r[2]) for r in rows],
+             "most writes in a second": [(r[0], r[3]) for r in rows],
+             "reads/s later": [(r[0], r[4]) for r in rows],
+         })
+
+
+def main():
+    if sys.argv[1:2] == ["table"] and len(sys.argv) == 3:
+        print_table(pathlib.Path(sys.argv[2]))
+    elif sys.argv[1:2] == ["plots"] and len(sys.argv) == 4:
+        results, plots = (pathlib.Path(name) for name in sys.argv[2:])
+        for plot in (draw_lookup, draw_reducer, draw_membership, draw_rates):
+            plot(results, plots)
+    else:
+        sys.exit(__doc__)
+
+
+main()
--- a/src/bench/reducer_bench.cpp
+++ b/src/bench/reducer_bench.cpp
@@ -4,12 +4,15 @@
 #include <benchmark/benchmark.h>
 #include <malloc.h>
 
+#include <cstdio>
+#include <cstdlib>
 #include <deque>
 #include <memory>
 #include <string>
 
 #include "cranberrywing/keys.h"
 #include "cranberrywing/reducer.h"
+#include "cranberrywing/settings.h"
 #include "testing/execution_store.h"
 
 namespace {
@@ -20,8 +23,7 @@
 constexpr std::uint64_t kSeed = 1;
 constexpr std::int64_t kWallSeconds = 1'700'000'000;
 constexpr int kBackends = 30;
-/// Unix time, virtual time and the store's answers advance together in the
-/// warm-up, in which the reducer takes its shares and slots.
+/// Virtual time in which the reducer takes its shares and slots.
 constexpr Duration kWarmUp = 30s;
 constexpr std::string_view kPepper = "pepper-for-benchmarks";
 constexpr std::string_view kKey = "benchmark-key";
@@ -51,7 +53,7 @@
             std::to_string(n % 2) + ", address: 10.1.0." + std::to_string(n) +
             ", port: 9000, connections: 100000, capacity: 1000000}\n";
   }
-  return text + "root: {timeout: 3600s}\n";
+  return text + "root: {timeout: 10m}\n";
 }
 
 MemberUpdate MakeMember(std::size_t aNumber)
@@ -76,6 +78,11 @@
                  .mSeed = kSeed })
     , mPeers(aPeers)
   {
+    const auto settings = ParseSettings(MakeDocument(), Revision{ 1 });
+    if (!settings) {
+      std::fprintf(stderr, "%s\n", settings.error().mMessage.c_str());
+      std::exit(1);
+    }
     CarryOut(mReducer.Start(mNow, kWallSeconds));
     while (mNow < TimePoint{ kWarmUp }) {
       Step();
@@ -109,10 +116,7 @@
   Event MakeProbe(std::size_t aPeer)
   {
     message::Probe probe{ .mSequence = ++mSequence };
-    probe.mGossip.mVersion = mReducer.GetConfiguration().Version();
-    probe.mGossip.mKnownMembers = static_cast<std::uint32_t>(mPeers);
-    probe.mGossip.mUpdates = { MakeMember(aPeer),
-                               MakeMember(aPeer % mPeers + 1) };
+    probe.mGossip = MakeGossip(aPeer);
     return event::PeerMessageReceived{ .mFrom = MakeMember(aPeer).mMember,
                                        .mMessage = std::move(probe) };
   }
@@ -132,13 +136,16 @@
                                   .mContent = mContent };
   }
 
-  /// Runs a request up to its dispatch; null if it was refused.
+  /// Runs a request up to its dispatch; nullopt if it was not dispatched.
   std::optional<effect::Dispatch> Begin()
   {
     for (Effect& effect : Reduce(MakeRequest())) {
       if (auto* dispatch = std::get_if<effect::Dispatch>(&effect)) {
         return std::move(*dispatch);
       }
+      if (const auto* refuse = std::get_if<effect::Refuse>(&effect)) {
+        mRefusal = refuse->mRefusal.mDetail;
+      }
     }
     return std::nullopt;
   }
@@ -154,8 +161,34 @@
   Reducer mReducer;
   TimePoint mNow{ 1ms };
   std::uint64_t mEvents = 0;
+  /// Detail of the last refusal.
+  std::string mRefusal = "the request was not dispatched";
 
 private:
+  Gossip MakeGossip(std::size_t aPeer) const
+  {
+    return { .mVersion = mReducer.GetConfiguration().Version(),
+             .mKnownMembers = static_cast<std::uint32_t>(mPeers),
+             .mUpdates = { MakeMember(aPeer),
+                           MakeMember(aPeer % mPeers + 1) } };
+  }
+
+  /// Acknowledges a probe at once, so that no member is suspected.
+  void Acknowledge(const effect::SendMessage& aMessage)
+  {
+    const auto* probe = std::get_if<message::Probe>(&aMessage.mMessage);
+    if (!probe || aMessage.mTo.IsEmpty()) {
+      return;
+    }
+    const std::size_t peer = std::stoul(aMessage.mTo.mName.substr(3));
+    const VmIncarnation from = MakeMember(peer).mMember;
+    mPending.push_back(event::PeerMessageReceived{
+      .mFrom = from,
+      .mMessage = message::ProbeAck{ .mSequence = probe->mSequence,
+                                     .mTarget = from,
+                                     .mGossip = MakeGossip(peer) } });
+  }
+
   void Collect(const EffectList& aEffects)
   {
     for (const Effect& effect : aEffects) {
@@ -166,6 +199,8 @@
                    std::get_if<effect::ProbeBackend>(&effect)) {
         mPending.push_back(event::HealthReported{ .mBackend = probe->mBackend,
                                                   .mHealthy = true });
+      } else if (const auto* send = std::get_if<effect::SendMessage>(&effect)) {
+        Acknowledge(*send);
       }
     }
   }
@@ -187,8 +222,8 @@
                                                    benchmark::Counter::kIsRate);
 }
 
-/// Argument: other members. Those are heard once and not again, so members
-/// stay known while the ticks run in the same virtual instant.
+/// Ticks in one virtual instant, so that no periodic work is due. Argument:
+/// other members.
 void IdleTicks(benchmark::State& aState)
 {
   Node node(static_cast<std::size_t>(aState.range(0)));
@@ -199,7 +234,8 @@
   ReportRate(aState, static_cast<std::uint64_t>(aState.iterations()));
 }
 
-/// Ticks 10 ms apart with all that follows from them: probes, store calls.
+/// Ticks 10 ms apart with all that follows from them: probes, their answers and
+/// store calls. Counts those events too.
 void TimedTicks(benchmark::State& aState)
 {
   Node node(static_cast<std::size_t>(aState.range(0)));
@@ -219,7 +255,7 @@
   for (auto _ : aState) {
     const auto dispatch = node.Begin();
     if (!dispatch) {
-      aState.SkipWithError("the request was not dispatched");
+      aState.SkipWithError(node.mRefusal.c_str());
       return;
     }
     node.Answer(*dispatch);
