Read members' states without a search by name

Ticks with 459 peers spent 24% of their time in Membership::IsUsable, which searched for a member that the calling loop already held; the slot owners are evaluated from all members. At 10 and 115 peers the difference is within the noise.

--- a/src/include/cranberrywing/membership.h
+++ b/src/include/cranberrywing/membership.h
@@ -65,6 +65,8 @@
   const Member* Find(const VmId& aVm) const;
   /// Alive or suspect, and not leaving: fit for new work.
   bool IsUsable(const VmId& aVm) const;
+  /// The same of a member at hand, without a search by name.
+  bool IsUsable(const Member& aMember) const;
   /// Usable members, this VM included.
   std::size_t UsableCount() const;
   /// Up to aCount distinct random usable peers.
@@ -194,7 +196,6 @@
 
   // membership.cpp
   static std::uint32_t DomainHash(const FailureDomainId& aDomain);
-  bool IsUsable(const Member& aMember) const;
   const Derived& GetDerived() const;
   static void Send(const VmId& aTo, Message aMessage, EffectList& aOut);
   void Record(const char* aName,
--- a/src/libcranberrywing/reducer_hooks.cpp
+++ b/src/libcranberrywing/reducer_hooks.cpp
@@ -95,7 +95,7 @@
                             mOptions.mSelf.mFailureDomain);
   }
   for (const auto& [vm, member] : mMembership.Members()) {
-    if (mMembership.IsUsable(vm)) {
+    if (mMembership.IsUsable(member)) {
       candidates.emplace_back(vm, member.mUpdate.mFailureDomain);
     }
   }
@@ -119,7 +119,7 @@
   for (const auto& [vm, member] : mMembership.Members()) {
     const bool isElsewhere =
       member.mUpdate.mFailureDomain != mOptions.mSelf.mFailureDomain;
-    if (!isElsewhere || !mMembership.IsUsable(vm)) {
+    if (!isElsewhere || !mMembership.IsUsable(member)) {
       continue;
     }
     const std::uint64_t weight = CopyHolderWeight(aSlot, vm);
@@ -176,7 +176,7 @@
   std::vector<VmId> peers;
   for (const auto& [vm, member] : mMembership.Members()) {
     const bool isInRegion = member.mUpdate.mRegion == mOptions.mSelf.mRegion;
-    if (isInRegion && mMembership.IsUsable(vm)) {
+    if (isInRegion && mMembership.IsUsable(member)) {
       peers.push_back(vm);
     }
   }
@@ -229,7 +229,7 @@
     add(mOptions.mSelf);
   }
   for (const auto& [vm, member] : mMembership.Members()) {
-    if (mMembership.IsUsable(vm)) {
+    if (mMembership.IsUsable(member)) {
       add(member.mUpdate);
     }
   }
--- a/src/libcranberrywing/reducer_shares.cpp
+++ b/src/libcranberrywing/reducer_shares.cpp
@@ -147,7 +147,7 @@
   mRegionSize = 1;
   for (const auto& [vm, member] : mMembership.Members()) {
     const bool counts = member.mUpdate.mRegion == mOptions.mSelf.mRegion &&
-                        mMembership.IsUsable(vm);
+                        mMembership.IsUsable(member);
     mRegionSize += counts ? 1 : 0;
   }
   for (const auto& [id, service] : mApplied->mServices) {
