--- a/scripts/plot.py
+++ b/scripts/plot.py
@@ -2,6 +2,7 @@
 
 plot.py table FILE.json      prints a Google Benchmark result as a table
 plot.py plots RESULTS PLOTS  draws the slopes of all benchmarks as PNG files
+plot.py summary RESULTS      prints slopes and targets as Markdown tables
 """
 
 import json
@@ -10,6 +11,7 @@
 import sys
 
 import matplotlib
+import numpy
 
 matplotlib.use("Agg")
 from matplotlib import pyplot  # noqa: E402  the backend is chosen first
@@ -83,7 +85,7 @@
 
 
 def draw(path, title, x_label, y_label, lines, limit=None):
-    figure, axes = pyplot.subplots(figsize=(6, 3.6))
+    figure, axes = pyplot.subplots(figsize=(8, 3.6))
     for label, points in lines.items():
         axes.plot(*zip(*points), marker="o", label=label)
     if limit:
@@ -92,13 +94,15 @@
     axes.set_ylim(bottom=0)
     axes.set_xlim(left=0)
     axes.grid(alpha=0.3)
-    axes.legend(fontsize=8)
+    # Beside the axes, so that it hides no line.
+    axes.legend(fontsize=8, loc="center left", bbox_to_anchor=(1.01, 0.5))
     figure.tight_layout()
     figure.savefig(path, dpi=80)
     pyplot.close(figure)
 
 
-def draw_lookup(results, plots):
+def lookup_lines(results):
+    """Nanoseconds by client blocks."""
     benchmarks = read_benchmarks(results / "lookup_bench.json")
 
     def lookups(vms, subset):
@@ -110,13 +114,19 @@
     for vms in (11, 460):
         lines[f"decision, {vms} VMs, site"] = lookups(vms, 0)
         lines[f"decision, {vms} VMs, account subset"] = lookups(vms, 1)
+    return lines
+
+
+def draw_lookup(results, plots):
+    lines = lookup_lines(results)
     draw(plots / "lookup.png", "Lookup time by table size", "client blocks",
          "ns", lines, ("target 1 us", 1000))
 
 
-def draw_reducer(results, plots):
+def reducer_lines(results):
+    """Million events a second by other members."""
     benchmarks = read_benchmarks(results / "reducer_bench.json")
-    lines = {
+    return {
         label: series(benchmarks, family, "peers",
                       lambda b: b["events/s"] / 1e6)
         for label, family in (
@@ -125,6 +135,10 @@
             ("idempotent requests", "IdempotentRequests"),
             ("peer probes", "PeerProbes"))
     }
+
+
+def draw_reducer(results, plots):
+    lines = reducer_lines(results)
     draw(plots / "reducer.png", "Reducer events on one core", "other members",
          "million events/s", lines, ("target 1 million/s", 1))
 
@@ -157,9 +171,44 @@
          })
 
 
+def slope(points):
+    """Least-squares slope."""
+    x, y = zip(*points)
+    return numpy.polyfit(x, y, 1)[0]
+
+
+def print_summary(results):
+    print("| lookup | ns at 1.2 million blocks | slope, ns per million blocks "
+          "| at most 1,000 ns |\n| --- | --- | --- | --- |")
+    for label, points in lookup_lines(results).items():
+        value = points[-1][1]
+        print(f"| {label} | {value:,.0f} | {slope(points) * 1e6:,.0f} "
+              f"| {'yes' if value <= 1000 else 'no'} |")
+    print("\n| reducer | million events/s at 459 other members | slope, ns per "
+          "event and 100 members | at least 1 million/s |\n"
+          "| --- | --- | --- | --- |")
+    for label, points in reducer_lines(results).items():
+        value = points[-1][1]
+        times = [(members, 1e3 / rate) for members, rate in points]
+        print(f"| {label} | {value:.2f} | {slope(times) * 100:,.0f} "
+              f"| {'yes' if value >= 1 else 'no'} |")
+    members = text_rows(results / "membership_bench.txt", "Steady state")
+    print("\n| membership | at 460 VMs | slope per VM |\n| --- | --- | --- |")
+    for label, column in (("bytes/s per daemon", 2), ("CPU us/s", 3)):
+        points = [(row[0], row[column]) for row in members]
+        print(f"| {label} | {points[-1][1]:,.0f} | {slope(points):.2f} |")
+    calls = text_rows(results / "rates_bench.txt", "Store calls")
+    points = [(row[0], row[4]) for row in calls]
+    print("\n| rates | at 460 VMs | slope per VM |\n| --- | --- | --- |")
+    print(f"| store reads/s of one account | {points[-1][1]:.2f} "
+          f"| {slope(points):.4f} |")
+
+
 def main():
     if sys.argv[1:2] == ["table"] and len(sys.argv) == 3:
         print_table(pathlib.Path(sys.argv[2]))
+    elif sys.argv[1:2] == ["summary"] and len(sys.argv) == 3:
+        print_summary(pathlib.Path(sys.argv[2]))
     elif sys.argv[1:2] == ["plots"] and len(sys.argv) == 4:
         results, plots = (pathlib.Path(name) for name in sys.argv[2:])
         for plot in (draw_lookup, draw_reducer, draw_membership, draw_rates):
