--- a/src/bench/lookup_bench.cpp
+++ b/src/bench/lookup_bench.cpp
@@ -21,11 +21,10 @@
 constexpr std::int64_t kAllBlocks = 1'200'000;
 constexpr std::int64_t kTodayVms = 11;
 constexpr std::int64_t kDesignVms = 460;
-/// Near the largest number of blocks whose shard stays below the store's limit
-/// of one megabyte for a value.
+/// About 700 KB encoded, below the store's limit of one megabyte for a value.
 constexpr std::size_t kBlocksPerShard = 100'000;
-/// Power of two, so that the benchmark loop wraps with a mask. Larger than
-/// the processor's branch history, so that searches are not predicted.
+/// Many, so that the processor does not learn the branches of the searches. A
+/// power of two, so that the loop wraps with a mask.
 constexpr std::size_t kAddresses = 1 << 16;
 
 std::string SiteName(std::size_t aNumber)
