--- a/src/cranberrywingd/boot_settings_test.cpp
+++ b/src/cranberrywingd/boot_settings_test.cpp
@@ -17,6 +17,7 @@
 admin_port: 7201
 store: [127.0.0.1:2379, "127.0.0.1:2378"]
 vm_list: http://127.0.0.1:2381/vms
+peer_secret_file: /run/secrets/peer
 )";
 
 std::string ErrorOf(const std::string& aText)
@@ -40,6 +41,7 @@
   CHECK(settings.mStore.size() == 2);
   CHECK(settings.mVmList.mEndpoint.mPort == 2381);
   CHECK(settings.mVmList.mTarget == "/vms");
+  CHECK(settings.mPeerSecretFile == "/run/secrets/peer");
 }
 
 // Guards against errors that do not tell an operator where to look.
--- a/src/cranberrywingd/main.cpp
+++ b/src/cranberrywingd/main.cpp
@@ -179,7 +179,7 @@
   RaiseFileLimit();
   StartLog(aArguments[0], boot->mLogDirectory);
   if (secrets->empty()) {
-    LOG(WARNING) << " event=peer_messages_not_authenticated"
+    LOG(WARNING) << "event=peer_messages_not_authenticated"
                  << " reason=no_peer_secret_file";
   }
   const Incarnation incarnation = daemon::MakeIncarnation();
--- a/src/libcranberrywing/bounded_archive.h
+++ b/src/libcranberrywing/bounded_archive.h
@@ -8,6 +8,7 @@
 #include <cereal/archives/portable_binary.hpp>
 #include <cstring>
 #include <string_view>
+#include <type_traits>
 
 namespace cranberrywing {
 
@@ -99,8 +100,8 @@
 
 template<>
 struct get_output_from_input<cranberrywing::BoundedInputArchive>
+  : std::type_identity<cereal::PortableBinaryOutputArchive>
 {
-  using type = cereal::PortableBinaryOutputArchive;
 };
 
 } // namespace cereal::traits::detail
