Sort the includes of the scenario world

Cause: a renamed header left the includes unsorted, which the formatter refuses. Change: formatting only. Conclusion: none beyond formatting.

--- a/testsuite/world.h
+++ b/testsuite/world.h
@@ -13,8 +13,8 @@
 #include <vector>
 
 #include "cranberrywing/reducer.h"
-#include "testing/execution_store.h"
 #include "script.h"
+#include "testing/execution_store.h"
 
 namespace cranberrywing::scenario {
 
