--- a/src/libcranberrywing/reducer_hooks.cpp
+++ b/src/libcranberrywing/reducer_hooks.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Age at which a load report no longer counts for capacity decisions.
-constexpr Duration kLoadReportLifetime = std::chrono::seconds(10);
+constexpr Duration kLoadReportLifetime = std::chrono::seconds(5);
 /// Peers of other regions that hear of offers at a time. All of them would be
 /// hundreds of messages a second at 460 VMs.
 constexpr std::size_t kOfferAudience = 8;
@@ -95,7 +95,7 @@
                             mOptions.mSelf.mFailureDomain);
   }
   for (const auto& [vm, member] : mMembership.Members()) {
-    if (mMembership.IsUsable(vm)) {
+    if (mMembership.IsUsable(member)) {
       candidates.emplace_back(vm, member.mUpdate.mFailureDomain);
     }
   }
@@ -119,7 +119,7 @@
   for (const auto& [vm, member] : mMembership.Members()) {
     const bool isElsewhere =
       member.mUpdate.mFailureDomain != mOptions.mSelf.mFailureDomain;
-    if (!isElsewhere || !mMembership.IsUsable(vm)) {
+    if (!isElsewhere || !mMembership.IsUsable(member)) {
       continue;
     }
     const std::uint64_t weight = CopyHolderWeight(aSlot, vm);
@@ -157,6 +157,15 @@
   };
 }
 
+std::function<std::optional<double>(const ServiceId&, TimePoint)>
+Reducer::State::MakeUtilizationHook()
+{
+  return [this](const ServiceId& aService, TimePoint aNow) {
+    return mHealth.Utilization(
+      aService, mOptions.mSelf.mRegion, kLoadReportLifetime, aNow);
+  };
+}
+
 std::vector<VmId> Reducer::State::OtherRegionPeers()
 {
   std::vector<VmId> audience;
@@ -176,7 +185,7 @@
   std::vector<VmId> peers;
   for (const auto& [vm, member] : mMembership.Members()) {
     const bool isInRegion = member.mUpdate.mRegion == mOptions.mSelf.mRegion;
-    if (isInRegion && mMembership.IsUsable(vm)) {
+    if (isInRegion && mMembership.IsUsable(member)) {
       peers.push_back(vm);
     }
   }
@@ -189,10 +198,8 @@
     .mMayAdvance =
       [this](
         const ServiceId& aService, const RegionId& aRegion, TimePoint aNow) {
-        const bool isMeasured =
-          mHealth.ReportedRate(aService, aRegion, kLoadReportLifetime, aNow)
-            .has_value();
-        return isMeasured && mHealth.Capacity(aService, aRegion, aNow) > 0;
+        // The target region grants nothing new without fresh measurements.
+        return mOffers.IsCovered(aService, aRegion, aNow);
       },
     .mRegionPeers = [this] { return RegionPeers(); },
   };
@@ -229,7 +236,7 @@
     add(mOptions.mSelf);
   }
   for (const auto& [vm, member] : mMembership.Members()) {
-    if (mMembership.IsUsable(vm)) {
+    if (mMembership.IsUsable(member)) {
       add(member.mUpdate);
     }
   }
--- a/src/libcranberrywing/reducer_state.h
+++ b/src/libcranberrywing/reducer_state.h
@@ -2,6 +2,7 @@
 /// The reducer's state: one of each concern and the hooks between them.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -52,6 +53,8 @@
   SlotTableHooks MakeSlotHooks();
   ExecutionsHooks MakeExecutionHooks();
   OfferBookHooks MakeOfferHooks();
+  std::function<std::optional<double>(const ServiceId&, TimePoint)>
+  MakeUtilizationHook();
   ShiftHooks MakeShiftHooks();
   SteeringHooks MakeSteeringHooks();
   PipelineHooks MakePipelineHooks();
@@ -65,10 +68,11 @@
                      const AccountSettings& aSettings,
                      TimePoint aNow);
   void ReviewCapacityShares();
-  std::vector<VmId> ShareSubset(const AccountSettings& aAccount,
-                                const RegionId& aRegion) const;
+  /// VMs that hold a fraction of the account's rate, the own region's first.
+  std::vector<VmId> ShareHolders(const AccountSettings& aAccount) const;
   void SendBlocks(EffectList& aOut);
   bool IsCurrent(TimePoint aNow) const;
+  bool MayAcceptEdits(TimePoint aNow) const;
   Duration LongestDeadline() const;
   std::size_t ExpectedHolders(const std::string& aName) const;
   std::vector<SteeringTarget> Targets() const;
--- a/src/libcranberrywing/requests_outcome.cpp
+++ b/src/libcranberrywing/requests_outcome.cpp
@@ -76,6 +76,7 @@
   } else {
     mConcerns.mSelector.OnFinish(request->mBackend, aEvent.mLatency);
     mConcerns.mHealth.OnSuccess(request->mBackend, aEvent.mLatency, aNow);
+    mConcerns.mCrashGuard.OnSuccess(request->mFingerprint);
   }
   const RequestId id = request->mId;
   if (!IsExecution(*request)) {
@@ -122,7 +123,8 @@
   }
   NoteFailure(*request, aEvent, aNow, aOut);
   const bool isBlocked =
-    mConcerns.mCrashGuard.IsBlocked(request->mFingerprint, aNow);
+    mConcerns.mCrashGuard.IsBlocked(request->mFingerprint, aNow) ||
+    mConcerns.mCrashGuard.IsSuspect(request->mFingerprint, aNow);
   const bool mayRetry =
     !isBlocked && !request->mAbandoned &&
     mConcerns.mRetries.TryRetry({ .mRoute = &request->mRoute,
