--- a/src/libcranberrywing/reducer_shares.cpp
+++ b/src/libcranberrywing/reducer_shares.cpp
@@ -114,7 +114,7 @@
     return isRemoved;
   });
   if (!isYoung) {
-    ReviewCapacityShares();
+    ReviewCapacityShares(aNow);
   }
 }
 
@@ -151,7 +151,7 @@
   }
 }
 
-void Reducer::State::ReviewCapacityShares()
+void Reducer::State::ReviewCapacityShares(TimePoint aNow)
 {
   mRegionSize = 1;
   for (const auto& [vm, member] : mMembership.Members()) {
@@ -168,6 +168,7 @@
                   });
     if (isInRegion) {
       mShares.Want(CapacityShareName(id));
+      mShares.ReportUse(CapacityShareName(id), mOffers.Use(id, aNow));
     }
   }
 }
--- a/src/libcranberrywing/reducer_state.h
+++ b/src/libcranberrywing/reducer_state.h
@@ -67,7 +67,7 @@
   void ReviewAccount(const AccountId& aAccount,
                      const AccountSettings& aSettings,
                      TimePoint aNow);
-  void ReviewCapacityShares();
+  void ReviewCapacityShares(TimePoint aNow);
   /// VMs that hold a fraction of the account's rate, the own region's first.
   std::vector<VmId> ShareHolders(const AccountSettings& aAccount) const;
   void SendBlocks(EffectList& aOut);
