Read no bytes into a null target

Cause: UBSan reported memcpy with a null target in BoundedInputArchive when a message holds an empty container (scenario_tests built with CW_SANITIZE=ON). Change: return before the copy for zero bytes. Conclusion: no behaviour changes.

--- a/src/libcranberrywing/bounded_archive.h
+++ b/src/libcranberrywing/bounded_archive.h
@@ -34,6 +34,10 @@
   void Read(void* aTarget, std::size_t aSize, std::size_t aElementSize)
   {
     CheckLength(aSize);
+    // An empty container has no target, which memcpy must not be given.
+    if (aSize == 0) {
+      return;
+    }
     auto* const target = static_cast<char*>(aTarget);
     std::memcpy(target, mBytes.data(), aSize);
     mBytes.remove_prefix(aSize);
