--- a/src/libcranberrywing/keys.cpp
+++ b/src/libcranberrywing/keys.cpp
@@ -1,9 +1,9 @@
 #include "cranberrywing/keys.h"
 
-#include <array>
 #include <openssl/crypto.h>
-#include <openssl/evp.h>
-#include <openssl/params.h>
+#include <optional>
+
+#include "keyed_mac.h"
 
 namespace cranberrywing {
 
@@ -54,49 +54,24 @@
 
 namespace detail {
 
-/// Computes digests under one pepper. Setting up HMAC takes most of the time
-/// of a digest, so it is done once per pepper.
+/// Computes digests under one pepper.
 class KeyDigester
 {
 public:
   explicit KeyDigester(std::string_view aPepper)
-    : mMac(EVP_MAC_fetch(nullptr, "HMAC", nullptr))
-    , mContext(EVP_MAC_CTX_new(mMac.get()))
+    : mMac(aPepper)
   {
-    std::string digest = "SHA256";
-    const std::array parameters{ OSSL_PARAM_construct_utf8_string(
-                                   "digest", digest.data(), 0),
-                                 OSSL_PARAM_construct_end() };
-    // An empty key is given as such: a null one would mean "the last key".
-    const auto* pepper = reinterpret_cast<const unsigned char*>(
-      aPepper.empty() ? "" : aPepper.data());
-    mUsable = EVP_MAC_init(
-                mContext.get(), pepper, aPepper.size(), parameters.data()) == 1;
   }
 
   /// An empty digest, which matches no key, if the library fails.
   KeyDigest Digest(std::string_view aKey)
   {
-    std::array<unsigned char, EVP_MAX_MD_SIZE> bytes{};
-    std::size_t size = 0;
-    const auto* key = reinterpret_cast<const unsigned char*>(aKey.data());
-    const bool isDone =
-      mUsable && EVP_MAC_init(mContext.get(), nullptr, 0, nullptr) == 1 &&
-      EVP_MAC_update(mContext.get(), key, aKey.size()) == 1 &&
-      EVP_MAC_final(mContext.get(), bytes.data(), &size, bytes.size()) == 1;
-    return { isDone ? ToHex(bytes.data(), size) : std::string() };
+    const std::optional<KeyedMac::Code> code = mMac.Compute(aKey);
+    return { code ? ToHex(code->data(), code->size()) : std::string() };
   }
 
 private:
-  struct Free
-  {
-    void operator()(EVP_MAC* aMac) const { EVP_MAC_free(aMac); }
-    void operator()(EVP_MAC_CTX* aContext) const { EVP_MAC_CTX_free(aContext); }
-  };
-
-  std::unique_ptr<EVP_MAC, Free> mMac;
-  std::unique_ptr<EVP_MAC_CTX, Free> mContext;
-  bool mUsable = false;
+  KeyedMac mMac;
 };
 
 } // namespace detail
--- a/src/libcranberrywing/message_codec.cpp
+++ b/src/libcranberrywing/message_codec.cpp
@@ -1,60 +1,31 @@
 #include "cranberrywing/message_codec.h"
 
-#include <array>
 #include <openssl/crypto.h>
-#include <openssl/evp.h>
-#include <openssl/params.h>
 #include <sstream>
 
+#include "keyed_mac.h"
+
 namespace cranberrywing {
 
-/// Keeps the keyed context, since setting up HMAC takes most of the time of
-/// a short message.
+/// One secret's code, cut to the length of an envelope's.
 class MessageCodec::Mac
 {
 public:
   explicit Mac(std::string_view aSecret)
-    : mMac(EVP_MAC_fetch(nullptr, "HMAC", nullptr))
-    , mContext(EVP_MAC_CTX_new(mMac.get()))
+    : mMac(aSecret)
   {
-    std::string digest = "SHA256";
-    const std::array parameters{ OSSL_PARAM_construct_utf8_string(
-                                   "digest", digest.data(), 0),
-                                 OSSL_PARAM_construct_end() };
-    // An empty key is given as such: a null one would mean "the last key".
-    const auto* secret = reinterpret_cast<const unsigned char*>(
-      aSecret.empty() ? "" : aSecret.data());
-    mIsUsable =
-      EVP_MAC_init(mContext.get(), secret, aSecret.size(), parameters.data()) ==
-      1;
   }
 
   /// Empty if the library fails.
   std::string Compute(std::string_view aBody)
   {
-    std::array<unsigned char, EVP_MAX_MD_SIZE> bytes{};
-    std::size_t size = 0;
-    const auto* body = reinterpret_cast<const unsigned char*>(aBody.data());
-    const bool isDone =
-      mIsUsable && EVP_MAC_init(mContext.get(), nullptr, 0, nullptr) == 1 &&
-      EVP_MAC_update(mContext.get(), body, aBody.size()) == 1 &&
-      EVP_MAC_final(mContext.get(), bytes.data(), &size, bytes.size()) == 1 &&
-      size >= kEnvelopeMacBytes;
-    return isDone
-             ? std::string(bytes.begin(), bytes.begin() + kEnvelopeMacBytes)
-             : std::string();
+    const auto code = mMac.Compute(aBody);
+    return code ? std::string(code->begin(), code->begin() + kEnvelopeMacBytes)
+                : std::string();
   }
 
 private:
-  struct Free
-  {
-    void operator()(EVP_MAC* aMac) const { EVP_MAC_free(aMac); }
-    void operator()(EVP_MAC_CTX* aContext) const { EVP_MAC_CTX_free(aContext); }
-  };
-
-  std::unique_ptr<EVP_MAC, Free> mMac;
-  std::unique_ptr<EVP_MAC_CTX, Free> mContext;
-  bool mIsUsable = false;
+  detail::KeyedMac mMac;
 };
 
 MessageCodec::MessageCodec()
--- /dev/null
+++ b/src/libcranberrywing/reducer_delivery.h
@@ -0,0 +1,226 @@
+/// \file
+/// Delivers events and peer messages to the concerns of the reducer's state.
+#pragma once
+
+#include "reducer_state.h"
+
+namespace cranberrywing {
+
+/// Delivers each kind of event and of peer message to its concern.
+struct Reducer::State::Delivery
+{
+  State& mState;
+  TimePoint mNow;
+  EffectList& mOut;
+
+  void operator()(const event::Tick&) { mState.Tick(mNow, mOut); }
+  void operator()(const event::RequestArrived& aEvent)
+  {
+    mState.mRequests.OnRequest(aEvent, mNow, mOut);
+  }
+  void operator()(const event::RequestCancelled& aEvent)
+  {
+    mState.mRequests.OnCancelled(aEvent, mNow, mOut);
+  }
+  void operator()(const event::BackendResponded& aEvent)
+  {
+    mState.mRequests.OnResponded(aEvent, mNow, mOut);
+  }
+  void operator()(const event::BackendFailed& aEvent)
+  {
+    mState.mRequests.OnFailed(aEvent, mNow, mOut);
+  }
+  void operator()(const event::HealthReported& aEvent)
+  {
+    mState.mHealth.OnHealth(aEvent, mNow, mOut);
+    if (!aEvent.mHealthy && !aEvent.mDraining) {
+      mState.mCrashGuard.OnServerDown(aEvent.mBackend, mNow, mOut);
+    }
+  }
+  void operator()(const event::LoadReported& aEvent)
+  {
+    mState.mHealth.OnLoad(aEvent, mNow);
+  }
+  void operator()(const event::PeerMessageReceived& aEvent)
+  {
+    const VmIncarnation& from = aEvent.mFrom;
+    std::visit([&](const auto& aMessage) { OnMessage(from, aMessage); },
+               aEvent.mMessage);
+  }
+  void operator()(const event::PeerUnreachable& aEvent)
+  {
+    mState.mMembership.OnPeerUnreachable(aEvent.mVm, mNow, mOut);
+    mState.mRequests.OnPeerUnreachable(aEvent.mVm, mNow, mOut);
+  }
+  void operator()(const event::StoreReplied& aEvent)
+  {
+    switch (aEvent.mCall.mConcern) {
+      case Concern::Configuration:
+        mState.mConfiguration.OnStoreReply(aEvent, mNow, mOut);
+        return;
+      case Concern::ShareLedger:
+        mState.mShares.OnStoreReply(aEvent, mNow, mOut);
+        return;
+      case Concern::SlotTable:
+        mState.mSlots.OnStoreReply(aEvent, mNow, mOut);
+        return;
+      case Concern::Executions:
+        mState.mExecutions.OnStoreReply(aEvent, mNow, mOut);
+        return;
+    }
+  }
+  void operator()(const event::StoreWatchFired& aEvent)
+  {
+    if (aEvent.mWatch.mConcern == Concern::Configuration) {
+      mState.mConfiguration.OnWatch(aEvent, mNow, mOut);
+    } else {
+      mState.mSlots.OnWatch(aEvent, mNow, mOut);
+    }
+  }
+  void operator()(const event::VmListReceived& aEvent)
+  {
+    mState.mMembership.OnVmList(aEvent, mNow, mOut);
+  }
+  void operator()(const event::LookupArrived& aEvent)
+  {
+    mOut.push_back(mState.mSteering.Lookup(aEvent, mNow));
+  }
+  void operator()(const event::TicketRequested& aEvent)
+  {
+    mState.mRequests.OnTicketRequested(aEvent, mNow, mOut);
+  }
+  void operator()(const event::EditRequested& aEvent)
+  {
+    if (!mState.MayAcceptEdits(mNow)) {
+      mOut.push_back(effect::AnswerEdit{
+        .mRequest = aEvent.mRequest,
+        .mCode = ResultCode::Isolated,
+        .mRevision = mState.mConfiguration.Version().mRevision,
+        .mMessage = "no peer answers this VM, so that others could miss the "
+                    "change; use another VM" });
+      return;
+    }
+    mState.mConfiguration.OnEdit(aEvent, mNow, mOut);
+  }
+  void operator()(const event::ShutdownRequested&)
+  {
+    const Duration lifetime = mState.mApplied
+                                ? mState.mApplied->mFleet.mLookupLifetime
+                                : Duration::zero();
+    mState.mDrain.Start(lifetime, mState.LongestDeadline(), mNow, mOut);
+  }
+
+  void OnMessage(const VmIncarnation&,
+                 const message::ConfigurationOffer& aOffer)
+  {
+    mState.mHeard.push_back({ mFrom, aOffer.mVersion });
+  }
+  void OnMessage(const VmIncarnation& aFrom,
+                 const message::ConfigurationRequest& aMessage)
+  {
+    mState.mConfiguration.OnMessage(aFrom.mVm, aMessage, mNow, mOut);
+  }
+  void OnMessage(const VmIncarnation& aFrom,
+                 const message::ConfigurationBody& aMessage)
+  {
+    mState.mConfiguration.OnMessage(aFrom.mVm, aMessage, mNow, mOut);
+  }
+  void OnMessage(const VmIncarnation&, const message::RequestBlock& aMessage)
+  {
+    mState.mCrashGuard.OnMessage(aMessage, mNow);
+  }
+
+  template<class Concern, class Content>
+  void Pass(Concern& aConcern,
+            const VmIncarnation& aFrom,
+            const Content& aMessage)
+  {
+    aConcern.OnMessage(aFrom, aMessage, mNow, mOut);
+  }
+  void OnMessage(const VmIncarnation& aFrom, const message::Probe& aMessage)
+  {
+    Pass(mState.mMembership, aFrom, aMessage);
+  }
+  void OnMessage(const VmIncarnation& aFrom, const message::ProbeAck& aMessage)
+  {
+    Pass(mState.mMembership, aFrom, aMessage);
+  }
+  void OnMessage(const VmIncarnation& aFrom,
+                 const message::ProbeRequest& aMessage)
+  {
+    Pass(mState.mMembership, aFrom, aMessage);
+  }
+  void OnMessage(const VmIncarnation& aFrom, const message::Leave& aMessage)
+  {
+    Pass(mState.mMembership, aFrom, aMessage);
+  }
+  void OnMessage(const VmIncarnation& aFrom,
+                 const message::TokenRequest& aMessage)
+  {
+    Pass(mState.mRates, aFrom, aMessage);
+  }
+  void OnMessage(const VmIncarnation& aFrom,
+                 const message::TokenTransfer& aMessage)
+  {
+    Pass(mState.mRates, aFrom, aMessage);
+  }
+  void OnMessage(const VmIncarnation& aFrom,
+                 const message::OfferAnnouncement& aMessage)
+  {
+    Pass(mState.mOffers, aFrom, aMessage);
+  }
+  void OnMessage(const VmIncarnation& aFrom,
+                 const message::ReservationRequest& aMessage)
+  {
+    Pass(mState.mOffers, aFrom, aMessage);
+  }
+  void OnMessage(const VmIncarnation& aFrom,
+                 const message::ReservationReply& aMessage)
+  {
+    Pass(mState.mOffers, aFrom, aMessage);
+  }
+  void OnMessage(const VmIncarnation& aFrom,
+                 const message::ShiftProgress& aMessage)
+  {
+    Pass(mState.mShifts, aFrom, aMessage);
+  }
+  void OnMessage(const VmIncarnation& aFrom,
+                 const message::ForwardedRequest& aMessage)
+  {
+    Pass(mState.mRequests, aFrom, aMessage);
+  }
+  void OnMessage(const VmIncarnation& aFrom,
+                 const message::ForwardedAnswer& aMessage)
+  {
+    Pass(mState.mRequests, aFrom, aMessage);
+  }
+  void OnMessage(const VmIncarnation& aFrom,
+                 const message::ForwardedRefusal& aMessage)
+  {
+    Pass(mState.mRequests, aFrom, aMessage);
+  }
+  void OnMessage(const VmIncarnation& aFrom,
+                 const message::AnswerCopy& aMessage)
+  {
+    Pass(mState.mExecutions, aFrom, aMessage);
+  }
+  void OnMessage(const VmIncarnation& aFrom,
+                 const message::AnswerCopyAck& aMessage)
+  {
+    Pass(mState.mExecutions, aFrom, aMessage);
+  }
+  void OnMessage(const VmIncarnation& aFrom,
+                 const message::AnswerCopyQuery& aMessage)
+  {
+    Pass(mState.mExecutions, aFrom, aMessage);
+  }
+  void OnMessage(const VmIncarnation& aFrom,
+                 const message::SlotHandover& aMessage)
+  {
+    Pass(mState.mExecutions, aFrom, aMessage);
+  }
+
+  VmId mFrom{};
+};
+
+} // namespace cranberrywing
