Share listening, main and digest text; drop an effect nothing asks for

The effect CloseCaller was carried out by the daemon but emitted by no concern: a refusal with key_withdrawn closes the connection itself. Conclusion: no behaviour changes.

--- a/src/cranberrywingd/caller_server.cpp
+++ b/src/cranberrywingd/caller_server.cpp
@@ -245,12 +245,6 @@
   }
 }
 
-void CallerServer::Carry(const effect::CloseCaller& aEffect)
-{
-  mServer.CloseAfterAnswers(
-    netutil::ConnectionId{ static_cast<std::uint64_t>(aEffect.mCaller) });
-}
-
 void CallerServer::Finish()
 {
   mServer.StopAccepting();
--- a/src/cranberrywingd/caller_server.h
+++ b/src/cranberrywingd/caller_server.h
@@ -31,7 +31,6 @@
   void Carry(const effect::Refuse& aEffect);
   void Carry(const effect::AnswerLookup& aEffect);
   void Carry(const effect::AnswerTicket& aEffect);
-  void Carry(const effect::CloseCaller& aEffect);
 
   /// The process stops: takes no new connections and closes the others as
   /// soon as their answers are sent.
--- a/src/cranberrywingd/daemon.h
+++ b/src/cranberrywingd/daemon.h
@@ -72,7 +72,6 @@
   void Carry(const effect::Respond& aEffect) { mCallers.Carry(aEffect); }
   void Carry(const effect::Refuse& aEffect) { mCallers.Carry(aEffect); }
   void Carry(const effect::AnswerTicket& aEffect) { mCallers.Carry(aEffect); }
-  void Carry(const effect::CloseCaller& aEffect) { mCallers.Carry(aEffect); }
   void Carry(const effect::AnswerLookup& aEffect);
   void Carry(const effect::SendMessage& aEffect);
   void Carry(const effect::CallStore& aEffect) { mStore.Carry(aEffect); }
--- a/src/cranberrywingd/peer_streams.cpp
+++ b/src/cranberrywingd/peer_streams.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/write.hpp>
 #include <netinet/tcp.h>
 
+#include "netutil/acceptor.h"
+
 namespace cranberrywing::daemon {
 
 namespace asio = boost::asio;
@@ -167,25 +169,9 @@
 
 Result<void> PeerStreams::Listen(const netutil::Endpoint& aEndpoint)
 {
-  boost::system::error_code ec;
-  const auto address = asio::ip::make_address(aEndpoint.mAddress, ec);
-  const tcp::endpoint endpoint(address, aEndpoint.mPort);
-  if (!ec) {
-    mAcceptor.open(endpoint.protocol(), ec);
-  }
-  if (!ec) {
-    mAcceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-  }
-  if (!ec) {
-    mAcceptor.bind(endpoint, ec);
-  }
-  if (!ec) {
-    mAcceptor.listen(asio::socket_base::max_listen_connections, ec);
-  }
-  if (ec) {
-    return MakeError(ResultCode::InvalidArgument,
-                     "cannot listen on " + netutil::ToString(aEndpoint) + ": " +
-                       ec.message());
+  const auto listening = netutil::ListenOn(mAcceptor, aEndpoint);
+  if (!listening) {
+    return listening;
   }
   Accept();
   return {};
--- a/src/include/cranberrywing/effect.h
+++ b/src/include/cranberrywing/effect.h
@@ -135,12 +135,6 @@
   BackendId mBackend;
 };
 
-/// Close the caller's connection; requests on it were answered before.
-struct CloseCaller
-{
-  CallerId mCaller{};
-};
-
 struct AnswerEdit
 {
   AdminRequestId mRequest{};
@@ -188,7 +182,6 @@
                             effect::CancelWatch,
                             effect::ProbeBackend,
                             effect::CloseBackendConnections,
-                            effect::CloseCaller,
                             effect::AnswerEdit,
                             effect::ConfigurationInForce,
                             effect::RecordTimeline,
--- a/src/include/cranberrywing/types.h
+++ b/src/include/cranberrywing/types.h
@@ -168,6 +168,9 @@
 /// Digest of a byte string. Thread-safe.
 ContentDigest DigestContent(std::string_view aBytes);
 
+/// The digest in lower-case hex, for logs. Thread-safe.
+std::string ToHex(const ContentDigest& aDigest);
+
 /// 64-bit xxHash of a byte string under a seed. Thread-safe.
 std::uint64_t HashBytes(std::string_view aBytes, std::uint64_t aSeed = 0);
 
--- a/src/libcranberrywing/configuration.cpp
+++ b/src/libcranberrywing/configuration.cpp
@@ -12,18 +12,6 @@
 /// the last few revisions are asked for.
 constexpr std::size_t kKeptBodies = 4;
 
-std::string ToHex(const ContentDigest& aDigest)
-{
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  std::string text;
-  for (const std::uint64_t part : { aDigest.mHigh, aDigest.mLow }) {
-    for (int shift = 60; shift >= 0; shift -= 4) {
-      text += kDigits[(part >> shift) & 15];
-    }
-  }
-  return text;
-}
-
 effect::RecordTimeline Record(std::string_view aName,
                               const ConfigurationVersion& aVersion,
                               std::string_view aDetailName,
--- a/src/libcranberrywing/crash_guard.cpp
+++ b/src/libcranberrywing/crash_guard.cpp
@@ -24,18 +24,6 @@
   }
 }
 
-std::string ToHex(const ContentDigest& aDigest)
-{
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  std::string hex;
-  for (const std::uint64_t part : { aDigest.mHigh, aDigest.mLow }) {
-    for (int shift = 60; shift >= 0; shift -= 4) {
-      hex += kDigits[(part >> shift) & 15u];
-    }
-  }
-  return hex;
-}
-
 } // namespace
 
 ContentDigest FingerprintRequest(const RouteId& aRoute,
--- a/src/netutil/http_server.cpp
+++ b/src/netutil/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/ip/address.hpp>
 
+#include "netutil/acceptor.h"
 #include "netutil/http_session.h"
 
 namespace cranberrywing::netutil {
@@ -41,25 +42,9 @@
 
 Result<void> HttpServer::Listen(const Endpoint& aEndpoint)
 {
-  boost::system::error_code ec;
-  const auto address = asio::ip::make_address(aEndpoint.mAddress, ec);
-  const tcp::endpoint endpoint(address, aEndpoint.mPort);
-  if (!ec) {
-    mAcceptor.open(endpoint.protocol(), ec);
-  }
-  if (!ec) {
-    mAcceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-  }
-  if (!ec) {
-    mAcceptor.bind(endpoint, ec);
-  }
-  if (!ec) {
-    mAcceptor.listen(asio::socket_base::max_listen_connections, ec);
-  }
-  if (ec) {
-    return MakeError(ResultCode::InvalidArgument,
-                     "cannot listen on " + ToString(aEndpoint) + ": " +
-                       ec.message());
+  const auto listening = ListenOn(mAcceptor, aEndpoint);
+  if (!listening) {
+    return listening;
   }
   Accept();
   return {};
--- a/src/netutil/program.cpp
+++ b/src/netutil/program.cpp
@@ -24,6 +24,18 @@
   aContext.run();
 }
 
+int RunMain(std::string_view aProgram,
+            const std::function<int(int, char**)>& aRun,
+            int aCount,
+            char** aArguments)
+{
+  try {
+    return aRun(aCount, aArguments);
+  } catch (const std::exception& e) {
+    return ReportError(aProgram, { ResultCode::InvalidArgument, e.what() });
+  }
+}
+
 int ReportError(std::string_view aProgram, const Error& aError)
 {
   std::cerr << aProgram << ": " << aError.mMessage << '\n';
--- a/src/netutil/program.h
+++ b/src/netutil/program.h
@@ -16,6 +16,13 @@
 void RunUntilStopped(boost::asio::io_context& aContext,
                      const std::function<void()>& aOnStop);
 
+/// What main does: runs the program and reports an exception, such as that of
+/// a wrong command line, as InvalidArgument.
+int RunMain(std::string_view aProgram,
+            const std::function<int(int, char**)>& aRun,
+            int aCount,
+            char** aArguments);
+
 /// Prints "program: message" to standard error and returns the exit status
 /// of the error's code.
 int ReportError(std::string_view aProgram, const Error& aError);
--- a/src/standins/load/main.cpp
+++ b/src/standins/load/main.cpp
@@ -241,10 +241,5 @@
 
 int main(int aCount, char** aArguments)
 {
-  try {
-    return Run(aCount, aArguments);
-  } catch (const std::exception& e) {
-    return netutil::ReportError(kProgram,
-                                { ResultCode::InvalidArgument, e.what() });
-  }
+  return netutil::RunMain(kProgram, Run, aCount, aArguments);
 }
