Remove the closing of single connections from the HTTP server

Cause: with the effect CloseCaller gone nothing calls it. Change: HttpServer::CloseAfterAnswers is removed; CloseAllAfterAnswers stays. Conclusion: no behaviour changes.

--- a/src/netutil/http_server.cpp
+++ b/src/netutil/http_server.cpp
@@ -164,13 +164,6 @@
   }
 }
 
-void HttpServer::CloseAfterAnswers(ConnectionId aConnection)
-{
-  if (const SessionPtr session = Find(aConnection)) {
-    session->CloseAfterAnswers();
-  }
-}
-
 void HttpServer::Abort(ConnectionId aConnection)
 {
   if (const SessionPtr session = Find(aConnection)) {
--- a/src/netutil/http_server.h
+++ b/src/netutil/http_server.h
@@ -101,9 +101,7 @@
   void WriteChunk(const ExchangeId& aExchange, std::string_view aBytes);
   void EndStream(const ExchangeId& aExchange);
 
-  /// Closes after the answers that are due. An idle connection closes at
-  /// once.
-  void CloseAfterAnswers(ConnectionId aConnection);
+  /// Closes each connection after the answers that are due; idle ones at once.
   void CloseAllAfterAnswers();
   /// Closes without answering.
   void Abort(ConnectionId aConnection);
