--- a/src/cmake/compiler.cmake
+++ b/src/cmake/compiler.cmake
@@ -11,8 +11,12 @@
 set(CMAKE_CXX_FLAGS_RELWITHDEBINFO "-O2 -g1")
 
 # Designated initialisers leave out members that keep their default.
+# GCC 12 reports a false -Wrestrict for operator+ of strings at -O3 (GCC bug
+# 105651).
 add_compile_options(-Wall -Wextra -Wno-missing-field-initializers
-                    -Wno-maybe-uninitialized -Werror)
+                    -Wno-maybe-uninitialized -Wno-restrict -Werror)
+
+option(CW_GATEWAY_ONLY "Build the gateway daemon without tests and tools" OFF)
 
 option(CW_SANITIZE "Build with AddressSanitizer and UBSan" OFF)
 if(CW_SANITIZE)
--- a/src/cmake/targets.cmake
+++ b/src/cmake/targets.cmake
@@ -1,6 +1,8 @@
 # Helpers that give each kind of target its sources and libraries. Sources are
 # found by pattern, so that a new file needs no change of the build.
-include(Catch)
+if(NOT CW_GATEWAY_ONLY)
+  include(Catch)
+endif()
 
 # Lists a folder's sources without its tests.
 function(cw_sources aResult aFolder)
@@ -27,6 +29,9 @@
 
 # A test program from a folder's *_test.cpp files.
 function(cw_tests aName aFolder)
+  if(CW_GATEWAY_ONLY)
+    return()
+  endif()
   file(GLOB tests CONFIGURE_DEPENDS "${aFolder}/*_test.cpp")
   if(NOT tests)
     return()
--- /dev/null
+++ b/src/cranberrywingd/gateway_daemon.cpp
@@ -0,0 +1,537 @@
+#include "cranberrywingd/gateway_daemon.h"
+
+#include <boost/asio/post.hpp>
+
+#include "cranberrywingd/event_sink.h"
+#include "netutil/headers.h"
+
+namespace cranberrywing::daemon {
+
+namespace {
+
+/// Interval of the gateway's timers. Each wake-up costs processor time, and no
+/// decision needs more precision.
+constexpr Milliseconds kTickInterval{ 25 };
+/// A server's listen queue drops the opening packet when it is full, and it is
+/// sent again after a second only.
+constexpr Milliseconds kConnectTimeout{ 350 };
+constexpr Milliseconds kProbeTimeout{ 600 };
+/// For servers that do not state how long they keep idle connections.
+constexpr std::chrono::seconds kIdleTime{ 7 };
+/// Readiness checks and lookups are short.
+constexpr std::size_t kQuestionBytes = 8 * 1024;
+constexpr std::size_t kStoreAnswerBytes = 8 * 1024 * 1024;
+
+gateway::event::FailureKind KindOf(netutil::ExchangeFailureKind aKind)
+{
+  using netutil::ExchangeFailureKind;
+  switch (aKind) {
+    case ExchangeFailureKind::Connect:
+      return gateway::event::FailureKind::Connect;
+    case ExchangeFailureKind::Timeout:
+      return gateway::event::FailureKind::Timeout;
+    case ExchangeFailureKind::Reset:
+      return gateway::event::FailureKind::Reset;
+    case ExchangeFailureKind::Malformed:
+      break;
+  }
+  return gateway::event::FailureKind::MalformedAnswer;
+}
+
+netutil::HttpClientPool::Options BackendPoolOptions()
+{
+  netutil::HttpClientPool::Options options;
+  options.mClient.mConnectTimeout = kConnectTimeout;
+  options.mClient.mAcceptsUnboundedBody = true;
+  options.mIdleTime = kIdleTime;
+  return options;
+}
+
+netutil::HttpClientPool::Options StorePoolOptions()
+{
+  netutil::HttpClientPool::Options options;
+  options.mClient.mBodyBytes = kStoreAnswerBytes;
+  options.mIdleTime = std::chrono::seconds(20);
+  return options;
+}
+
+} // namespace
+
+gateway::Gateway::Options GatewayDaemon::GatewayOptions(
+  const Options& aOptions,
+  const VmIncarnation& aSelf)
+{
+  const GatewaySettings& settings = aOptions.mSettings;
+  gateway::Gateway::Options options;
+  options.mSelf = { .mVm = aSelf.mVm,
+                    .mIncarnation = aSelf.mIncarnation,
+                    .mRegion = settings.mRegion,
+                    .mFailureDomain = settings.mFailureDomain,
+                    .mAddress = settings.mCallers.mAddress,
+                    .mCallerPort = settings.mCallers.mPort,
+                    .mPeerPort = settings.mPeers.mPort };
+  options.mSeed = aOptions.mSeed;
+  options.mRetries.mRatio = settings.mRetryRatio;
+  options.mRetries.mAllowance = settings.mRetryAllowance;
+  options.mRetries.mWindow = settings.mRetryWindow;
+  options.mColdStart.mOvershoot = settings.mColdOvershoot;
+  options.mColdStart.mSlack = settings.mColdSlack;
+  options.mLookupLifetime =
+    std::min(options.mLookupLifetime, settings.mLookupLifetimeMax);
+  options.mStopLimit = settings.mStopLimit;
+  return options;
+}
+
+GatewayDaemon::GatewayDaemon(boost::asio::io_context& aContext,
+                             Options aOptions)
+  : mContext(aContext)
+  , mOptions(std::move(aOptions))
+  , mSelf{ mOptions.mSettings.mVm, mOptions.mIncarnation }
+  , mRecord(GatewayOptions(mOptions, mSelf).mSelf)
+  , mLog(DecisionLog::Options{}, mSelf.mVm)
+  , mGateway(GatewayOptions(mOptions, mSelf))
+  , mStore(
+      gateway::StoreFollower::Options{
+        .mOwnKey = mOptions.mDialect.mVmKey(mSelf.mVm),
+        .mOwnValue = mOptions.mDialect.mWriteVmRecord(mRecord),
+        .mLeaseTtl =
+          std::max(Milliseconds(3000), mOptions.mSettings.mLeaseTtlMin),
+      },
+      gateway::StoreFollowerHooks{
+        .mCall =
+          [this](gateway::StoreLane aLane,
+                 const gateway::StoreCall& aCall,
+                 Duration aTimeout) { CallStore(aLane, aCall, aTimeout); },
+        .mOnChange =
+          [this](const gateway::StoreChange& aChange) {
+            OnStoreChange(aChange);
+          },
+        .mOnComplete =
+          [this] { Deliver(gateway::event::RegistrationsComplete{}); },
+        .mOnContact =
+          [this](bool aIsReached) {
+            Record(aIsReached ? "store_reached" : "store_lost",
+                   { { "revision", std::to_string(mStore.KnownRevision()) } });
+          },
+        .mIsPerishable = mOptions.mDialect.mIsPerishable,
+      })
+  , mCallers(aContext,
+             netutil::HttpServerOptions{},
+             netutil::HttpServerHooks{
+               .mOnRequest =
+                 [this](const netutil::ExchangeId& aExchange,
+                        RequestContent&& aContent) {
+                   OnCallerRequest(aExchange, std::move(aContent));
+                 },
+               .mOnAborted =
+                 [this](const netutil::ExchangeId& aExchange) {
+                   OnCallerGone(aExchange);
+                 },
+             })
+  , mReadiness(aContext,
+               { .mBodyBytes = kQuestionBytes },
+               QuestionHooks(mReadiness))
+  , mLookups(aContext, { .mBodyBytes = kQuestionBytes }, QuestionHooks(mLookups))
+  , mMetricsServer(aContext,
+                   { .mBodyBytes = kQuestionBytes },
+                   netutil::HttpServerHooks{
+                     .mOnRequest =
+                       [this](const netutil::ExchangeId& aExchange,
+                              RequestContent&&) {
+                         mMetricsServer.Answer(
+                           aExchange, WriteMetricsPage(), {});
+                       },
+                     .mOnAborted = [](const netutil::ExchangeId&) {},
+                   })
+  , mBackends(aContext, BackendPoolOptions())
+  , mStoreConnections(aContext, StorePoolOptions())
+  , mPeers(
+      aContext,
+      mMetrics,
+      [this](Event aEvent) {
+        if (auto* const message =
+              std::get_if<event::PeerMessageReceived>(&aEvent)) {
+          Deliver(std::move(*message));
+        }
+      },
+      mCodec)
+  , mTimer(aContext)
+{
+}
+
+GatewayDaemon::~GatewayDaemon() = default;
+
+netutil::HttpServerHooks GatewayDaemon::QuestionHooks(
+  netutil::HttpServer& aServer)
+{
+  return {
+    .mOnRequest =
+      [this, &aServer](const netutil::ExchangeId& aExchange,
+                       RequestContent&& aContent) {
+        ++mMetrics.mLookups;
+        aServer.Answer(aExchange,
+                       mOptions.mDialect.mAnswerQuestion(
+                         aContent, mGateway, ReadClock()),
+                       {});
+      },
+    .mOnAborted = [](const netutil::ExchangeId&) {},
+  };
+}
+
+Result<void> GatewayDaemon::Start()
+{
+  const GatewaySettings& settings = mOptions.mSettings;
+  const auto listen = [](netutil::HttpServer& aServer,
+                         const netutil::Endpoint& aEndpoint) -> Result<void> {
+    return aEndpoint.mPort == 0 ? Result<void>() : aServer.Listen(aEndpoint);
+  };
+  for (const auto& done : { listen(mCallers, settings.mCallers),
+                            listen(mReadiness, settings.mReadiness),
+                            listen(mLookups, settings.mLookups),
+                            listen(mMetricsServer, settings.mMetrics),
+                            mPeers.Listen(settings.mPeers) }) {
+    if (!done) {
+      return done;
+    }
+  }
+  Record("started",
+         { { "incarnation", std::to_string(mSelf.mIncarnation.mNumber) },
+           { "callers", netutil::ToString(settings.mCallers) },
+           { "store", netutil::ToString(settings.mStore) } });
+  mStore.Start(ReadClock());
+  Tick();
+  return {};
+}
+
+void GatewayDaemon::RequestStop()
+{
+  Deliver(gateway::event::StopRequested{});
+}
+
+void GatewayDaemon::Reload(const GatewaySettings& aSettings)
+{
+  mOptions.mSettings.mStore = aSettings.mStore;
+  Record("settings_reloaded",
+         { { "store", netutil::ToString(aSettings.mStore) } });
+}
+
+void GatewayDaemon::Record(std::string aName,
+                           std::vector<cranberrywing::effect::Field> aFields)
+{
+  mLog.Record({ std::move(aName), std::move(aFields) }, ReadClock());
+}
+
+void GatewayDaemon::Tick()
+{
+  mStore.Tick(ReadClock());
+  Deliver(gateway::event::Tick{});
+  mLog.Flush();
+  mTimer.expires_after(kTickInterval);
+  mTimer.async_wait([this](boost::system::error_code aError) {
+    if (!aError) {
+      Tick();
+    }
+  });
+}
+
+void GatewayDaemon::Deliver(gateway::Event aEvent)
+{
+  mEvents.push_back(std::move(aEvent));
+  if (!mIsDraining) {
+    Drain();
+  }
+}
+
+void GatewayDaemon::Drain()
+{
+  mIsDraining = true;
+  while (!mEvents.empty()) {
+    const gateway::Event event = std::move(mEvents.front());
+    mEvents.pop_front();
+    ++mMetrics.mEvents;
+    gateway::EffectList effects = mGateway.Reduce(event, ReadClock());
+    for (gateway::Effect& each : effects) {
+      std::visit([this](auto& aEffect) { CarryOut(aEffect); }, each);
+    }
+  }
+  mIsDraining = false;
+}
+
+void GatewayDaemon::OnCallerRequest(const netutil::ExchangeId& aExchange,
+                                    RequestContent&& aContent)
+{
+  const RequestId id{ mNextRequest++ };
+  mExchanges[id] = { .mId = aExchange };
+  mRequestOf[aExchange] = id;
+  ++mMetrics.mRequests;
+  gateway::event::RequestArrived arrived =
+    mOptions.mDialect.mReadRequest(std::move(aContent));
+  arrived.mRequest = id;
+  Deliver(std::move(arrived));
+}
+
+void GatewayDaemon::OnCallerGone(const netutil::ExchangeId& aExchange)
+{
+  const auto it = mRequestOf.find(aExchange);
+  if (it == mRequestOf.end()) {
+    return;
+  }
+  ++mMetrics.mCallersGone;
+  Deliver(gateway::event::RequestCancelled{ it->second });
+  mExchanges.erase(it->second);
+  mRequestOf.erase(it);
+}
+
+void GatewayDaemon::CarryOut(gateway::effect::Dispatch& aEffect)
+{
+  const auto it = mExchanges.find(aEffect.mRequest);
+  if (it == mExchanges.end()) {
+    return;
+  }
+  ++mMetrics.mBackendExchanges;
+  const TimePoint sentAt = ReadClock();
+  const RequestContentPtr content = aEffect.mContent;
+  it->second.mAttempt = aEffect.mAttempt;
+  it->second.mBackend = mBackends.Start(
+    { aEffect.mAddress, aEffect.mPort },
+    content,
+    mOptions.mDialect.mBackendFields(aEffect),
+    aEffect.mTimeout,
+    [this,
+     content,
+     sentAt,
+     request = aEffect.mRequest,
+     attempt = aEffect.mAttempt](netutil::ExchangeResult aResult) {
+      OnBackendResult(request, attempt, content, sentAt, std::move(aResult));
+    },
+    [this, content](const AnswerContent& aAnswer) {
+      return mOptions.mDialect.mIsAnswerTo(*content, aAnswer);
+    });
+}
+
+void GatewayDaemon::OnBackendResult(RequestId aRequest,
+                                    AttemptNumber aAttempt,
+                                    const RequestContentPtr& aContent,
+                                    TimePoint aSentAt,
+                                    netutil::ExchangeResult aResult)
+{
+  const auto it = mExchanges.find(aRequest);
+  if (it != mExchanges.end() && it->second.mAttempt == aAttempt) {
+    it->second.mBackend.reset();
+  }
+  if (aResult) {
+    const TimePoint now = ReadClock();
+    mMetrics.mBackendLatency.Add(now - aSentAt, now);
+    gateway::event::BackendReplied replied =
+      mOptions.mDialect.mReadAnswer(*aContent, std::move(*aResult));
+    replied.mRequest = aRequest;
+    replied.mAttempt = aAttempt;
+    replied.mLatency = now - aSentAt;
+    Deliver(std::move(replied));
+    return;
+  }
+  const netutil::ExchangeFailure& failure = aResult.error();
+  Deliver(gateway::event::BackendFailed{
+    .mRequest = aRequest,
+    .mAttempt = aAttempt,
+    .mStage = failure.mWasSent ? gateway::event::FailureStage::AfterFirstByte
+                               : gateway::event::FailureStage::BeforeFirstByte,
+    .mKind = KindOf(failure.mKind),
+  });
+}
+
+void GatewayDaemon::CarryOut(gateway::effect::CancelDispatch& aEffect)
+{
+  const auto it = mExchanges.find(aEffect.mRequest);
+  if (it != mExchanges.end() && it->second.mAttempt == aEffect.mAttempt &&
+      it->second.mBackend) {
+    it->second.mBackend->Close();
+    it->second.mBackend.reset();
+  }
+}
+
+void GatewayDaemon::AnswerCaller(RequestId aRequest,
+                                 const AnswerContentPtr& aAnswer,
+                                 bool aCloseAfter)
+{
+  const auto it = mExchanges.find(aRequest);
+  if (it == mExchanges.end()) {
+    return;
+  }
+  const netutil::ExchangeId exchange = it->second.mId;
+  mExchanges.erase(it);
+  mRequestOf.erase(exchange);
+  ++mMetrics.mAnswersByStatus[aAnswer->mStatus];
+  mCallers.Answer(exchange, aAnswer, { .mCloseAfter = aCloseAfter });
+}
+
+void GatewayDaemon::CarryOut(gateway::effect::Respond& aEffect)
+{
+  AnswerCaller(aEffect.mRequest, aEffect.mAnswer, aEffect.mCloseAfter);
+}
+
+void GatewayDaemon::CarryOut(gateway::effect::Refuse& aEffect)
+{
+  AnswerCaller(aEffect.mRequest,
+               mOptions.mDialect.mWriteRefusal(aEffect.mRefusal),
+               aEffect.mCloseAfter);
+}
+
+void GatewayDaemon::CarryOut(gateway::effect::SendMessage& aEffect)
+{
+  mPeers.Send({ aEffect.mAddress, aEffect.mPort },
+              EncodeEnvelope({ mSelf, std::move(aEffect.mMessage) }, mCodec));
+}
+
+void GatewayDaemon::CarryOut(gateway::effect::ProbeBackend& aEffect)
+{
+  const auto request = std::make_shared<RequestContent>();
+  request->mMethod = "GET";
+  request->mTarget = aEffect.mHealthPath;
+  mBackends.Start(
+    { aEffect.mAddress, aEffect.mPort },
+    request,
+    {},
+    kProbeTimeout,
+    [this, backend = aEffect.mBackend](netutil::ExchangeResult aResult) {
+      Deliver(aResult ? mOptions.mDialect.mReadProbe(backend, *aResult)
+                      : gateway::event::BackendProbed{ .mBackend = backend });
+    });
+}
+
+void GatewayDaemon::CarryOut(gateway::effect::CloseBackendConnections& aEffect)
+{
+  mBackends.CloseIdle({ aEffect.mAddress, aEffect.mPort });
+}
+
+void GatewayDaemon::CarryOut(gateway::effect::AnnounceLeaving&)
+{
+  mRecord.mIsLeaving = true;
+  mStore.SetOwnValue(mOptions.mDialect.mWriteVmRecord(mRecord), ReadClock());
+}
+
+void GatewayDaemon::CarryOut(gateway::effect::CloseCallerConnections&)
+{
+  mCallers.CloseAllAfterAnswers();
+}
+
+void GatewayDaemon::CarryOut(gateway::effect::ApplyCallerLimits& aEffect)
+{
+  const gateway::CallerLimits& limits = aEffect.mLimits;
+  mCallers.SetBodyLimit(limits.mBodyBytes);
+  mCallers.SetLimits(
+    limits.mHeaderBytes, limits.mHeaderTimeout, limits.mIdleTimeout);
+}
+
+void GatewayDaemon::CarryOut(gateway::effect::RecordTimeline& aEffect)
+{
+  mLog.Record(aEffect, ReadClock());
+}
+
+void GatewayDaemon::CarryOut(gateway::effect::Exit&)
+{
+  mStore.EndLease();
+  mCallers.CloseAllAfterAnswers();
+  mLog.Flush();
+  // The last calls and answers still have to reach the kernel.
+  mTimer.expires_after(std::chrono::milliseconds(50));
+  mTimer.async_wait([this](boost::system::error_code) {
+    mLog.Flush();
+    mContext.stop();
+  });
+}
+
+void GatewayDaemon::CallStore(gateway::StoreLane aLane,
+                              const gateway::StoreCall& aCall,
+                              Duration aTimeout)
+{
+  ++mMetrics.mStoreCalls;
+  const bool isLast = std::holds_alternative<gateway::store_call::EndLease>(
+    aCall);
+  const TimePoint sentAt = ReadClock();
+  mStoreConnections.Start(
+    mOptions.mSettings.mStore,
+    std::make_shared<const RequestContent>(
+      mOptions.mDialect.mWriteStoreCall(aCall)),
+    {},
+    aTimeout,
+    [this, aLane, aCall, isLast, sentAt](netutil::ExchangeResult aResult) {
+      const TimePoint now = ReadClock();
+      gateway::StoreReply reply;
+      if (aResult) {
+        mMetrics.mStoreLatency.Add(now - sentAt, now);
+        reply = mOptions.mDialect.mReadStoreReply(aCall, *aResult);
+      }
+      if (reply.mStatus == gateway::StoreStatus::Refused ||
+          reply.mStatus == gateway::StoreStatus::NoAnswer) {
+        ++mMetrics.mStoreFailures;
+        Record("store_call_failed",
+               { { "status",
+                   aResult ? std::to_string(aResult->mStatus) : "none" },
+                 { "detail",
+                   aResult ? std::string() : aResult.error().mDetail } });
+      }
+      if (!isLast) {
+        mStore.OnReply(aLane, reply, now);
+      }
+    });
+}
+
+void GatewayDaemon::OnStoreChange(const gateway::StoreChange& aChange)
+{
+  auto event = mOptions.mDialect.mReadStoreChange(aChange);
+  if (!event) {
+    Record("store_entry_ignored",
+           { { "key", aChange.mItem.mKey },
+             { "revision", std::to_string(aChange.mItem.mRevision) },
+             { "reason", event.error().mMessage } });
+    return;
+  }
+  if (*event) {
+    Deliver(std::move(**event));
+  }
+}
+
+AnswerContentPtr GatewayDaemon::WriteMetricsPage() const
+{
+  MetricsWriter writer;
+  WriteMetrics(mMetrics, writer);
+  const gateway::GatewayCounters& counters = mGateway.Counters();
+  writer.Counter("cranberrywing_requests_answered_total",
+                 "Requests answered by a backend server.",
+                 static_cast<double>(counters.mAnswered));
+  writer.Counter("cranberrywing_dispatches_total",
+                 "Requests sent to backend servers.",
+                 static_cast<double>(counters.mDispatched));
+  writer.Counter("cranberrywing_retries_total",
+                 "Requests sent to a further backend server.",
+                 static_cast<double>(counters.mRetries));
+  writer.Counter("cranberrywing_requests_cancelled_total",
+                 "Requests whose caller left.",
+                 static_cast<double>(counters.mCancelled));
+  for (const auto& [code, count] : counters.mRefused) {
+    writer.Counter("cranberrywing_requests_refused_total",
+                   "Requests refused, by reason.",
+                   static_cast<double>(count),
+                   { { "code", std::string(ToString(code)) } });
+  }
+  writer.Gauge("cranberrywing_requests_in_flight",
+               "Requests without a final answer.",
+               static_cast<double>(mGateway.InFlight()));
+  writer.Gauge("cranberrywing_vms",
+               "VMs that share fleet-wide limits.",
+               static_cast<double>(mGateway.Fleet().ShareCount()));
+  writer.Counter("cranberrywing_backend_connections_total",
+                 "Connections opened to backend servers.",
+                 static_cast<double>(mBackends.OpenedCount()));
+  writer.Counter("cranberrywing_log_lines_dropped_total",
+                 "Log lines above the limits.",
+                 static_cast<double>(mLog.Dropped()));
+  AnswerContent page;
+  page.mStatus = 200;
+  page.mHeaders = { { "Content-Type", "text/plain; version=0.0.4" } };
+  page.mBody = writer.Take();
+  return std::make_shared<const AnswerContent>(std::move(page));
+}
+
+} // namespace cranberrywing::daemon
--- /dev/null
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -0,0 +1,192 @@
+/// \file
+/// The gateway's decisions: one deterministic reducer that admits callers'
+/// requests, chooses a backend server for each, and decides what the caller
+/// gets. It reads no clock, opens no socket and writes no log.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "cranberrywing/crash_guard.h"
+#include "cranberrywing/gateway/admission.h"
+#include "cranberrywing/gateway/backend_pool.h"
+#include "cranberrywing/gateway/cold_start.h"
+#include "cranberrywing/gateway/event.h"
+#include "cranberrywing/gateway/fleet_view.h"
+#include "cranberrywing/gateway/object_selector.h"
+#include "cranberrywing/gateway/region_plan.h"
+#include "cranberrywing/gateway/retry_budget.h"
+#include "cranberrywing/gateway/service_split.h"
+#include "cranberrywing/gateway/service_times.h"
+#include "cranberrywing/rate_limiter.h"
+
+namespace cranberrywing::gateway {
+
+/// Counters since the start, for metrics.
+struct GatewayCounters
+{
+  std::uint64_t mRequests = 0;
+  std::uint64_t mAnswered = 0;
+  std::uint64_t mDispatched = 0;
+  std::uint64_t mRetries = 0;
+  std::uint64_t mCancelled = 0;
+  std::map<ResultCode, std::uint64_t> mRefused;
+};
+
+/// Not thread-safe: a driver calls it from one thread. Equal options, events
+/// and times give equal effects.
+class Gateway
+{
+public:
+  struct Options
+  {
+    VmRecord mSelf;
+    std::uint64_t mSeed = 1;
+    RetryBudget::Options mRetries;
+    ColdStartLimits mColdStart;
+    /// Lifetime of the answers that name VMs to callers.
+    Duration mLookupLifetime = std::chrono::milliseconds(1300);
+    /// Time from the order to stop until the process is killed.
+    Duration mStopLimit = std::chrono::seconds(6);
+    /// Time in which a request is still taken after the order to stop: callers
+    /// keep a lookup's answer for up to three lifetimes.
+    Duration mStopAccepting = std::chrono::milliseconds(3900);
+  };
+
+  explicit Gateway(Options aOptions);
+
+  /// Precondition: aNow never decreases.
+  EffectList Reduce(const Event& aEvent, TimePoint aNow);
+
+  /// Whether callers may be sent here.
+  bool IsReady() const;
+  bool IsStopping() const { return mStoppingSince.has_value(); }
+  /// VMs that callers of a region should use.
+  std::vector<VmRecord> CallerTargets(const RegionId& aRegion,
+                                      TimePoint aNow) const;
+  Duration LookupLifetime() const { return mOptions.mLookupLifetime; }
+
+  const GatewayCounters& Counters() const { return mCounters; }
+  const BackendPool& Pool() const { return mPool; }
+  const FleetView& Fleet() const { return mFleet; }
+  const PolicyPtr& CurrentPolicy() const { return mPolicy; }
+  std::size_t InFlight() const { return mRequests.size(); }
+
+private:
+  /// A request that has no final answer yet.
+  struct Request
+  {
+    event::RequestArrived mArrival;
+    /// Keeps mRoute and mAccount alive.
+    PolicyPtr mPolicy;
+    const RoutePolicy* mRoute = nullptr;
+    const AccountPolicy* mAccount = nullptr;
+    ServiceId mService;
+    ObjectHash mObject = 0;
+    double mPosition = 0;
+    int mPriority = 0;
+    ContentDigest mFingerprint{};
+    TimePoint mArrivedAt{};
+    /// The final answer is due then.
+    TimePoint mDeadline{};
+    AttemptNumber mAttempt = 0;
+    std::vector<BackendId> mTried;
+    /// The present attempt's server; empty between attempts.
+    BackendId mBackend;
+    TimePoint mSentAt{};
+    Duration mExpected{};
+    bool mWasWarm = false;
+    bool mWaitsForTokens = false;
+    /// Whether some server may have run it.
+    bool mMayHaveRun = false;
+  };
+
+  /// Arrivals of this VM's callers for a service.
+  struct Arrivals
+  {
+    double mPerSecond = 0;
+    TimePoint mAt{};
+  };
+
+  // gateway.cpp
+  void On(const event::Tick& aEvent);
+  void On(const event::PeerMessageReceived& aEvent);
+  void On(const event::PolicyReceived& aEvent);
+  void On(const event::BackendRegistered& aEvent);
+  void On(const event::BackendRemoved& aEvent);
+  void On(const event::EvacuationChanged& aEvent);
+  void On(const event::VmRegistered& aEvent);
+  void On(const event::VmRemoved& aEvent);
+  void On(const event::RegistrationsComplete& aEvent);
+  void On(const event::StopRequested& aEvent);
+  void On(const event::BackendProbed& aEvent);
+  void TakeCoreEffects(cranberrywing::EffectList& aEffects);
+  void Record(std::string aName, std::vector<cranberrywing::effect::Field> aFields);
+  void SendStatus();
+  void UpdatePlan();
+  void ProbeServers();
+  void ContinueStop();
+  void TellBlocks();
+  double ArrivalRate(const ServiceId& aService) const;
+
+  // gateway_requests.cpp
+  void On(const event::RequestArrived& aEvent);
+  void On(const event::RequestCancelled& aEvent);
+  void On(const event::BackendReplied& aEvent);
+  void On(const event::BackendFailed& aEvent);
+  std::optional<Refusal> Identify(Request& aRequest);
+  void Proceed(Request& aRequest);
+  void Send(Request& aRequest);
+  std::vector<Backend*> Candidates(const Request& aRequest,
+                                   const RegionId& aRegion);
+  bool IsAllowed(const Request& aRequest, const RegionId& aRegion) const;
+  std::optional<Selection> Select(const Request& aRequest);
+  bool Retry(Request& aRequest);
+  Request* FindAttempt(RequestId aRequest, AttemptNumber aAttempt);
+  /// Ends the present attempt's accounting.
+  Backend* EndAttempt(Request& aRequest, bool aHasAnswered);
+  void NoteSuccess(Request& aRequest,
+                   Backend& aBackend,
+                   const event::BackendReplied& aEvent);
+  void Answer(Request& aRequest, AnswerContentPtr aAnswer);
+  void RefuseRequest(Request& aRequest, Refusal aRefusal);
+  void FailUnknown(Request& aRequest, std::string aReason);
+  void CheckDeadlines();
+  Duration SpreadRetry(Duration aBase);
+
+  Options mOptions;
+  std::mt19937_64 mRandom;
+  TimePoint mNow{};
+  EffectList mOut;
+
+  PolicyPtr mPolicy;
+  bool mHasRegistrations = false;
+  std::optional<TimePoint> mStoppingSince;
+  bool mHasClosedCallers = false;
+  bool mHasExited = false;
+
+  BackendPool mPool;
+  FleetView mFleet;
+  RegionPlan mPlan;
+  ObjectSelector mSelector;
+  ServiceSplit mSplit;
+  ServiceTimes mTimes;
+  ColdStart mColdStart;
+  RetryBudget mRetries;
+  RateLimiter mRates;
+  CrashGuard mCrashGuard;
+  std::unordered_map<ServiceId, Arrivals> mArrivals;
+  std::unordered_map<RequestId, Request> mRequests;
+  GatewayCounters mCounters;
+
+  TimePoint mNextPlan{};
+  TimePoint mNextNearStatus{};
+  TimePoint mNextFarStatus{};
+};
+
+} // namespace cranberrywing::gateway
--- a/src/include/cranberrywing/message.h
+++ b/src/include/cranberrywing/message.h
@@ -9,6 +9,7 @@
 #include "cranberrywing/message_codec.h"
 #include "cranberrywing/messages/configuration.h"
 #include "cranberrywing/messages/execution.h"
+#include "cranberrywing/messages/gateway.h"
 #include "cranberrywing/messages/membership.h"
 #include "cranberrywing/messages/offers.h"
 #include "cranberrywing/messages/rates.h"
@@ -38,7 +39,8 @@
                              message::AnswerCopyQuery,
                              message::SlotHandover,
                              message::RequestBlock,
-                             message::ShiftProgress>;
+                             message::ShiftProgress,
+                             message::GatewayStatus>;
 
 /// A message with its sender, as it goes over the wire.
 struct Envelope
--- a/src/include/cranberrywing/rate_limiter.h
+++ b/src/include/cranberrywing/rate_limiter.h
@@ -87,7 +87,8 @@
 
   /// Takes rates and bursts; requests that wait for a removed account are
   /// refused.
-  void Apply(const SettingsSnapshot& aSettings, TimePoint aNow);
+  void Apply(const std::unordered_map<AccountId, AccountSettings>& aAccounts,
+             TimePoint aNow);
 
   /// Takes one token for a request.
   RateDecision Admit(RequestId aRequest,
--- /dev/null
+++ b/src/libcranberrywing/gateway/backend_pool.cpp
@@ -0,0 +1,303 @@
+#include "cranberrywing/gateway/backend_pool.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cranberrywing::gateway {
+
+namespace {
+
+/// Weight of one sample in the moving averages of slowness and failures.
+constexpr double kSampleWeight = 0.25;
+/// Samples are cut here, so that one outlier does not mark a server as slow.
+constexpr double kLargestRatio = 8;
+/// Part of recent requests that may fail before a server is ejected.
+constexpr double kFailureRateLimit = 0.6;
+
+double HalfLifeDecay(Duration aAge, Duration aHalfLife)
+{
+  return std::exp2(-static_cast<double>(aAge.count()) /
+                   static_cast<double>(aHalfLife.count()));
+}
+
+bool SameRegistration(const BackendEntry& aLeft, const BackendEntry& aRight)
+{
+  return aLeft.mService == aRight.mService &&
+         aLeft.mAddress == aRight.mAddress && aLeft.mPort == aRight.mPort &&
+         aLeft.mFailureDomain == aRight.mFailureDomain &&
+         aLeft.mSlots == aRight.mSlots &&
+         aLeft.mIsDraining == aRight.mIsDraining &&
+         aLeft.mColdFor == aRight.mColdFor &&
+         aLeft.mStartedMs == aRight.mStartedMs;
+}
+
+} // namespace
+
+BackendPool::BackendPool(Options aOptions)
+  : mOptions(aOptions)
+{
+}
+
+bool BackendPool::Upsert(const BackendEntry& aEntry, TimePoint aNow)
+{
+  std::unique_ptr<Backend>& known = mBackends[aEntry.mBackend];
+  const bool isNew = !known;
+  if (!isNew && SameRegistration(known->mEntry, aEntry)) {
+    return false;
+  }
+  const bool isRestart =
+    !isNew && (known->mEntry.mStartedMs != aEntry.mStartedMs ||
+               known->mEntry.mAddress != aEntry.mAddress ||
+               known->mEntry.mPort != aEntry.mPort);
+  if (isNew || isRestart) {
+    // Answers of the earlier process still refer to the object.
+    const std::uint32_t inFlight = isNew ? 0 : known->mInFlight;
+    if (isNew) {
+      known = std::make_unique<Backend>();
+    } else {
+      *known = Backend{};
+    }
+    known->mInFlight = inFlight;
+    known->mHash = HashBytes(aEntry.mBackend.mName);
+  }
+  known->mEntry = aEntry;
+  known->mColdUntil = std::max(known->mColdUntil, aNow + aEntry.mColdFor);
+  Reindex();
+  return true;
+}
+
+bool BackendPool::Remove(const BackendId& aBackend)
+{
+  if (mBackends.erase(aBackend) == 0) {
+    return false;
+  }
+  Reindex();
+  return true;
+}
+
+void BackendPool::Reindex()
+{
+  ++mVersion;
+  mByService.clear();
+  for (const auto& [id, backend] : mBackends) {
+    mByService[backend->mEntry.mService].push_back(backend.get());
+  }
+}
+
+void BackendPool::SetEvacuated(const FailureDomainId& aDomain,
+                               bool aIsEvacuated)
+{
+  ++mVersion;
+  if (aIsEvacuated) {
+    mEvacuated.insert(aDomain);
+  } else {
+    mEvacuated.erase(aDomain);
+  }
+}
+
+bool BackendPool::IsEvacuated(const FailureDomainId& aDomain) const
+{
+  return mEvacuated.contains(aDomain);
+}
+
+Backend* BackendPool::Find(const BackendId& aBackend)
+{
+  const auto it = mBackends.find(aBackend);
+  return it == mBackends.end() ? nullptr : it->second.get();
+}
+
+const Backend* BackendPool::Find(const BackendId& aBackend) const
+{
+  const auto it = mBackends.find(aBackend);
+  return it == mBackends.end() ? nullptr : it->second.get();
+}
+
+const std::vector<Backend*>& BackendPool::OfService(
+  const ServiceId& aService) const
+{
+  static const std::vector<Backend*> sNone;
+  const auto it = mByService.find(aService);
+  return it == mByService.end() ? sNone : it->second;
+}
+
+std::vector<ServiceId> BackendPool::Services() const
+{
+  std::vector<ServiceId> services;
+  for (const auto& [service, backends] : mByService) {
+    services.push_back(service);
+  }
+  std::sort(services.begin(), services.end());
+  return services;
+}
+
+bool BackendPool::IsOffered(const Backend& aBackend) const
+{
+  return !aBackend.mEntry.mIsDraining &&
+         !mEvacuated.contains(aBackend.mEntry.mFailureDomain);
+}
+
+bool BackendPool::IsUsable(const Backend& aBackend, TimePoint aNow) const
+{
+  return IsOffered(aBackend) && !aBackend.mNeedsProbe &&
+         aNow >= aBackend.mEjectedUntil;
+}
+
+bool BackendPool::IsCold(const Backend& aBackend, TimePoint aNow) const
+{
+  return aNow < aBackend.mColdUntil;
+}
+
+double BackendPool::Load(const Backend& aBackend, TimePoint aNow) const
+{
+  const Duration age = aNow - aBackend.mOthersAt;
+  double others =
+    aBackend.mOthers * HalfLifeDecay(age, mOptions.mLoadHalfLife);
+  const Duration peerAge = aNow - aBackend.mPeerInFlightAt;
+  others = std::max(others,
+                    aBackend.mPeerInFlight *
+                      HalfLifeDecay(peerAge, mOptions.mLoadHalfLife));
+  return aBackend.mInFlight + others;
+}
+
+double BackendPool::Slowness(const Backend& aBackend, TimePoint aNow) const
+{
+  const Duration age = aNow - aBackend.mSlownessAt;
+  const double known = HalfLifeDecay(age, mOptions.mSlownessHalfLife);
+  const double failing = aBackend.mFailureRate *
+                         HalfLifeDecay(aNow - aBackend.mFailureAt,
+                                       mOptions.mSlownessHalfLife);
+  // A failed request costs its caller about one more service time.
+  return 1 + (aBackend.mSlowness - 1) * known + 2 * failing;
+}
+
+bool BackendPool::IsWarm(const Backend& aBackend,
+                         ObjectHash aObject,
+                         TimePoint aNow) const
+{
+  const auto it = aBackend.mObjects.find(aObject);
+  return it != aBackend.mObjects.end() &&
+         aNow - it->second < mOptions.mObjectMemory;
+}
+
+bool BackendPool::IsSilent(const Backend& aBackend,
+                           Duration aServiceTime,
+                           TimePoint aNow) const
+{
+  const auto limit = std::max(
+    mOptions.mSilence,
+    Duration(static_cast<Duration::rep>(
+      static_cast<double>(aServiceTime.count()) * mOptions.mSilenceFactor)));
+  return aBackend.mInFlight > 0 && aNow - aBackend.mAwaitingSince > limit;
+}
+
+void BackendPool::OnSent(Backend& aBackend, ObjectHash aObject, TimePoint aNow)
+{
+  if (aBackend.mInFlight == 0) {
+    aBackend.mAwaitingSince = aNow;
+  }
+  ++aBackend.mInFlight;
+  if (IsCold(aBackend, aNow)) {
+    aBackend.mColdSends.push_back(aNow);
+  }
+  if (aObject == 0) {
+    return;
+  }
+  if (aBackend.mObjects.size() >= mOptions.mObjectLimit) {
+    const auto oldest =
+      std::min_element(aBackend.mObjects.begin(),
+                       aBackend.mObjects.end(),
+                       [](const auto& aLeft, const auto& aRight) {
+                         return aLeft.second < aRight.second;
+                       });
+    aBackend.mObjects.erase(oldest);
+  }
+  aBackend.mObjects[aObject] = aNow;
+}
+
+void BackendPool::OnEnded(Backend& aBackend, bool aHasAnswered, TimePoint aNow)
+{
+  if (aHasAnswered) {
+    aBackend.mAwaitingSince = aNow;
+  }
+  if (aBackend.mInFlight > 0) {
+    --aBackend.mInFlight;
+  }
+}
+
+void BackendPool::OnLoad(Backend& aBackend,
+                         const LoadSample& aLoad,
+                         TimePoint aNow)
+{
+  const double total = aLoad.mRunning + aLoad.mWaiting;
+  aBackend.mOthers = std::max(0.0, total - aBackend.mInFlight);
+  aBackend.mOthersAt = aNow;
+}
+
+void BackendPool::OnSuccess(Backend& aBackend, double aRatio, TimePoint aNow)
+{
+  const double sample = std::clamp(aRatio, 0.5, kLargestRatio);
+  aBackend.mSlowness += kSampleWeight * (sample - aBackend.mSlowness);
+  aBackend.mSlownessAt = aNow;
+  aBackend.mFailureRate *= 1 - kSampleWeight;
+  aBackend.mConsecutiveFailures = 0;
+  aBackend.mEjection = Duration::zero();
+}
+
+bool BackendPool::OnFailure(Backend& aBackend, TimePoint aNow)
+{
+  aBackend.mFailureRate += kSampleWeight * (1 - aBackend.mFailureRate);
+  aBackend.mFailureAt = aNow;
+  ++aBackend.mConsecutiveFailures;
+  if (aBackend.mConsecutiveFailures < mOptions.mFailureLimit &&
+      aBackend.mFailureRate < kFailureRateLimit) {
+    return false;
+  }
+  Eject(aBackend, aNow);
+  return true;
+}
+
+void BackendPool::Eject(Backend& aBackend, TimePoint aNow)
+{
+  aBackend.mEjection =
+    std::clamp(2 * aBackend.mEjection,
+               mOptions.mEjection,
+               mOptions.mLongestEjection);
+  aBackend.mEjectedUntil = aNow + aBackend.mEjection;
+  aBackend.mNeedsProbe = true;
+  aBackend.mOthers = 0;
+}
+
+void BackendPool::Suspect(Backend& aBackend, TimePoint aNow)
+{
+  if (!aBackend.mNeedsProbe) {
+    aBackend.mNeedsProbe = true;
+    aBackend.mEjectedUntil = aNow;
+  }
+}
+
+void BackendPool::OnProbe(Backend& aBackend, bool aIsHealthy, TimePoint aNow)
+{
+  aBackend.mIsProbing = false;
+  if (!aIsHealthy) {
+    Eject(aBackend, aNow);
+    return;
+  }
+  aBackend.mNeedsProbe = false;
+  aBackend.mConsecutiveFailures = 0;
+  aBackend.mFailureRate = 0;
+}
+
+std::vector<Backend*> BackendPool::TakeProbesDue(TimePoint aNow)
+{
+  std::vector<Backend*> due;
+  for (const auto& [id, backend] : mBackends) {
+    if (backend->mNeedsProbe && !backend->mIsProbing &&
+        aNow >= backend->mEjectedUntil && IsOffered(*backend)) {
+      backend->mIsProbing = true;
+      due.push_back(backend.get());
+    }
+  }
+  return due;
+}
+
+} // namespace cranberrywing::gateway
--- /dev/null
+++ b/src/libcranberrywing/gateway/fleet_view.cpp
@@ -0,0 +1,141 @@
+#include "cranberrywing/gateway/fleet_view.h"
+
+#include <algorithm>
+
+namespace cranberrywing::gateway {
+
+namespace {
+
+/// A peer's demand counts this long without news.
+constexpr Duration kDemandValidity = std::chrono::seconds(4);
+
+} // namespace
+
+FleetView::FleetView(Options aOptions)
+  : mOptions(std::move(aOptions))
+{
+}
+
+void FleetView::Register(const VmRecord& aRecord, TimePoint aNow)
+{
+  if (aRecord.mVm == mOptions.mSelf.mVm) {
+    return;
+  }
+  Peer& peer = mPeers[aRecord.mVm];
+  const bool isNew = peer.mRecord.mIncarnation != aRecord.mIncarnation;
+  if (isNew) {
+    peer = Peer{};
+    peer.mHeardAt = aNow;
+  }
+  peer.mRecord = aRecord;
+  peer.mIsLeaving = peer.mIsLeaving || aRecord.mIsLeaving;
+  peer.mIsLapsed = false;
+}
+
+void FleetView::Remove(const VmId& aVm, TimePoint aNow)
+{
+  const auto it = mPeers.find(aVm);
+  if (it != mPeers.end() && !it->second.mIsLapsed) {
+    it->second.mIsLapsed = true;
+    it->second.mLapsedAt = aNow;
+  }
+}
+
+void FleetView::OnStatus(const VmIncarnation& aFrom,
+                         const message::GatewayStatus& aStatus,
+                         TimePoint aNow)
+{
+  const auto it = mPeers.find(aFrom.mVm);
+  if (it == mPeers.end() ||
+      it->second.mRecord.mIncarnation != aFrom.mIncarnation) {
+    return;
+  }
+  Peer& peer = it->second;
+  peer.mHeardAt = aNow;
+  peer.mIsLeaving = peer.mIsLeaving || aStatus.mIsLeaving;
+  peer.mStatus = aStatus;
+}
+
+void FleetView::Tick(TimePoint aNow)
+{
+  std::erase_if(mPeers, [&](const auto& aEntry) {
+    const Peer& peer = aEntry.second;
+    return peer.mIsLapsed && aNow - peer.mLapsedAt > mOptions.mLapsedShare;
+  });
+}
+
+bool FleetView::IsUsable(const Peer& aPeer, TimePoint aNow) const
+{
+  if (aPeer.mIsLeaving || aPeer.mIsLapsed) {
+    return false;
+  }
+  if (aNow - aPeer.mHeardAt <= mOptions.mSilenceLimit) {
+    return true;
+  }
+  // If nobody is heard, this VM itself is cut off, and its silence says
+  // nothing about the others.
+  return std::none_of(mPeers.begin(), mPeers.end(), [&](const auto& aEntry) {
+    return aNow - aEntry.second.mHeardAt <= mOptions.mSilenceLimit;
+  });
+}
+
+std::size_t FleetView::ShareCount() const
+{
+  return mPeers.size() + 1;
+}
+
+std::vector<VmId> FleetView::VmsOfRegion(const RegionId& aRegion) const
+{
+  std::vector<VmId> vms;
+  for (const auto& [id, peer] : mPeers) {
+    if (peer.mRecord.mRegion == aRegion) {
+      vms.push_back(id);
+    }
+  }
+  if (mOptions.mSelf.mRegion == aRegion) {
+    vms.push_back(mOptions.mSelf.mVm);
+  }
+  return vms;
+}
+
+std::vector<VmRecord> FleetView::CallerTargets(const RegionId& aRegion,
+                                               bool aSelfIsReady,
+                                               TimePoint aNow) const
+{
+  std::vector<VmRecord> all;
+  if (aSelfIsReady) {
+    all.push_back(mOptions.mSelf);
+  }
+  for (const auto& [id, peer] : mPeers) {
+    if (IsUsable(peer, aNow)) {
+      all.push_back(peer.mRecord);
+    }
+  }
+  std::vector<VmRecord> near;
+  std::copy_if(all.begin(),
+               all.end(),
+               std::back_inserter(near),
+               [&](const VmRecord& aRecord) {
+                 return aRecord.mRegion == aRegion;
+               });
+  return near.empty() ? all : near;
+}
+
+double FleetView::Demand(const RegionId& aRegion,
+                         const ServiceId& aService,
+                         TimePoint aNow) const
+{
+  double sum = 0;
+  for (const auto& [id, peer] : mPeers) {
+    if (peer.mRecord.mRegion != aRegion ||
+        aNow - peer.mHeardAt > kDemandValidity) {
+      continue;
+    }
+    for (const ServiceDemand& demand : peer.mStatus.mDemand) {
+      sum += demand.mService == aService ? demand.mSlots : 0;
+    }
+  }
+  return sum;
+}
+
+} // namespace cranberrywing::gateway
--- /dev/null
+++ b/src/libcranberrywing/gateway/object_selector.cpp
@@ -0,0 +1,113 @@
+#include "cranberrywing/gateway/object_selector.h"
+
+#include <algorithm>
+
+namespace cranberrywing::gateway {
+
+namespace {
+
+/// Mixes two 64-bit hashes (finaliser of SplitMix64).
+std::uint64_t Mix(std::uint64_t aLeft, std::uint64_t aRight)
+{
+  std::uint64_t n = aLeft ^ (aRight * 0x9e3779b97f4a7c15ULL);
+  n = (n ^ (n >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+  n = (n ^ (n >> 27U)) * 0x94d049bb133111ebULL;
+  return n ^ (n >> 31U);
+}
+
+Duration Scale(Duration aDuration, double aFactor)
+{
+  return Duration(static_cast<Duration::rep>(
+    static_cast<double>(aDuration.count()) * aFactor));
+}
+
+} // namespace
+
+ObjectHash HashObject(const ServiceId& aService, std::string_view aObject)
+{
+  const std::uint64_t seed = HashBytes(aService.mName);
+  const ObjectHash hash = HashBytes(aObject, seed);
+  return hash == 0 ? 1 : hash;
+}
+
+double PositionOf(ObjectHash aObject)
+{
+  constexpr double kRange = 18446744073709551616.0;
+  return static_cast<double>(Mix(aObject, 1)) / kRange;
+}
+
+ObjectSelector::ObjectSelector(Options aOptions)
+  : mOptions(aOptions)
+{
+}
+
+Selection ObjectSelector::Evaluate(const BackendPool& aPool,
+                                   Backend& aBackend,
+                                   std::size_t aRank,
+                                   ObjectHash aObject,
+                                   const ExpectedTimes& aTimes,
+                                   TimePoint aNow) const
+{
+  const bool isWarm = aRank < mOptions.mReplicas ||
+                      aPool.IsWarm(aBackend, aObject, aNow);
+  double factor = aPool.Slowness(aBackend, aNow);
+  if (aPool.IsCold(aBackend, aNow)) {
+    factor *= mOptions.mColdFactor;
+  }
+  const double slots = std::max(1u, aBackend.mEntry.mSlots);
+  const double ahead = aPool.Load(aBackend, aNow) + 1 - slots;
+  Selection selection{ .mBackend = &aBackend, .mRank = aRank };
+  if (ahead > 0) {
+    selection.mWait = Scale(aTimes.mMean, factor * ahead / slots);
+  }
+  if (aPool.IsSilent(aBackend, aTimes.mMean, aNow)) {
+    selection.mWait += mOptions.mSilenceCost;
+  }
+  selection.mTotal =
+    selection.mWait +
+    Scale(isWarm || aObject == 0 ? aTimes.mWarm : aTimes.mUnknown, factor);
+  return selection;
+}
+
+std::optional<Selection> ObjectSelector::Choose(
+  const BackendPool& aPool,
+  std::vector<Backend*> aCandidates,
+  ObjectHash aObject,
+  const ExpectedTimes& aTimes,
+  TimePoint aNow) const
+{
+  if (aCandidates.empty()) {
+    return std::nullopt;
+  }
+  if (aObject != 0) {
+    std::sort(aCandidates.begin(),
+              aCandidates.end(),
+              [aObject](const Backend* aLeft, const Backend* aRight) {
+                return Mix(aObject, aLeft->mHash) > Mix(aObject, aRight->mHash);
+              });
+  }
+  const std::size_t width = aObject == 0
+                              ? aCandidates.size()
+                              : std::min(mOptions.mWidth, aCandidates.size());
+  std::optional<Selection> best;
+  Duration bestCost{};
+  for (std::size_t n = 0; n < aCandidates.size(); ++n) {
+    const bool isFull = !best || best->mWait > aTimes.mUnknown;
+    if (n >= width && !isFull) {
+      break;
+    }
+    const Selection selection =
+      Evaluate(aPool, *aCandidates[n], n, aObject, aTimes, aNow);
+    const Duration rankCost =
+      aObject == 0 ? Duration::zero()
+                   : mOptions.mRankCost * static_cast<Duration::rep>(n);
+    const Duration cost = selection.mTotal + rankCost;
+    if (!best || cost < bestCost) {
+      best = selection;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+} // namespace cranberrywing::gateway
--- a/src/libcranberrywing/rate_limiter.cpp
+++ b/src/libcranberrywing/rate_limiter.cpp
@@ -55,14 +55,16 @@
   aAccount.mRemovedAt = aNow;
 }
 
-void RateLimiter::Apply(const SettingsSnapshot& aSettings, TimePoint aNow)
+void RateLimiter::Apply(
+  const std::unordered_map<AccountId, AccountSettings>& aAccounts,
+  TimePoint aNow)
 {
   for (auto& [id, account] : mAccounts) {
-    if (!account.mRemovedAt && !aSettings.mAccounts.contains(id)) {
+    if (!account.mRemovedAt && !aAccounts.contains(id)) {
       Remove(account, aNow);
     }
   }
-  for (const auto& [id, settings] : aSettings.mAccounts) {
+  for (const auto& [id, settings] : aAccounts) {
     const auto it = mAccounts.find(id);
     if (it == mAccounts.end()) {
       Account account{ .mBucket =
--- a/src/libcranberrywing/reducer.cpp
+++ b/src/libcranberrywing/reducer.cpp
@@ -122,7 +122,7 @@
   mHealth.Apply(*mApplied, aNow, aOut);
   mSelector.Apply(*mApplied);
   mQueue.Apply(*mApplied);
-  mRates.Apply(*mApplied, aNow);
+  mRates.Apply(mApplied->mAccounts, aNow);
   mSlots.Apply(*mApplied);
   mExecutions.Apply(*mApplied);
   mOffers.Apply(*mApplied);
--- a/src/libcranberrywing/reducer_delivery.h
+++ b/src/libcranberrywing/reducer_delivery.h
@@ -220,6 +220,10 @@
     Pass(mState.mExecutions, aFrom, aMessage);
   }
 
+  /// Gateways are another composition of the concerns; their fleet's messages
+  /// say nothing to this one.
+  void OnMessage(const VmIncarnation&, const message::GatewayStatus&) {}
+
   VmId mFrom{};
 };
 
--- a/src/netutil/http_client.cpp
+++ b/src/netutil/http_client.cpp
@@ -1,9 +1,11 @@
 #include "netutil/http_client.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
+#include <charconv>
 
 #include "netutil/headers.h"
 
@@ -65,7 +67,8 @@
 void HttpClientConnection::Start(RequestContentPtr aRequest,
                                  std::vector<Header> aExtraHeaders,
                                  Duration aTimeout,
-                                 ExchangeHandler aHandler)
+                                 ExchangeHandler aHandler,
+                                 AnswerFilter aFilter)
 {
   ++mExchange;
   mIsActive = true;
@@ -74,12 +77,17 @@
   mHead = SerializeHead(*aRequest, aExtraHeaders, mEndpoint);
   mRequest = std::move(aRequest);
   mHandler = std::move(aHandler);
-  StartTimer(aTimeout);
+  mFilter = std::move(aFilter);
+  mTimeout = aTimeout;
   if (mIsConnected) {
+    StartTimer(aTimeout);
     Send();
-  } else {
-    Connect();
+    return;
   }
+  const bool hasConnectLimit = mOptions.mConnectTimeout > Duration::zero();
+  StartTimer(hasConnectLimit ? std::min(aTimeout, mOptions.mConnectTimeout)
+                             : aTimeout);
+  Connect();
 }
 
 void HttpClientConnection::StartTimer(Duration aTimeout)
@@ -88,7 +96,9 @@
   mTimer.async_wait([self = shared_from_this(),
                      exchange = mExchange](boost::system::error_code aError) {
     if (!aError && self->mExchange == exchange && self->mIsActive) {
-      self->Fail(ExchangeFailureKind::Timeout, "no answer in time");
+      self->Fail(self->mWasSent ? ExchangeFailureKind::Timeout
+                                : ExchangeFailureKind::Connect,
+                 "no answer in time");
     }
   });
 }
@@ -117,6 +127,9 @@
   boost::system::error_code ec;
   mSocket.set_option(asio::ip::tcp::no_delay(true), ec);
   mSocket.non_blocking(true, ec);
+  if (mOptions.mConnectTimeout > Duration::zero()) {
+    StartTimer(mTimeout);
+  }
   Send();
 }
 
@@ -178,6 +191,15 @@
 void HttpClientConnection::OnRead(boost::system::error_code aError,
                                   std::size_t aBytes)
 {
+  if (aError == asio::error::eof && mOptions.mAcceptsUnboundedBody &&
+      mParser->is_header_done() && mParser->need_eof()) {
+    boost::system::error_code ec;
+    mParser->put_eof(ec);
+    if (!ec) {
+      OnAnswerRead();
+      return;
+    }
+  }
   if (aError) {
     const bool isUnbounded = mParser->is_header_done() && mParser->need_eof();
     Fail(isUnbounded ? ExchangeFailureKind::Malformed
@@ -216,22 +238,22 @@
       Fail(ExchangeFailureKind::Malformed, "unasked switch of protocols");
       return false;
     }
-    if (status >= 200) {
-      OnAnswerRead();
+    if (status >= 200 && OnAnswerRead()) {
       return false;
     }
     PrepareParser();
   }
   // Bytes of a body without length end with the connection, which a failing
   // server does as well; there is nothing to check.
-  if (mParser->is_header_done() && mParser->need_eof()) {
+  if (mParser->is_header_done() && mParser->need_eof() &&
+      !mOptions.mAcceptsUnboundedBody) {
     Fail(ExchangeFailureKind::Malformed, "answer without length");
     return false;
   }
   return true;
 }
 
-void HttpClientConnection::OnAnswerRead()
+bool HttpClientConnection::OnAnswerRead()
 {
   auto& message = mParser->get();
   AnswerContent answer;
@@ -243,8 +265,30 @@
       { { name.data(), name.size() }, { value.data(), value.size() } });
   }
   answer.mBody = std::move(message.body());
+  if (mFilter && !mFilter(answer)) {
+    return false;
+  }
   mIsKeepAlive = message.keep_alive() && mIsSendComplete && mBuffer.size() == 0;
+  NoteKeepAlive(answer);
   Finish(std::move(answer));
+  return true;
+}
+
+void HttpClientConnection::NoteKeepAlive(const AnswerContent& aAnswer)
+{
+  mIdleSince = std::chrono::steady_clock::now();
+  mKeepAlive = Duration::zero();
+  const std::string* const text = FindHeader(aAnswer.mHeaders, "Keep-Alive");
+  if (!text) {
+    return;
+  }
+  const std::size_t digits = text->find_first_of("0123456789");
+  std::uint32_t seconds = 0;
+  if (digits != std::string::npos) {
+    std::from_chars(
+      text->data() + digits, text->data() + text->size(), seconds);
+  }
+  mKeepAlive = std::chrono::seconds(seconds);
 }
 
 void HttpClientConnection::Fail(ExchangeFailureKind aKind, std::string aDetail)
@@ -289,6 +333,12 @@
   if (!mIsConnected || mIsActive || !mIsKeepAlive) {
     return false;
   }
+  if (mKeepAlive > Duration::zero() &&
+      std::chrono::duration<double>(std::chrono::steady_clock::now() -
+                                    mIdleSince) >
+        mOptions.mKeepAlivePart * std::chrono::duration<double>(mKeepAlive)) {
+    return false;
+  }
   // An idle connection has nothing to read; readable means closed or out of
   // step.
   char byte = 0;
--- a/src/netutil/http_client.h
+++ b/src/netutil/http_client.h
@@ -45,8 +45,20 @@
 {
   std::uint32_t mHeaderBytes = 64 * 1024;
   std::uint64_t mBodyBytes = 64 * 1024 * 1024;
+  /// Time to connect; zero for no limit but the exchange's own.
+  Duration mConnectTimeout{};
+  /// Whether an answer may have no length and end with its connection. Its
+  /// caller must be able to check by other means that it is whole.
+  bool mAcceptsUnboundedBody = false;
+  /// Part of the idle time that the server states in Keep-Alive after which
+  /// the connection is not used again.
+  double mKeepAlivePart = 0.75;
 };
 
+/// Whether an answer belongs to the exchange in progress. Others, such as a
+/// second answer to an earlier request, are dropped and reading goes on.
+using AnswerFilter = std::function<bool(const AnswerContent&)>;
+
 /// Head of a request, ended by an empty line. Content-Length is added; Host
 /// is added if the fields lack it. Thread-safe.
 std::string SerializeHead(const RequestContent& aRequest,
@@ -68,7 +80,8 @@
   void Start(RequestContentPtr aRequest,
              std::vector<Header> aExtraHeaders,
              Duration aTimeout,
-             ExchangeHandler aHandler);
+             ExchangeHandler aHandler,
+             AnswerFilter aFilter = {});
 
   /// Closes the connection. A handler that is due is not called.
   void Close();
@@ -92,7 +105,9 @@
   /// False once the exchange has ended.
   bool Parse();
   void PrepareParser();
-  void OnAnswerRead();
+  /// False if the answer belongs to another exchange.
+  bool OnAnswerRead();
+  void NoteKeepAlive(const AnswerContent& aAnswer);
   void StartTimer(Duration aTimeout);
   void Fail(ExchangeFailureKind aKind, std::string aDetail);
   void Finish(ExchangeResult aResult);
@@ -106,6 +121,12 @@
   std::string mHead;
   RequestContentPtr mRequest;
   ExchangeHandler mHandler;
+  AnswerFilter mFilter;
+  Duration mTimeout{};
+  /// The server closes the connection when it is idle for this long; zero if
+  /// it has not said so.
+  Duration mKeepAlive{};
+  std::chrono::steady_clock::time_point mIdleSince;
   /// Distinguishes a late operation of an earlier exchange.
   std::uint64_t mExchange = 0;
   bool mIsConnected = false;
--- a/src/netutil/http_pool.cpp
+++ b/src/netutil/http_pool.cpp
@@ -31,7 +31,8 @@
                                               RequestContentPtr aRequest,
                                               std::vector<Header> aExtraHeaders,
                                               Duration aTimeout,
-                                              ExchangeHandler aHandler)
+                                              ExchangeHandler aHandler,
+                                              AnswerFilter aFilter)
 {
   HttpClientConnectionPtr connection = Take(aEndpoint);
   // The connection owns the handler, so a strong reference from the handler
@@ -48,7 +49,8 @@
         Return(self);
       }
       handler(std::move(aResult));
-    });
+    },
+    std::move(aFilter));
   return connection;
 }
 
@@ -64,6 +66,7 @@
     }
     connection->Close();
   }
+  ++mOpened;
   return std::make_shared<HttpClientConnection>(
     mContext, aEndpoint, mOptions.mClient);
 }
--- a/src/netutil/http_pool.h
+++ b/src/netutil/http_pool.h
@@ -37,8 +37,11 @@
                                 RequestContentPtr aRequest,
                                 std::vector<Header> aExtraHeaders,
                                 Duration aTimeout,
-                                ExchangeHandler aHandler);
+                                ExchangeHandler aHandler,
+                                AnswerFilter aFilter = {});
 
+  /// Connections opened since the start.
+  std::uint64_t OpenedCount() const { return mOpened; }
   /// Closes the idle connections to a server.
   void CloseIdle(const Endpoint& aEndpoint);
   std::size_t IdleCount(const Endpoint& aEndpoint) const;
@@ -56,6 +59,7 @@
 
   boost::asio::io_context& mContext;
   Options mOptions;
+  std::uint64_t mOpened = 0;
   boost::asio::steady_timer mSweepTimer;
   std::map<Endpoint, std::vector<Idle>> mIdle;
   /// Tells handlers that run later whether the pool still exists.
--- a/src/netutil/http_server.h
+++ b/src/netutil/http_server.h
@@ -111,6 +111,15 @@
   std::size_t ConnectionCount() const { return mSessions.size(); }
   /// Applies to requests whose header is read from now on.
   void SetBodyLimit(std::size_t aBytes) { mOptions.mBodyBytes = aBytes; }
+  /// As SetBodyLimit, for the header. The limits of time apply at once.
+  void SetLimits(std::size_t aHeaderBytes,
+                 Duration aReadLimit,
+                 Duration aIdleLimit)
+  {
+    mOptions.mHeaderBytes = aHeaderBytes;
+    mOptions.mReadLimit = aReadLimit;
+    mOptions.mIdleLimit = aIdleLimit;
+  }
 
 private:
   friend class HttpSession;
