Keep objects on few servers and queues short under load

Cause: under load each object went to up to six servers; servers forgot objects (25 to 72 per server seen, they keep 22 to 32), every run took three times as long, and times learned from queued answers made warm servers look slow.

--- a/src/include/cranberrywing/gateway/admission.h
+++ b/src/include/cranberrywing/gateway/admission.h
@@ -2,9 +2,10 @@
 /// Who is served when a service is short of room.
 ///
 /// Pattern: arrivals above the capacity of a service. A request is refused at
-/// once if no server can answer it in time. Of the rest, the least urgent are
-/// refused first, when they could only be late, because a late answer keeps a
-/// slot from one that would be on time.
+/// once if no server can answer it in time. Of the rest, the less urgent are
+/// refused at shorter queues, so that the queues stay short enough for the
+/// urgent ones to be on time. Longer queues would serve no more requests, only
+/// later.
 #pragma once
 
 #include "cranberrywing/types.h"
--- a/src/include/cranberrywing/gateway/backend_pool.h
+++ b/src/include/cranberrywing/gateway/backend_pool.h
@@ -61,8 +61,11 @@
   /// Requests of other VMs there, as those VMs last told.
   double mPeerInFlight = 0;
   TimePoint mPeerInFlightAt{};
-  /// Observed over expected service time; 1 is usual.
+  /// Least of the last ratios of observed to expected service time; 1 is
+  /// usual. A server of usual speed is soon seen to be fast, however many of
+  /// its answers waited or were about objects that it had forgotten.
   double mSlowness = 1;
+  std::deque<double> mRatios;
   TimePoint mSlownessAt{};
   /// Part of recent requests that failed or were shed without need.
   double mFailureRate = 0;
@@ -94,6 +97,8 @@
     Duration mLongestEjection = std::chrono::seconds(8);
     /// Failures in a row that eject a server.
     std::uint32_t mFailureLimit = 3;
+    /// Ratios of which the least tells how slow a server is.
+    std::size_t mRatioCount = 5;
     /// Time in which knowledge of a server's slowness halves without news.
     Duration mSlownessHalfLife = std::chrono::seconds(4);
     /// Time in which a load sample's count of others' requests halves.
--- a/src/include/cranberrywing/gateway/object_selector.h
+++ b/src/include/cranberrywing/gateway/object_selector.h
@@ -54,11 +54,11 @@
     /// Servers per object that are taken as warm before this VM knows: the
     /// other VMs send the object there as well.
     std::size_t mReplicas = 1;
-    /// Servers per object that are considered; the rest only if all of these
-    /// are unfit.
-    std::size_t mWidth = 6;
+    /// Servers per object that are considered. A server remembers few objects,
+    /// so that more servers per object would make each forget the others'.
+    std::size_t mWidth = 3;
     /// Added per place in the order, against needless changes of server.
-    Duration mRankCost = std::chrono::milliseconds(8);
+    Duration mRankCost = std::chrono::milliseconds(20);
     /// Factor on the service time of a server that started just now.
     double mColdFactor = 2;
     /// Added to the wait of a server that has not answered for long.
--- a/src/include/cranberrywing/gateway/service_times.h
+++ b/src/include/cranberrywing/gateway/service_times.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "cranberrywing/gateway/object_selector.h"
 #include "cranberrywing/gateway/policy.h"
@@ -27,8 +28,26 @@
   std::optional<Duration> Mean(const ServiceId& aService) const;
 
 private:
+  /// The last samples, oldest overwritten first.
+  class Samples
+  {
+  public:
+    void Add(Duration aSample);
+    /// Nothing before the first sample. aQuantile is from 0 to 1.
+    std::optional<Duration> Quantile(double aQuantile) const;
+
+  private:
+    static constexpr std::size_t kSize = 48;
+
+    std::vector<Duration> mValues;
+    std::size_t mNext = 0;
+  };
+
+  /// What the samples say, computed when one is added.
   struct RouteTimes
   {
+    Samples mWarmSamples;
+    Samples mUnknownSamples;
     std::optional<Duration> mWarm;
     std::optional<Duration> mUnknown;
   };
--- a/src/libcranberrywing/gateway/backend_pool.cpp
+++ b/src/libcranberrywing/gateway/backend_pool.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// Weight of one sample in the moving averages of slowness and failures.
+/// Weight of one sample in the moving average of failures.
 constexpr double kSampleWeight = 0.25;
 /// Samples are cut here, so that one outlier does not mark a server as slow.
 constexpr double kLargestRatio = 8;
@@ -235,8 +235,14 @@
 
 void BackendPool::OnSuccess(Backend& aBackend, double aRatio, TimePoint aNow)
 {
-  const double sample = std::clamp(aRatio, 0.5, kLargestRatio);
-  aBackend.mSlowness += kSampleWeight * (sample - aBackend.mSlowness);
+  aBackend.mRatios.push_back(std::clamp(aRatio, 1.0, kLargestRatio));
+  if (aBackend.mRatios.size() > mOptions.mRatioCount) {
+    aBackend.mRatios.pop_front();
+  }
+  aBackend.mSlowness =
+    aBackend.mRatios.size() < mOptions.mRatioCount
+      ? 1
+      : *std::min_element(aBackend.mRatios.begin(), aBackend.mRatios.end());
   aBackend.mSlownessAt = aNow;
   aBackend.mFailureRate *= 1 - kSampleWeight;
   aBackend.mConsecutiveFailures = 0;
--- a/src/libcranberrywing/gateway/gateway_requests.cpp
+++ b/src/libcranberrywing/gateway/gateway_requests.cpp
@@ -313,13 +313,12 @@
 {
   const ExpectedTimes times =
     mTimes.Expect(*aRequest.mRoute, aRequest.mService);
-  const bool hasQueued = aEvent.mLoad && aEvent.mLoad->mWaiting > 0;
-  const Duration expected =
-    aRequest.mObject == 0 || aRequest.mWasWarm ? times.mWarm : times.mUnknown;
-  const double ratio =
-    hasQueued ? mPool.Slowness(aBackend, mNow)
-              : ToSeconds(aEvent.mLatency) / std::max(1e-3, ToSeconds(expected));
-  mPool.OnSuccess(aBackend, ratio, mNow);
+  mPool.OnSuccess(aBackend,
+                  ToSeconds(aEvent.mLatency) /
+                    std::max(1e-3, ToSeconds(times.mWarm)),
+                  mNow);
+  const bool hasQueued = aRequest.mExpectedWait > Duration::zero() ||
+                         (aEvent.mLoad && aEvent.mLoad->mWaiting > 0);
   if (!hasQueued && !mPool.IsCold(aBackend, mNow)) {
     mTimes.Learn(*aRequest.mRoute,
                  aRequest.mService,
--- a/src/libcranberrywing/gateway/object_selector.cpp
+++ b/src/libcranberrywing/gateway/object_selector.cpp
@@ -92,8 +92,7 @@
   std::optional<Selection> best;
   Duration bestCost{};
   for (std::size_t n = 0; n < aCandidates.size(); ++n) {
-    const bool isFull = !best || best->mWait > aTimes.mUnknown;
-    if (n >= width && !isFull) {
+    if (n >= width) {
       break;
     }
     const Selection selection =
--- a/src/libcranberrywing/gateway/service_times.cpp
+++ b/src/libcranberrywing/gateway/service_times.cpp
@@ -6,24 +6,17 @@
 
 namespace {
 
-/// Weight of one sample in the moving averages.
+/// Weight of one sample in a service's mean.
 constexpr double kSampleWeight = 0.05;
-/// A sample counts as at most this multiple of the average, so that a slow
-/// server does not raise what is expected of the others.
+/// A sample counts as at most this multiple of the mean, so that a slow server
+/// does not raise what is expected of the others.
 constexpr double kLargestSample = 2;
-
-void Average(std::optional<Duration>& aMean, Duration aSample)
-{
-  if (!aMean) {
-    aMean = aSample;
-    return;
-  }
-  const double mean = static_cast<double>(aMean->count());
-  const double sample =
-    std::min(static_cast<double>(aSample.count()), kLargestSample * mean);
-  aMean = Duration(
-    static_cast<Duration::rep>(mean + kSampleWeight * (sample - mean)));
-}
+/// Most servers that this VM sent an object to still know it; the slower
+/// samples are of those that forgot it or that had a queue.
+constexpr double kWarmQuantile = 0.4;
+/// Of the servers that this VM never sent an object to, some got it from
+/// others.
+constexpr double kUnknownQuantile = 0.6;
 
 } // namespace
 
@@ -51,10 +44,43 @@
                          Duration aLatency)
 {
   RouteTimes& times = mRoutes[{ aRoute.mRoute, aService }];
-  Average(aWasWarm ? times.mWarm : times.mUnknown, aLatency);
-  std::optional<Duration> mean = Mean(aService);
-  Average(mean, aLatency);
-  mMeans[aService] = *mean;
+  if (aWasWarm) {
+    times.mWarmSamples.Add(aLatency);
+    times.mWarm = times.mWarmSamples.Quantile(kWarmQuantile);
+  } else {
+    times.mUnknownSamples.Add(aLatency);
+    times.mUnknown = times.mUnknownSamples.Quantile(kUnknownQuantile);
+  }
+  const auto [it, isNew] = mMeans.emplace(aService, aLatency);
+  if (!isNew) {
+    const double mean = static_cast<double>(it->second.count());
+    const double sample = std::min(static_cast<double>(aLatency.count()),
+                                   kLargestSample * mean);
+    it->second = Duration(
+      static_cast<Duration::rep>(mean + kSampleWeight * (sample - mean)));
+  }
+}
+
+void ServiceTimes::Samples::Add(Duration aSample)
+{
+  if (mValues.size() < kSize) {
+    mValues.push_back(aSample);
+    return;
+  }
+  mValues[mNext] = aSample;
+  mNext = (mNext + 1) % kSize;
+}
+
+std::optional<Duration> ServiceTimes::Samples::Quantile(double aQuantile) const
+{
+  if (mValues.empty()) {
+    return std::nullopt;
+  }
+  std::vector<Duration> sorted = mValues;
+  const auto place = static_cast<std::ptrdiff_t>(
+    aQuantile * static_cast<double>(sorted.size() - 1));
+  std::nth_element(sorted.begin(), sorted.begin() + place, sorted.end());
+  return sorted[static_cast<std::size_t>(place)];
 }
 
 std::optional<Duration> ServiceTimes::Mean(const ServiceId& aService) const
