Plan regions from registrations before traffic, list VMs beyond restarts

Shares are now set at once while there are no requests, from a guess of the demand, and only registrations count as lost room. VMs now leave an entry without a lease, so that a restarted VM divides by all of them.

--- a/src/cranberrywingd/gateway_daemon.cpp
+++ b/src/cranberrywingd/gateway_daemon.cpp
@@ -94,6 +94,7 @@
       gateway::StoreFollower::Options{
         .mOwnKey = mOptions.mDialect.mVmKey(mSelf.mVm),
         .mOwnValue = mOptions.mDialect.mWriteVmRecord(mRecord),
+        .mRosterKey = mOptions.mDialect.mRosterKey(mSelf.mVm),
         .mLeaseTtl =
           std::max(Milliseconds(3000), mOptions.mSettings.mLeaseTtlMin),
       },
--- a/src/cranberrywingd/gateway_dialect.h
+++ b/src/cranberrywingd/gateway_dialect.h
@@ -51,6 +51,7 @@
     const gateway::StoreChange&)>
     mReadStoreChange;
   std::function<std::string(const VmId&)> mVmKey;
+  std::function<std::string(const VmId&)> mRosterKey;
   std::function<std::string(const gateway::VmRecord&)> mWriteVmRecord;
   std::function<bool(const std::string&)> mIsPerishable;
 };
--- a/src/include/cranberrywing/gateway/event.h
+++ b/src/include/cranberrywing/gateway/event.h
@@ -120,6 +120,12 @@
   VmRecord mRecord;
 };
 
+/// A VM that ran at some time, from its entry that does not lapse.
+struct VmListed
+{
+  VmRecord mRecord;
+};
+
 struct VmRemoved
 {
   VmId mVm;
@@ -147,6 +153,7 @@
                            event::BackendRemoved,
                            event::EvacuationChanged,
                            event::VmRegistered,
+                           event::VmListed,
                            event::VmRemoved,
                            event::RegistrationsComplete,
                            event::StopRequested>;
--- a/src/include/cranberrywing/gateway/fleet_view.h
+++ b/src/include/cranberrywing/gateway/fleet_view.h
@@ -43,6 +43,10 @@
   const std::map<VmId, Peer>& Peers() const { return mPeers; }
 
   void Register(const VmRecord& aRecord, TimePoint aNow);
+  /// A VM that ran at some time. It counts for shares for mLapsedShare: after
+  /// a restart of all VMs each is the first to register, and would take every
+  /// share for itself.
+  void List(const VmRecord& aRecord, TimePoint aNow);
   void Remove(const VmId& aVm, TimePoint aNow);
   void OnStatus(const VmIncarnation& aFrom,
                 const message::GatewayStatus& aStatus,
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -123,6 +123,7 @@
   void On(const event::BackendRemoved& aEvent);
   void On(const event::EvacuationChanged& aEvent);
   void On(const event::VmRegistered& aEvent);
+  void On(const event::VmListed& aEvent);
   void On(const event::VmRemoved& aEvent);
   void On(const event::RegistrationsComplete& aEvent);
   void On(const event::StopRequested& aEvent);
@@ -131,6 +132,8 @@
   void Record(std::string aName, std::vector<cranberrywing::effect::Field> aFields);
   void SendStatus();
   void UpdatePlan();
+  RegionalLoad LoadOf(const ServiceId& aService) const;
+  void RecordShares(const ServiceId& aService, const RegionalLoad& aLoad);
   void ProbeServers();
   void ContinueStop();
   void TellBlocks();
@@ -189,6 +192,8 @@
   std::unordered_map<RequestId, Request> mRequests;
   GatewayCounters mCounters;
 
+  /// Shares as they were last logged.
+  std::map<ServiceId, RegionShares> mRecordedShares;
   TimePoint mNextPlan{};
   TimePoint mNextNearStatus{};
   TimePoint mNextFarStatus{};
--- a/src/include/cranberrywing/gateway/region_plan.h
+++ b/src/include/cranberrywing/gateway/region_plan.h
@@ -8,6 +8,7 @@
 /// measurement cannot swing traffic between regions.
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <unordered_map>
 #include <vector>
@@ -21,10 +22,23 @@
 {
   /// Slots of usable servers, by region.
   std::map<RegionId, double> mCapacity;
+  /// Slots of registered servers that are to be used, whether this VM has
+  /// failures with them or not.
+  std::map<RegionId, double> mOffered;
   /// Busy slots that requests from a region cause, wherever they run.
   std::map<RegionId, double> mDemand;
+  /// Whether the own region has no requests yet, so that a change of shares
+  /// moves none and mDemand is a guess.
+  bool mIsIdle = false;
 };
 
+/// Demand to plan with before there are requests: VMs stand where the callers
+/// are, and the servers suffice for all at the given use. Thread-safe.
+std::map<RegionId, double> GuessDemand(
+  const std::map<RegionId, double>& aCapacity,
+  const std::map<RegionId, std::size_t>& aVms,
+  double aUtilization);
+
 using RegionShares = std::map<RegionId, double>;
 
 /// Shares that would serve the demand best, without regard to the past: the
@@ -48,8 +62,8 @@
     double mStepPerSecond = 0.035;
     /// The same after servers were lost, when waiting costs answers.
     double mUrgentStepPerSecond = 0.5;
-    /// Loss of a region's room, as a part, that counts as urgent.
-    double mUrgentLoss = 0.2;
+    /// Loss of a region's registered servers, as a part, that is urgent.
+    double mUrgentLoss = 0.35;
     Duration mUrgentTime = std::chrono::seconds(4);
   };
 
@@ -75,7 +89,7 @@
   struct Service
   {
     RegionShares mShares;
-    std::map<RegionId, double> mCapacity;
+    std::map<RegionId, double> mOffered;
     TimePoint mUpdatedAt{};
     TimePoint mUrgentUntil{};
   };
--- a/src/include/cranberrywing/gateway/store_follower.h
+++ b/src/include/cranberrywing/gateway/store_follower.h
@@ -131,6 +131,9 @@
   {
     std::string mOwnKey;
     std::string mOwnValue;
+    /// Entry without a lease that tells later processes which VMs there are.
+    /// Written once, with the own key's first value.
+    std::string mRosterKey;
     /// Longest wait of a watch. A connection that went silent is noticed
     /// after it and mCallTimeout.
     Milliseconds mWatchWait{ 2000 };
@@ -209,6 +212,7 @@
   TimePoint mNextLease{};
   std::int64_t mLease = 0;
   bool mIsOwnWritten = false;
+  bool mIsRosterWritten = false;
   StoreCall mLeaseCall;
 };
 
--- a/src/libcranberrywing/gateway/fleet_view.cpp
+++ b/src/libcranberrywing/gateway/fleet_view.cpp
@@ -25,6 +25,8 @@
   const bool isNew = peer.mRecord.mIncarnation != aRecord.mIncarnation;
   if (isNew) {
     peer = Peer{};
+  }
+  if (isNew || peer.mIsLapsed) {
     peer.mHeardAt = aNow;
   }
   peer.mRecord = aRecord;
@@ -32,6 +34,19 @@
   peer.mIsLapsed = false;
 }
 
+void FleetView::List(const VmRecord& aRecord, TimePoint aNow)
+{
+  if (aRecord.mVm == mOptions.mSelf.mVm || mPeers.contains(aRecord.mVm)) {
+    return;
+  }
+  Peer& peer = mPeers[aRecord.mVm];
+  peer.mRecord = aRecord;
+  // Its process has ended as far as is known; the real one has another
+  // incarnation or registers under this one.
+  peer.mIsLapsed = true;
+  peer.mLapsedAt = aNow;
+}
+
 void FleetView::Remove(const VmId& aVm, TimePoint aNow)
 {
   const auto it = mPeers.find(aVm);
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -21,6 +21,28 @@
 /// Last moment before the kill at which the process ends by itself.
 constexpr Duration kStopMargin = std::chrono::milliseconds(300);
 
+/// Demand of the own region below which its shares are set at once.
+constexpr double kIdleSlots = 0.05;
+/// Use of the servers that is planned with before there are requests.
+constexpr double kGuessedUse = 0.5;
+/// Change of a region's share that is logged.
+constexpr double kRecordedChange = 0.1;
+
+bool DiffersBy(const RegionShares& aLeft,
+               const RegionShares& aRight,
+               double aChange)
+{
+  const auto differs = [&](const RegionShares& aOne,
+                           const RegionShares& aOther) {
+    return std::any_of(aOne.begin(), aOne.end(), [&](const auto& aEntry) {
+      const auto it = aOther.find(aEntry.first);
+      const double other = it == aOther.end() ? 0 : it->second;
+      return std::abs(aEntry.second - other) >= aChange;
+    });
+  };
+  return differs(aLeft, aRight) || differs(aRight, aLeft);
+}
+
 double ToSeconds(Duration aDuration)
 {
   return std::chrono::duration<double>(aDuration).count();
@@ -191,6 +213,11 @@
   mFleet.Register(aEvent.mRecord, mNow);
 }
 
+void Gateway::On(const event::VmListed& aEvent)
+{
+  mFleet.List(aEvent.mRecord, mNow);
+}
+
 void Gateway::On(const event::VmRemoved& aEvent)
 {
   mFleet.Remove(aEvent.mVm, mNow);
@@ -361,6 +388,42 @@
   }
 }
 
+RegionalLoad Gateway::LoadOf(const ServiceId& aService) const
+{
+  RegionalLoad load;
+  for (const Backend* backend : mPool.OfService(aService)) {
+    const RegionId& region = backend->mEntry.mRegion;
+    load.mCapacity[region] += 0;
+    load.mOffered[region] += 0;
+    if (!mPool.IsOffered(*backend)) {
+      continue;
+    }
+    load.mOffered[region] += backend->mEntry.mSlots;
+    // Servers that are slow or await a health check count in full: they come
+    // and go too fast for traffic to follow.
+    if (mNow >= backend->mEjectedUntil) {
+      load.mCapacity[region] += backend->mEntry.mSlots;
+    }
+  }
+  const RegionId& own = mOptions.mSelf.mRegion;
+  const double seconds =
+    ToSeconds(mTimes.Mean(aService).value_or(Duration::zero()));
+  for (const auto& [region, slots] : load.mOffered) {
+    load.mDemand[region] = mFleet.Demand(region, aService, mNow);
+  }
+  load.mDemand[own] =
+    mFleet.Demand(own, aService, mNow) + ArrivalRate(aService) * seconds;
+  if (load.mDemand[own] < kIdleSlots) {
+    load.mIsIdle = true;
+    std::map<RegionId, std::size_t> vms{ { own, 1 } };
+    for (const auto& [id, peer] : mFleet.Peers()) {
+      ++vms[peer.mRecord.mRegion];
+    }
+    load.mDemand = GuessDemand(load.mOffered, vms, kGuessedUse);
+  }
+  return load;
+}
+
 void Gateway::UpdatePlan()
 {
   if (mNow < mNextPlan) {
@@ -368,29 +431,9 @@
   }
   mNextPlan = mNow + kPlanInterval;
   for (const ServiceId& service : mPool.Services()) {
-    RegionalLoad load;
-    for (const Backend* backend : mPool.OfService(service)) {
-      const RegionId& region = backend->mEntry.mRegion;
-      load.mCapacity[region] += 0;
-      if (!mPool.IsUsable(*backend, mNow)) {
-        continue;
-      }
-      double slots = backend->mEntry.mSlots;
-      slots /= std::max(1.0, mPool.Slowness(*backend, mNow));
-      if (mPool.IsCold(*backend, mNow)) {
-        slots /= 4;
-      }
-      load.mCapacity[region] += slots;
-    }
-    for (const auto& [region, slots] : load.mCapacity) {
-      load.mDemand[region] = mFleet.Demand(region, service, mNow);
-    }
-    const double seconds =
-      ToSeconds(mTimes.Mean(service).value_or(Duration::zero()));
-    load.mDemand[mOptions.mSelf.mRegion] =
-      mFleet.Demand(mOptions.mSelf.mRegion, service, mNow) +
-      ArrivalRate(service) * seconds;
+    const RegionalLoad load = LoadOf(service);
     mPlan.Update(service, load, mNow);
+    RecordShares(service, load);
   }
   // What others of the region have in flight at each server.
   std::unordered_map<std::uint64_t, double> inFlight;
@@ -407,6 +450,30 @@
   }
 }
 
+void Gateway::RecordShares(const ServiceId& aService, const RegionalLoad& aLoad)
+{
+  const RegionShares* const shares = mPlan.Shares(aService);
+  RegionShares& recorded = mRecordedShares[aService];
+  if (!shares || !DiffersBy(*shares, recorded, kRecordedChange)) {
+    return;
+  }
+  recorded = *shares;
+  std::vector<cranberrywing::effect::Field> fields{ { "service",
+                                                      aService.mName } };
+  for (const auto& [region, slots] : aLoad.mCapacity) {
+    const auto share = shares->find(region);
+    const auto demand = aLoad.mDemand.find(region);
+    const double part = share == shares->end() ? 0 : share->second;
+    const double busy = demand == aLoad.mDemand.end() ? 0 : demand->second;
+    fields.push_back(
+      { region.mName,
+        std::to_string(std::lround(100 * part)) + "%/" +
+          std::to_string(std::lround(slots)) + "slots/" +
+          std::to_string(std::lround(busy)) + "busy" });
+  }
+  Record("region_shares", std::move(fields));
+}
+
 void Gateway::ProbeServers()
 {
   if (!mPolicy) {
--- a/src/libcranberrywing/gateway/region_plan.cpp
+++ b/src/libcranberrywing/gateway/region_plan.cpp
@@ -79,6 +79,23 @@
   return shares;
 }
 
+std::map<RegionId, double> GuessDemand(
+  const std::map<RegionId, double>& aCapacity,
+  const std::map<RegionId, std::size_t>& aVms,
+  double aUtilization)
+{
+  std::size_t vms = 0;
+  for (const auto& [region, count] : aVms) {
+    vms += count;
+  }
+  std::map<RegionId, double> demand;
+  for (const auto& [region, count] : aVms) {
+    demand[region] = aUtilization * SumOf(aCapacity) *
+                     static_cast<double>(count) / static_cast<double>(vms);
+  }
+  return demand;
+}
+
 RegionPlan::RegionPlan(Options aOptions)
   : mOptions(std::move(aOptions))
 {
@@ -91,9 +108,9 @@
                      aService.mShares.end(),
                      [&](const auto& aEntry) {
                        const double before =
-                         ValueOf(aService.mCapacity, aEntry.first);
+                         ValueOf(aService.mOffered, aEntry.first);
                        const double now =
-                         ValueOf(aLoad.mCapacity, aEntry.first);
+                         ValueOf(aLoad.mOffered, aEntry.first);
                        return now < before * (1 - mOptions.mUrgentLoss);
                      });
 }
@@ -106,9 +123,10 @@
     PlanShares(aLoad, mOptions.mOwn, mOptions.mUtilization);
   const auto [it, isNew] = mServices.try_emplace(aService);
   Service& service = it->second;
-  if (isNew || service.mShares.empty()) {
+  // Registrations come in one by one before the first requests.
+  if (isNew || aLoad.mIsIdle || service.mShares.empty()) {
     service = { .mShares = wanted,
-                .mCapacity = aLoad.mCapacity,
+                .mOffered = aLoad.mOffered,
                 .mUpdatedAt = aNow };
     return;
   }
@@ -140,8 +158,8 @@
   service.mShares = std::move(next);
   // The reference for losses follows slowly, so that a loss in small parts
   // counts as one.
-  for (const auto& [region, slots] : aLoad.mCapacity) {
-    double& known = service.mCapacity[region];
+  for (const auto& [region, slots] : aLoad.mOffered) {
+    double& known = service.mOffered[region];
     known = std::max(slots, known - step * known);
   }
   service.mUpdatedAt = aNow;
@@ -188,7 +206,7 @@
   for (const auto& [region, share] : line) {
     ranked.push_back(region);
   }
-  for (const auto& [region, slots] : it->second.mCapacity) {
+  for (const auto& [region, slots] : it->second.mOffered) {
     if (!shares.contains(region)) {
       ranked.push_back(region);
     }
--- a/src/libcranberrywing/gateway/store_follower.cpp
+++ b/src/libcranberrywing/gateway/store_follower.cpp
@@ -55,7 +55,9 @@
   if (mIsLeaseCalling || aNow < mNextLease || mOptions.mOwnKey.empty()) {
     return;
   }
-  if (mLease == 0) {
+  if (!mIsRosterWritten) {
+    mLeaseCall = store_call::Put{ mOptions.mRosterKey, mOptions.mOwnValue, 0 };
+  } else if (mLease == 0) {
     mLeaseCall = store_call::GrantLease{ mOptions.mLeaseTtl };
   } else if (!mIsOwnWritten) {
     mLeaseCall =
@@ -253,7 +255,10 @@
     mLease = aReply.mLease;
     mIsOwnWritten = false;
   } else if (const auto* const put =
-               std::get_if<store_call::Put>(&mLeaseCall)) {
+               std::get_if<store_call::Put>(&mLeaseCall);
+             put && put->mLease == 0) {
+    mIsRosterWritten = true;
+  } else if (put) {
     mIsOwnWritten = put->mValue == mOptions.mOwnValue;
     mNextLease = mIsOwnWritten ? aNow + mOptions.mKeepInterval : aNow;
   } else {
