--- a/src/include/cranberrywing/gateway/fleet_view.h
+++ b/src/include/cranberrywing/gateway/fleet_view.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <vector>
 
+#include "cranberrywing/gateway/account_shares.h"
 #include "cranberrywing/gateway/event.h"
 #include "cranberrywing/messages/gateway.h"
 
@@ -35,6 +36,10 @@
     /// Time for which a VM whose entry has lapsed still counts for shares:
     /// it may be cut off from the store and go on admitting requests.
     Duration mLapsedShare = std::chrono::seconds(15);
+    /// The same while at most mFewLapsed of the VMs have lapsed: what they
+    /// might admit besides stays within the slack of the rates.
+    Duration mFewLapsedShare = std::chrono::seconds(5);
+    double mFewLapsed = 0.2;
   };
 
   explicit FleetView(Options aOptions);
@@ -56,7 +61,10 @@
   /// Whether callers may be sent to the peer.
   bool IsUsable(const Peer& aPeer, TimePoint aNow) const;
   /// VMs among which fleet-wide limits are divided, this one included.
+  std::vector<SharingVm> SharingVms() const;
   std::size_t ShareCount() const;
+  /// Rises whenever SharingVms changes.
+  std::uint64_t Version() const { return mVersion; }
   /// VMs of a region that are not known to have ended, this one included.
   std::vector<VmId> VmsOfRegion(const RegionId& aRegion) const;
   /// Usable VMs, this one included if aSelfIsReady: those of the region, or
@@ -73,6 +81,7 @@
 private:
   Options mOptions;
   std::map<VmId, Peer> mPeers;
+  std::uint64_t mVersion = 1;
 };
 
 } // namespace cranberrywing::gateway
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "cranberrywing/crash_guard.h"
+#include "cranberrywing/gateway/account_shares.h"
 #include "cranberrywing/gateway/admission.h"
 #include "cranberrywing/gateway/backend_pool.h"
 #include "cranberrywing/gateway/cold_start.h"
@@ -130,6 +131,8 @@
   void On(const event::BackendProbed& aEvent);
   void TakeCoreEffects(cranberrywing::EffectList& aEffects);
   void Record(std::string aName, std::vector<cranberrywing::effect::Field> aFields);
+  /// VMs that may lend tokens of the account, nearest first.
+  std::vector<VmId> TokenPeers(const AccountId& aAccount);
   void SendStatus();
   void UpdatePlan();
   RegionalLoad LoadOf(const ServiceId& aService) const;
@@ -186,6 +189,9 @@
   ServiceTimes mTimes;
   ColdStart mColdStart;
   RetryBudget mRetries;
+  AccountShares mShares;
+  /// FleetView::Version that mShares was computed for.
+  std::uint64_t mSharedVersion = 0;
   RateLimiter mRates;
   CrashGuard mCrashGuard;
   std::unordered_map<ServiceId, Arrivals> mArrivals;
--- a/src/libcranberrywing/gateway/fleet_view.cpp
+++ b/src/libcranberrywing/gateway/fleet_view.cpp
@@ -21,7 +21,9 @@
   if (aRecord.mVm == mOptions.mSelf.mVm) {
     return;
   }
-  Peer& peer = mPeers[aRecord.mVm];
+  const auto [it, isUnknown] = mPeers.try_emplace(aRecord.mVm);
+  mVersion += isUnknown ? 1 : 0;
+  Peer& peer = it->second;
   const bool isNew = peer.mRecord.mIncarnation != aRecord.mIncarnation;
   if (isNew) {
     peer = Peer{};
@@ -39,6 +41,7 @@
   if (aRecord.mVm == mOptions.mSelf.mVm || mPeers.contains(aRecord.mVm)) {
     return;
   }
+  ++mVersion;
   Peer& peer = mPeers[aRecord.mVm];
   peer.mRecord = aRecord;
   // Its process has ended as far as is known; the real one has another
@@ -73,10 +76,28 @@
 
 void FleetView::Tick(TimePoint aNow)
 {
-  std::erase_if(mPeers, [&](const auto& aEntry) {
+  const auto lapsed =
+    std::count_if(mPeers.begin(), mPeers.end(), [](const auto& aEntry) {
+      return aEntry.second.mIsLapsed;
+    });
+  const bool areFew = static_cast<double>(lapsed) <=
+                      mOptions.mFewLapsed * static_cast<double>(mPeers.size());
+  const Duration limit =
+    areFew ? mOptions.mFewLapsedShare : mOptions.mLapsedShare;
+  const std::size_t erased = std::erase_if(mPeers, [&](const auto& aEntry) {
     const Peer& peer = aEntry.second;
-    return peer.mIsLapsed && aNow - peer.mLapsedAt > mOptions.mLapsedShare;
+    return peer.mIsLapsed && aNow - peer.mLapsedAt > limit;
   });
+  mVersion += erased > 0 ? 1 : 0;
+}
+
+std::vector<SharingVm> FleetView::SharingVms() const
+{
+  std::vector<SharingVm> vms{ { mOptions.mSelf.mVm, mOptions.mSelf.mRegion } };
+  for (const auto& [id, peer] : mPeers) {
+    vms.push_back({ id, peer.mRecord.mRegion });
+  }
+  return vms;
 }
 
 bool FleetView::IsUsable(const Peer& aPeer, TimePoint aNow) const
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <cmath>
 
-#include "cranberrywing/share_ledger.h"
-
 namespace cranberrywing::gateway {
 
 namespace {
@@ -25,6 +23,8 @@
 constexpr double kIdleSlots = 0.05;
 /// Use of the servers that is planned with before there are requests.
 constexpr double kGuessedUse = 0.5;
+/// Tokens may come from another region, whose round trip can take 70 ms.
+constexpr Duration kLongestTokenWait = std::chrono::milliseconds(90);
 /// Change of a region's share that is logged.
 constexpr double kRecordedChange = 0.1;
 
@@ -66,26 +66,16 @@
   , mSelector(ObjectSelector::Options{})
   , mColdStart(mOptions.mColdStart)
   , mRetries(mOptions.mRetries)
-  , mRates(RateLimiter::Options{ .mSeed = mOptions.mSeed },
+  , mRates(RateLimiter::Options{ .mSeed = mOptions.mSeed,
+                                .mLongestWait = kLongestTokenWait },
            RateLimiterHooks{
              .mFraction =
-               [this](const AccountId&) {
-                 return static_cast<std::uint32_t>(kWholeShare /
-                                                   mFleet.ShareCount());
+               [this](const AccountId& aAccount) {
+                 return mShares.Fraction(aAccount, mOptions.mSelf.mVm);
                },
              .mPeers =
-               [this](const AccountId&) {
-                 std::vector<VmId> near;
-                 std::vector<VmId> far;
-                 for (const auto& [id, peer] : mFleet.Peers()) {
-                   if (!peer.mIsLapsed && !peer.mIsLeaving) {
-                     const bool isNear =
-                       peer.mRecord.mRegion == mOptions.mSelf.mRegion;
-                     (isNear ? near : far).push_back(id);
-                   }
-                 }
-                 near.insert(near.end(), far.begin(), far.end());
-                 return near;
+               [this](const AccountId& aAccount) {
+                 return TokenPeers(aAccount);
                } })
   , mCrashGuard(CrashGuard::Options{
       .mServersLost = 3,
@@ -94,6 +84,23 @@
 {
 }
 
+std::vector<VmId> Gateway::TokenPeers(const AccountId& aAccount)
+{
+  std::vector<VmId> near;
+  std::vector<VmId> far;
+  for (const VmId& holder : mShares.Holders(aAccount)) {
+    const auto it = mFleet.Peers().find(holder);
+    if (it == mFleet.Peers().end() || it->second.mIsLapsed ||
+        it->second.mIsLeaving) {
+      continue;
+    }
+    const bool isNear = it->second.mRecord.mRegion == mOptions.mSelf.mRegion;
+    (isNear ? near : far).push_back(holder);
+  }
+  near.insert(near.end(), far.begin(), far.end());
+  return near;
+}
+
 EffectList Gateway::Reduce(const Event& aEvent, TimePoint aNow)
 {
   mNow = aNow;
@@ -153,6 +160,7 @@
     }
   }
   mRates.Apply(accounts, mNow);
+  mShares.SetAccounts(std::move(accounts));
   mSplit.Retain(*mPolicy);
   mOut.push_back(effect::ApplyCallerLimits{ mPolicy->Content().mLimits });
   Record("policy_in_force",
@@ -295,6 +303,10 @@
   TakeCoreEffects(effects);
   mCrashGuard.Tick(mNow);
   mFleet.Tick(mNow);
+  if (mFleet.Version() != mSharedVersion) {
+    mSharedVersion = mFleet.Version();
+    mShares.SetVms(mFleet.SharingVms());
+  }
   for (const RateOutcome& outcome : mRates.TakeDecided()) {
     const auto it = mRequests.find(outcome.mRequest);
     if (it == mRequests.end() || !it->second.mWaitsForTokens) {
--- /dev/null
+++ b/src/libcranberrywing/gateway/gateway_test_fleet.h
@@ -0,0 +1,160 @@
+/// \file
+/// A gateway with a small configuration, driven by tests event by event.
+#pragma once
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "cranberrywing/gateway/gateway.h"
+
+namespace cranberrywing::gateway::testing {
+
+inline const std::string kHost = "shop.example";
+inline const std::string kKey = "key-of-shops";
+
+/// Not thread-safe.
+class GatewayFixture
+{
+public:
+  GatewayFixture()
+    : mGateway({ .mSelf = { .mVm = VmId("vm-1"),
+                            .mIncarnation = { 7 },
+                            .mRegion = RegionId("near"),
+                            .mFailureDomain = FailureDomainId("near-a"),
+                            .mAddress = "10.0.0.1",
+                            .mCallerPort = 80,
+                            .mPeerPort = 81 },
+                 .mRetries = { .mAllowance = 50 },
+                 .mColdStart = { .mOvershoot = 1.5, .mSlack = 5 } })
+  {
+    SetPolicy(1);
+    for (int n = 0; n < 4; ++n) {
+      Register("s" + std::to_string(n));
+    }
+    Do(event::RegistrationsComplete{});
+    Pass(std::chrono::milliseconds(300));
+  }
+
+  PolicyContent Content(std::uint64_t aRevision) const
+  {
+    PolicyContent content;
+    content.mRevision = { aRevision };
+    content.mServices = { { .mService = ServiceId("ordering"),
+                            .mHealthPath = "/health",
+                            .mColdRate = 7 } };
+    const auto route = [](const char* aName,
+                          const char* aPrefix,
+                          bool aIsIdempotent) {
+      RoutePolicy policy;
+      policy.mRoute = RouteId(aName);
+      policy.mHost = kHost;
+      policy.mPrefix = aPrefix;
+      policy.mIsIdempotent = aIsIdempotent;
+      policy.mTimeout = std::chrono::seconds(1);
+      policy.mTargetLatency = std::chrono::milliseconds(400);
+      policy.mPriority = 1;
+      policy.mServices = { { ServiceId("ordering"), 1 } };
+      policy.mMaxAttempts = 2;
+      policy.mIsSticky = true;
+      return policy;
+    };
+    content.mRoutes = { route("prices", "/prices/", true),
+                        route("orders", "/orders/", false) };
+    content.mAccounts = { { .mAccount = AccountId("shops"),
+                            .mKeys = { kKey } } };
+    return content;
+  }
+
+  void SetPolicy(std::uint64_t aRevision)
+  {
+    SetPolicy(Content(aRevision));
+  }
+
+  void SetPolicy(PolicyContent aContent)
+  {
+    Do(event::PolicyReceived{ *Policy::Make(std::move(aContent)) });
+  }
+
+  void Register(const std::string& aName, bool aIsDraining = false)
+  {
+    Do(event::BackendRegistered{
+      { .mBackend = BackendId(aName),
+        .mService = ServiceId("ordering"),
+        .mAddress = "10.1.0.1",
+        .mPort = static_cast<std::uint16_t>(9000 + aName.back()),
+        .mFailureDomain = FailureDomainId("near-a"),
+        .mRegion = RegionId("near"),
+        .mSlots = 4,
+        .mIsDraining = aIsDraining } });
+  }
+
+  EffectList& Do(Event aEvent)
+  {
+    mLast = mGateway.Reduce(aEvent, mNow);
+    return mLast;
+  }
+
+  EffectList& Pass(Duration aTime)
+  {
+    mNow += aTime;
+    return Do(event::Tick{});
+  }
+
+  /// Sends a request and returns its identifier; effects are in mLast.
+  RequestId Request(const std::string& aPath, const std::string& aKey = kKey)
+  {
+    const RequestId id{ mNextRequest++ };
+    Do(event::RequestArrived{
+      .mRequest = id,
+      .mContent = std::make_shared<const RequestContent>(
+        RequestContent{ .mMethod = "POST", .mTarget = aPath }),
+      .mHost = kHost,
+      .mKey = aKey,
+      .mObject = "o",
+      .mPatience = std::chrono::seconds(3) });
+    return id;
+  }
+
+  /// The first effect of a kind, or null.
+  template<class Kind>
+  const Kind* Find() const
+  {
+    for (const Effect& effect : mLast) {
+      if (const auto* const found = std::get_if<Kind>(&effect)) {
+        return found;
+      }
+    }
+    return nullptr;
+  }
+
+  void Reply(const effect::Dispatch& aDispatch,
+             event::ReplyKind aKind,
+             std::uint32_t aStatus)
+  {
+    Do(event::BackendReplied{
+      .mRequest = aDispatch.mRequest,
+      .mAttempt = aDispatch.mAttempt,
+      .mKind = aKind,
+      .mAnswer = std::make_shared<const AnswerContent>(
+        AnswerContent{ .mStatus = aStatus }),
+      .mLatency = std::chrono::milliseconds(100) });
+  }
+
+  void Fail(const effect::Dispatch& aDispatch,
+            event::FailureStage aStage,
+            event::FailureKind aKind)
+  {
+    Do(event::BackendFailed{ .mRequest = aDispatch.mRequest,
+                             .mAttempt = aDispatch.mAttempt,
+                             .mStage = aStage,
+                             .mKind = aKind });
+  }
+
+  TimePoint mNow{ std::chrono::seconds(1000) };
+  std::uint64_t mNextRequest = 1;
+  EffectList mLast;
+  Gateway mGateway;
+};
+
+} // namespace cranberrywing::gateway::testing
