Show slow servers by requests that end at their deadlines

Cause: a server that turned slow gave no sample of its speed before its callers' deadlines, so only failures counted and a health check cleared them.

--- a/src/cranberrywingd/gateway_daemon.cpp
+++ b/src/cranberrywingd/gateway_daemon.cpp
@@ -20,6 +20,8 @@
 constexpr std::chrono::seconds kIdleTime{ 7 };
 /// Readiness checks and lookups are short.
 constexpr std::size_t kQuestionBytes = 8 * 1024;
+/// Descriptors that the platform keeps for files.
+constexpr std::size_t kFiles = 200;
 constexpr std::size_t kStoreAnswerBytes = 8 * 1024 * 1024;
 
 gateway::event::FailureKind KindOf(netutil::ExchangeFailureKind aKind)
@@ -38,6 +40,14 @@
   return gateway::event::FailureKind::MalformedAnswer;
 }
 
+/// Half of the descriptors that sockets may use; the rest is for backend
+/// servers, the store and other VMs.
+std::size_t CallerConnections(std::size_t aFileLimit)
+{
+  return std::max<std::size_t>(64,
+                               (aFileLimit - std::min(aFileLimit, kFiles)) / 2);
+}
+
 netutil::HttpClientPool::Options BackendPoolOptions()
 {
   netutil::HttpClientPool::Options options;
@@ -117,34 +127,36 @@
           },
         .mIsPerishable = mOptions.mDialect.mIsPerishable,
       })
-  , mCallers(aContext,
-             netutil::HttpServerOptions{},
-             netutil::HttpServerHooks{
-               .mOnRequest =
-                 [this](const netutil::ExchangeId& aExchange,
-                        RequestContent&& aContent) {
-                   OnCallerRequest(aExchange, std::move(aContent));
-                 },
-               .mOnAborted =
-                 [this](const netutil::ExchangeId& aExchange) {
-                   OnCallerGone(aExchange);
-                 },
-             })
+  , mCallers(
+      aContext,
+      { .mConnections = CallerConnections(mOptions.mSettings.mFileLimit) },
+      netutil::HttpServerHooks{
+        .mOnRequest =
+          [this](const netutil::ExchangeId& aExchange,
+                 RequestContent&& aContent) {
+            OnCallerRequest(aExchange, std::move(aContent));
+          },
+        .mOnAborted =
+          [this](const netutil::ExchangeId& aExchange) {
+            OnCallerGone(aExchange);
+          },
+      })
   , mReadiness(aContext,
                { .mBodyBytes = kQuestionBytes },
                QuestionHooks(mReadiness))
-  , mLookups(aContext, { .mBodyBytes = kQuestionBytes }, QuestionHooks(mLookups))
-  , mMetricsServer(aContext,
-                   { .mBodyBytes = kQuestionBytes },
-                   netutil::HttpServerHooks{
-                     .mOnRequest =
-                       [this](const netutil::ExchangeId& aExchange,
-                              RequestContent&&) {
-                         mMetricsServer.Answer(
-                           aExchange, WriteMetricsPage(), {});
-                       },
-                     .mOnAborted = [](const netutil::ExchangeId&) {},
-                   })
+  , mLookups(aContext,
+             { .mBodyBytes = kQuestionBytes },
+             QuestionHooks(mLookups))
+  , mMetricsServer(
+      aContext,
+      { .mBodyBytes = kQuestionBytes },
+      netutil::HttpServerHooks{
+        .mOnRequest =
+          [this](const netutil::ExchangeId& aExchange, RequestContent&&) {
+            mMetricsServer.Answer(aExchange, WriteMetricsPage(), {});
+          },
+        .mOnAborted = [](const netutil::ExchangeId&) {},
+      })
   , mBackends(aContext, BackendPoolOptions())
   , mStoreConnections(aContext, StorePoolOptions())
   , mPeers(
@@ -171,10 +183,10 @@
       [this, &aServer](const netutil::ExchangeId& aExchange,
                        RequestContent&& aContent) {
         ++mMetrics.mLookups;
-        aServer.Answer(aExchange,
-                       mOptions.mDialect.mAnswerQuestion(
-                         aContent, mGateway, ReadClock()),
-                       {});
+        aServer.Answer(
+          aExchange,
+          mOptions.mDialect.mAnswerQuestion(aContent, mGateway, ReadClock()),
+          {});
       },
     .mOnAborted = [](const netutil::ExchangeId&) {},
   };
@@ -448,8 +460,8 @@
                               Duration aTimeout)
 {
   ++mMetrics.mStoreCalls;
-  const bool isLast = std::holds_alternative<gateway::store_call::EndLease>(
-    aCall);
+  const bool isLast =
+    std::holds_alternative<gateway::store_call::EndLease>(aCall);
   const TimePoint sentAt = ReadClock();
   if (aLane == gateway::StoreLane::Follow && mWatch) {
     mWatch->Close();
@@ -470,11 +482,10 @@
       if (reply.mStatus == gateway::StoreStatus::Refused ||
           reply.mStatus == gateway::StoreStatus::NoAnswer) {
         ++mMetrics.mStoreFailures;
-        Record("store_call_failed",
-               { { "status",
-                   aResult ? std::to_string(aResult->mStatus) : "none" },
-                 { "detail",
-                   aResult ? std::string() : aResult.error().mDetail } });
+        Record(
+          "store_call_failed",
+          { { "status", aResult ? std::to_string(aResult->mStatus) : "none" },
+            { "detail", aResult ? std::string() : aResult.error().mDetail } });
       }
       if (aLane == gateway::StoreLane::Follow) {
         mWatch.reset();
--- a/src/cranberrywingd/gateway_dialect.h
+++ b/src/cranberrywingd/gateway_dialect.h
@@ -36,9 +36,8 @@
     mReadProbe;
   std::function<AnswerContentPtr(const Refusal&)> mWriteRefusal;
   /// Answers the platform's own questions: readiness and which VMs to use.
-  std::function<AnswerContentPtr(const RequestContent&,
-                                 const gateway::Gateway&,
-                                 TimePoint)>
+  std::function<
+    AnswerContentPtr(const RequestContent&, const gateway::Gateway&, TimePoint)>
     mAnswerQuestion;
 
   std::function<RequestContent(const gateway::StoreCall&)> mWriteStoreCall;
--- a/src/cranberrywingd/gateway_settings.h
+++ b/src/cranberrywingd/gateway_settings.h
@@ -37,6 +37,7 @@
   Duration mRetryWindow = std::chrono::seconds(10);
   double mColdOvershoot = 1;
   double mColdSlack = 0;
+  /// Descriptors that the process may use.
   std::size_t mFileLimit = 4096;
 };
 
--- a/src/include/cranberrywing/gateway/backend_pool.h
+++ b/src/include/cranberrywing/gateway/backend_pool.h
@@ -98,7 +98,7 @@
     /// Failures in a row that eject a server.
     std::uint32_t mFailureLimit = 3;
     /// Ratios of which the least tells how slow a server is.
-    std::size_t mRatioCount = 5;
+    std::size_t mRatioCount = 3;
     /// Time in which knowledge of a server's slowness halves without news.
     Duration mSlownessHalfLife = std::chrono::seconds(4);
     /// Time in which a load sample's count of others' requests halves.
@@ -158,6 +158,9 @@
   void OnLoad(Backend& aBackend, const LoadSample& aLoad, TimePoint aNow);
   /// aRatio is observed over expected service time.
   void OnSuccess(Backend& aBackend, double aRatio, TimePoint aNow);
+  /// A request ended without an answer after aRatio times the expected service
+  /// time: a slow server gives no other sample before its callers' deadlines.
+  void OnTimeout(Backend& aBackend, double aRatio, TimePoint aNow);
   /// An answer failed, or a connection broke. True if it got ejected.
   bool OnFailure(Backend& aBackend, TimePoint aNow);
   /// It cannot be reached, or is not the server that was registered.
@@ -173,6 +176,7 @@
 
 private:
   void Reindex();
+  void AddRatio(Backend& aBackend, double aRatio, TimePoint aNow);
 
   Options mOptions;
   std::map<BackendId, std::unique_ptr<Backend>> mBackends;
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -130,7 +130,8 @@
   void On(const event::StopRequested& aEvent);
   void On(const event::BackendProbed& aEvent);
   void TakeCoreEffects(cranberrywing::EffectList& aEffects);
-  void Record(std::string aName, std::vector<cranberrywing::effect::Field> aFields);
+  void Record(std::string aName,
+              std::vector<cranberrywing::effect::Field> aFields);
   /// VMs that may lend tokens of the account, nearest first.
   std::vector<VmId> TokenPeers(const AccountId& aAccount);
   void SendStatus();
--- a/src/include/cranberrywing/gateway/region_plan.h
+++ b/src/include/cranberrywing/gateway/region_plan.h
@@ -79,8 +79,7 @@
   /// the same for all requests of one object, so that a change of the shares
   /// moves few objects). Regions without a share come last. Empty if the
   /// service is unknown.
-  std::vector<RegionId> Rank(const ServiceId& aService,
-                             double aPosition) const;
+  std::vector<RegionId> Rank(const ServiceId& aService, double aPosition) const;
 
   /// Null if the service is unknown.
   const RegionShares* Shares(const ServiceId& aService) const;
--- a/src/libcranberrywing/gateway/account_shares.cpp
+++ b/src/libcranberrywing/gateway/account_shares.cpp
@@ -47,9 +47,8 @@
   // Gateways' lookups spread every account over all VMs of a region.
   AccountSettings account = aAccount;
   account.mSubsetSize = static_cast<std::uint32_t>(aVms.size());
-  const std::size_t wanted =
-    std::max(kFewestHoldersPerRegion * places.size(),
-             ShareHolderCount(account, aVms.size()));
+  const std::size_t wanted = std::max(kFewestHoldersPerRegion * places.size(),
+                                      ShareHolderCount(account, aVms.size()));
   std::vector<VmId> holders;
   for (const Ranked& each : ranked) {
     if (holders.size() < wanted) {
--- a/src/libcranberrywing/gateway/admission.cpp
+++ b/src/libcranberrywing/gateway/admission.cpp
@@ -32,7 +32,8 @@
   if (aRequest.mWait <= limit) {
     return { .mIsAdmitted = true };
   }
-  return { .mRetryAfter = std::max(aRequest.mWait - limit, aRequest.mWait / 2) };
+  return { .mRetryAfter =
+             std::max(aRequest.mWait - limit, aRequest.mWait / 2) };
 }
 
 } // namespace cranberrywing::gateway
--- a/src/libcranberrywing/gateway/backend_pool.cpp
+++ b/src/libcranberrywing/gateway/backend_pool.cpp
@@ -150,8 +150,7 @@
 double BackendPool::Load(const Backend& aBackend, TimePoint aNow) const
 {
   const Duration age = aNow - aBackend.mOthersAt;
-  double others =
-    aBackend.mOthers * HalfLifeDecay(age, mOptions.mLoadHalfLife);
+  double others = aBackend.mOthers * HalfLifeDecay(age, mOptions.mLoadHalfLife);
   const Duration peerAge = aNow - aBackend.mPeerInFlightAt;
   others = std::max(others,
                     aBackend.mPeerInFlight *
@@ -163,9 +162,9 @@
 {
   const Duration age = aNow - aBackend.mSlownessAt;
   const double known = HalfLifeDecay(age, mOptions.mSlownessHalfLife);
-  const double failing = aBackend.mFailureRate *
-                         HalfLifeDecay(aNow - aBackend.mFailureAt,
-                                       mOptions.mSlownessHalfLife);
+  const double failing =
+    aBackend.mFailureRate *
+    HalfLifeDecay(aNow - aBackend.mFailureAt, mOptions.mSlownessHalfLife);
   // A failed request costs its caller about one more service time.
   return 1 + (aBackend.mSlowness - 1) * known + 2 * failing;
 }
@@ -233,7 +232,7 @@
   aBackend.mOthersAt = aNow;
 }
 
-void BackendPool::OnSuccess(Backend& aBackend, double aRatio, TimePoint aNow)
+void BackendPool::AddRatio(Backend& aBackend, double aRatio, TimePoint aNow)
 {
   aBackend.mRatios.push_back(std::clamp(aRatio, 1.0, kLargestRatio));
   if (aBackend.mRatios.size() > mOptions.mRatioCount) {
@@ -244,11 +243,22 @@
       ? 1
       : *std::min_element(aBackend.mRatios.begin(), aBackend.mRatios.end());
   aBackend.mSlownessAt = aNow;
+}
+
+void BackendPool::OnSuccess(Backend& aBackend, double aRatio, TimePoint aNow)
+{
+  AddRatio(aBackend, aRatio, aNow);
   aBackend.mFailureRate *= 1 - kSampleWeight;
   aBackend.mConsecutiveFailures = 0;
   aBackend.mEjection = Duration::zero();
 }
 
+void BackendPool::OnTimeout(Backend& aBackend, double aRatio, TimePoint aNow)
+{
+  AddRatio(aBackend, aRatio, aNow);
+  OnFailure(aBackend, aNow);
+}
+
 bool BackendPool::OnFailure(Backend& aBackend, TimePoint aNow)
 {
   aBackend.mFailureRate += kSampleWeight * (1 - aBackend.mFailureRate);
@@ -264,10 +274,8 @@
 
 void BackendPool::Eject(Backend& aBackend, TimePoint aNow)
 {
-  aBackend.mEjection =
-    std::clamp(2 * aBackend.mEjection,
-               mOptions.mEjection,
-               mOptions.mLongestEjection);
+  aBackend.mEjection = std::clamp(
+    2 * aBackend.mEjection, mOptions.mEjection, mOptions.mLongestEjection);
   aBackend.mEjectedUntil = aNow + aBackend.mEjection;
   aBackend.mNeedsProbe = true;
   aBackend.mOthers = 0;
--- a/src/libcranberrywing/gateway/cold_start.cpp
+++ b/src/libcranberrywing/gateway/cold_start.cpp
@@ -52,8 +52,7 @@
   while (!sends.empty() && aNow - sends.front() > kWindow) {
     sends.pop_front();
   }
-  return sends.size() <
-         ColdQuota(mLimits, aRate, aBackend.mHash, aVms, aSelf);
+  return sends.size() < ColdQuota(mLimits, aRate, aBackend.mHash, aVms, aSelf);
 }
 
 } // namespace cranberrywing::gateway
--- a/src/libcranberrywing/gateway/fleet_view.cpp
+++ b/src/libcranberrywing/gateway/fleet_view.cpp
@@ -148,12 +148,11 @@
     }
   }
   std::vector<VmRecord> near;
-  std::copy_if(all.begin(),
-               all.end(),
-               std::back_inserter(near),
-               [&](const VmRecord& aRecord) {
-                 return aRecord.mRegion == aRegion;
-               });
+  std::copy_if(
+    all.begin(),
+    all.end(),
+    std::back_inserter(near),
+    [&](const VmRecord& aRecord) { return aRecord.mRegion == aRegion; });
   return near.empty() ? all : near;
 }
 
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -67,16 +67,16 @@
   , mColdStart(mOptions.mColdStart)
   , mRetries(mOptions.mRetries)
   , mRates(RateLimiter::Options{ .mSeed = mOptions.mSeed,
-                                .mLongestWait = kLongestTokenWait },
-           RateLimiterHooks{
-             .mFraction =
-               [this](const AccountId& aAccount) {
-                 return mShares.Fraction(aAccount, mOptions.mSelf.mVm);
-               },
-             .mPeers =
-               [this](const AccountId& aAccount) {
-                 return TokenPeers(aAccount);
-               } })
+                                 .mLongestWait = kLongestTokenWait },
+           RateLimiterHooks{ .mFraction =
+                               [this](const AccountId& aAccount) {
+                                 return mShares.Fraction(aAccount,
+                                                         mOptions.mSelf.mVm);
+                               },
+                             .mPeers =
+                               [this](const AccountId& aAccount) {
+                                 return TokenPeers(aAccount);
+                               } })
   , mCrashGuard(CrashGuard::Options{
       .mServersLost = 3,
       .mBlockTime = std::chrono::seconds(60),
@@ -163,11 +163,11 @@
   mShares.SetAccounts(std::move(accounts));
   mSplit.Retain(*mPolicy);
   mOut.push_back(effect::ApplyCallerLimits{ mPolicy->Content().mLimits });
-  Record("policy_in_force",
-         { { "revision", std::to_string(mPolicy->GetRevision().mNumber) },
-           { "routes", std::to_string(mPolicy->Content().mRoutes.size()) },
-           { "accounts",
-             std::to_string(mPolicy->Content().mAccounts.size()) } });
+  Record(
+    "policy_in_force",
+    { { "revision", std::to_string(mPolicy->GetRevision().mNumber) },
+      { "routes", std::to_string(mPolicy->Content().mRoutes.size()) },
+      { "accounts", std::to_string(mPolicy->Content().mAccounts.size()) } });
 }
 
 void Gateway::On(const event::BackendRegistered& aEvent)
@@ -180,14 +180,14 @@
     mOut.push_back(
       effect::CloseBackendConnections{ entry.mAddress, entry.mPort });
   }
-  Record("backend_registered",
-         { { "backend", entry.mBackend.mName },
-           { "service", entry.mService.mName },
-           { "draining", entry.mIsDraining ? "1" : "0" },
-           { "cold_ms",
-             std::to_string(
-               std::chrono::duration_cast<Milliseconds>(entry.mColdFor)
-                 .count()) } });
+  Record(
+    "backend_registered",
+    { { "backend", entry.mBackend.mName },
+      { "service", entry.mService.mName },
+      { "draining", entry.mIsDraining ? "1" : "0" },
+      { "cold_ms",
+        std::to_string(std::chrono::duration_cast<Milliseconds>(entry.mColdFor)
+                         .count()) } });
 }
 
 void Gateway::On(const event::BackendRemoved& aEvent)
@@ -335,11 +335,10 @@
 {
   for (const message::RequestBlock& block : mCrashGuard.TakeNewBlocks()) {
     for (const auto& [id, peer] : mFleet.Peers()) {
-      mOut.push_back(
-        effect::SendMessage{ .mTo = id,
-                             .mAddress = peer.mRecord.mAddress,
-                             .mPort = peer.mRecord.mPeerPort,
-                             .mMessage = block });
+      mOut.push_back(effect::SendMessage{ .mTo = id,
+                                          .mAddress = peer.mRecord.mAddress,
+                                          .mPort = peer.mRecord.mPeerPort,
+                                          .mMessage = block });
     }
   }
 }
@@ -477,11 +476,10 @@
     const auto demand = aLoad.mDemand.find(region);
     const double part = share == shares->end() ? 0 : share->second;
     const double busy = demand == aLoad.mDemand.end() ? 0 : demand->second;
-    fields.push_back(
-      { region.mName,
-        std::to_string(std::lround(100 * part)) + "%/" +
-          std::to_string(std::lround(slots)) + "slots/" +
-          std::to_string(std::lround(busy)) + "busy" });
+    fields.push_back({ region.mName,
+                       std::to_string(std::lround(100 * part)) + "%/" +
+                         std::to_string(std::lround(slots)) + "slots/" +
+                         std::to_string(std::lround(busy)) + "busy" });
   }
   Record("region_shares", std::move(fields));
 }
@@ -498,11 +496,10 @@
       backend->mIsProbing = false;
       continue;
     }
-    mOut.push_back(
-      effect::ProbeBackend{ .mBackend = backend->mEntry.mBackend,
-                            .mAddress = backend->mEntry.mAddress,
-                            .mPort = backend->mEntry.mPort,
-                            .mHealthPath = service->mHealthPath });
+    mOut.push_back(effect::ProbeBackend{ .mBackend = backend->mEntry.mBackend,
+                                         .mAddress = backend->mEntry.mAddress,
+                                         .mPort = backend->mEntry.mPort,
+                                         .mHealthPath = service->mHealthPath });
   }
 }
 
--- a/src/libcranberrywing/gateway/gateway_requests.cpp
+++ b/src/libcranberrywing/gateway/gateway_requests.cpp
@@ -45,8 +45,7 @@
 bool Contains(const std::vector<RegionId>& aRegions, const RegionId& aRegion)
 {
   return aRegions.empty() ||
-         std::find(aRegions.begin(), aRegions.end(), aRegion) !=
-           aRegions.end();
+         std::find(aRegions.begin(), aRegions.end(), aRegion) != aRegions.end();
 }
 
 } // namespace
@@ -97,20 +96,18 @@
   if (request.mAccount && request.mAccount->mPriority) {
     request.mPriority = *request.mAccount->mPriority;
   }
-  if (mStoppingSince &&
-      mNow - *mStoppingSince >= mOptions.mStopAccepting) {
+  if (mStoppingSince && mNow - *mStoppingSince >= mOptions.mStopAccepting) {
     RefuseRequest(request,
                   { .mCode = ResultCode::ShuttingDown,
                     .mDetail = "the VM is stopping",
                     .mRetryAfter = Milliseconds(1) });
     return;
   }
-  request.mFingerprint =
-    FingerprintRequest(request.mAccount
-                         ? RouteId(route.mRoute.mName + '\n' +
-                                   request.mAccount->mAccount.mName)
-                         : route.mRoute,
-                       *aEvent.mContent);
+  request.mFingerprint = FingerprintRequest(
+    request.mAccount
+      ? RouteId(route.mRoute.mName + '\n' + request.mAccount->mAccount.mName)
+      : route.mRoute,
+    *aEvent.mContent);
   if (mCrashGuard.IsBlocked(request.mFingerprint, mNow) ||
       mCrashGuard.IsSuspect(request.mFingerprint, mNow)) {
     RefuseRequest(request,
@@ -175,8 +172,7 @@
   const ServicePolicy* const service =
     aRequest.mPolicy->FindService(aRequest.mService);
   for (Backend* const backend : mPool.OfService(aRequest.mService)) {
-    if (backend->mEntry.mRegion != aRegion ||
-        !mPool.IsUsable(*backend, mNow) ||
+    if (backend->mEntry.mRegion != aRegion || !mPool.IsUsable(*backend, mNow) ||
         std::find(aRequest.mTried.begin(),
                   aRequest.mTried.end(),
                   backend->mEntry.mBackend) != aRequest.mTried.end()) {
@@ -264,8 +260,7 @@
     .mAddress = backend.mEntry.mAddress,
     .mPort = backend.mEntry.mPort,
     .mContent = aRequest.mArrival.mContent,
-    .mAccount =
-      aRequest.mAccount ? aRequest.mAccount->mAccount : AccountId(),
+    .mAccount = aRequest.mAccount ? aRequest.mAccount->mAccount : AccountId(),
     .mPatience = timeLeft,
     .mTimeout = timeLeft + kAnswerMargin,
   });
@@ -460,8 +455,7 @@
     mRates.Cancel(aEvent.mRequest);
   }
   if (!request.mBackend.IsEmpty()) {
-    mOut.push_back(
-      effect::CancelDispatch{ aEvent.mRequest, request.mAttempt });
+    mOut.push_back(effect::CancelDispatch{ aEvent.mRequest, request.mAttempt });
     EndAttempt(request, true);
   }
   Record("request_cancelled",
@@ -473,23 +467,22 @@
 void Gateway::Answer(Request& aRequest, AnswerContentPtr aAnswer)
 {
   ++mCounters.mAnswered;
-  Record("request_answered",
-         { { "trace", aRequest.mArrival.mTrace },
-           { "route", aRequest.mRoute->mRoute.mName },
-           { "backend", aRequest.mTried.back().mName },
-           { "status", std::to_string(aAnswer->mStatus) },
-           { "attempts", std::to_string(aRequest.mAttempt) },
-           { "object", std::to_string(aRequest.mObject) },
-           { "rank", std::to_string(aRequest.mRank) },
-           { "expected_wait_ms", ToMs(aRequest.mExpectedWait) },
-           { "expected_ms", ToMs(aRequest.mExpected) },
-           { "took_ms", ToMs(mNow - aRequest.mArrivedAt) },
-           { "policy",
-             std::to_string(aRequest.mPolicy->GetRevision().mNumber) } });
-  mOut.push_back(
-    effect::Respond{ .mRequest = aRequest.mArrival.mRequest,
-                     .mAnswer = std::move(aAnswer),
-                     .mCloseAfter = mStoppingSince.has_value() });
+  Record(
+    "request_answered",
+    { { "trace", aRequest.mArrival.mTrace },
+      { "route", aRequest.mRoute->mRoute.mName },
+      { "backend", aRequest.mTried.back().mName },
+      { "status", std::to_string(aAnswer->mStatus) },
+      { "attempts", std::to_string(aRequest.mAttempt) },
+      { "object", std::to_string(aRequest.mObject) },
+      { "rank", std::to_string(aRequest.mRank) },
+      { "expected_wait_ms", ToMs(aRequest.mExpectedWait) },
+      { "expected_ms", ToMs(aRequest.mExpected) },
+      { "took_ms", ToMs(mNow - aRequest.mArrivedAt) },
+      { "policy", std::to_string(aRequest.mPolicy->GetRevision().mNumber) } });
+  mOut.push_back(effect::Respond{ .mRequest = aRequest.mArrival.mRequest,
+                                  .mAnswer = std::move(aAnswer),
+                                  .mCloseAfter = mStoppingSince.has_value() });
   const RequestId id = aRequest.mArrival.mRequest;
   mRequests.erase(id);
 }
@@ -515,10 +508,9 @@
       { "retry_after_ms", ToMs(aRefusal.mRetryAfter) },
       { "policy",
         mPolicy ? std::to_string(mPolicy->GetRevision().mNumber) : "" } });
-  mOut.push_back(
-    effect::Refuse{ .mRequest = aRequest.mArrival.mRequest,
-                    .mRefusal = std::move(aRefusal),
-                    .mCloseAfter = mStoppingSince.has_value() });
+  mOut.push_back(effect::Refuse{ .mRequest = aRequest.mArrival.mRequest,
+                                 .mRefusal = std::move(aRefusal),
+                                 .mCloseAfter = mStoppingSince.has_value() });
   const RequestId id = aRequest.mArrival.mRequest;
   mRequests.erase(id);
 }
@@ -585,16 +577,21 @@
       request.mMayHaveRun = true;
       mOut.push_back(effect::CancelDispatch{ id, request.mAttempt });
       if (Backend* const backend = EndAttempt(request, false)) {
-        mPool.OnFailure(*backend, mNow);
+        const Duration usual =
+          mTimes.Expect(*request.mRoute, request.mService).mWarm;
+        mPool.OnTimeout(*backend,
+                        ToSeconds(mNow - request.mSentAt) /
+                          std::max(1e-3, ToSeconds(usual)),
+                        mNow);
       }
     }
     const bool isNotRun = !request.mMayHaveRun;
-    RefuseRequest(request,
-                  { .mCode = isNotRun ? ResultCode::Overloaded
-                                      : ResultCode::DeadlineExceeded,
-                    .mExecution =
-                      isNotRun ? Execution::NotRun : Execution::Unknown,
-                    .mDetail = "no answer in time" });
+    RefuseRequest(
+      request,
+      { .mCode =
+          isNotRun ? ResultCode::Overloaded : ResultCode::DeadlineExceeded,
+        .mExecution = isNotRun ? Execution::NotRun : Execution::Unknown,
+        .mDetail = "no answer in time" });
   }
 }
 
--- a/src/libcranberrywing/gateway/gateway_test_fleet.h
+++ b/src/libcranberrywing/gateway/gateway_test_fleet.h
@@ -43,22 +43,21 @@
     content.mServices = { { .mService = ServiceId("ordering"),
                             .mHealthPath = "/health",
                             .mColdRate = 7 } };
-    const auto route = [](const char* aName,
-                          const char* aPrefix,
-                          bool aIsIdempotent) {
-      RoutePolicy policy;
-      policy.mRoute = RouteId(aName);
-      policy.mHost = kHost;
-      policy.mPrefix = aPrefix;
-      policy.mIsIdempotent = aIsIdempotent;
-      policy.mTimeout = std::chrono::seconds(1);
-      policy.mTargetLatency = std::chrono::milliseconds(400);
-      policy.mPriority = 1;
-      policy.mServices = { { ServiceId("ordering"), 1 } };
-      policy.mMaxAttempts = 2;
-      policy.mIsSticky = true;
-      return policy;
-    };
+    const auto route =
+      [](const char* aName, const char* aPrefix, bool aIsIdempotent) {
+        RoutePolicy policy;
+        policy.mRoute = RouteId(aName);
+        policy.mHost = kHost;
+        policy.mPrefix = aPrefix;
+        policy.mIsIdempotent = aIsIdempotent;
+        policy.mTimeout = std::chrono::seconds(1);
+        policy.mTargetLatency = std::chrono::milliseconds(400);
+        policy.mPriority = 1;
+        policy.mServices = { { ServiceId("ordering"), 1 } };
+        policy.mMaxAttempts = 2;
+        policy.mIsSticky = true;
+        return policy;
+      };
     content.mRoutes = { route("prices", "/prices/", true),
                         route("orders", "/orders/", false) };
     content.mAccounts = { { .mAccount = AccountId("shops"),
@@ -66,10 +65,7 @@
     return content;
   }
 
-  void SetPolicy(std::uint64_t aRevision)
-  {
-    SetPolicy(Content(aRevision));
-  }
+  void SetPolicy(std::uint64_t aRevision) { SetPolicy(Content(aRevision)); }
 
   void SetPolicy(PolicyContent aContent)
   {
@@ -132,13 +128,12 @@
              event::ReplyKind aKind,
              std::uint32_t aStatus)
   {
-    Do(event::BackendReplied{
-      .mRequest = aDispatch.mRequest,
-      .mAttempt = aDispatch.mAttempt,
-      .mKind = aKind,
-      .mAnswer = std::make_shared<const AnswerContent>(
-        AnswerContent{ .mStatus = aStatus }),
-      .mLatency = std::chrono::milliseconds(100) });
+    Do(event::BackendReplied{ .mRequest = aDispatch.mRequest,
+                              .mAttempt = aDispatch.mAttempt,
+                              .mKind = aKind,
+                              .mAnswer = std::make_shared<const AnswerContent>(
+                                AnswerContent{ .mStatus = aStatus }),
+                              .mLatency = std::chrono::milliseconds(100) });
   }
 
   void Fail(const effect::Dispatch& aDispatch,
--- a/src/libcranberrywing/gateway/object_selector.cpp
+++ b/src/libcranberrywing/gateway/object_selector.cpp
@@ -48,8 +48,8 @@
                                    const ExpectedTimes& aTimes,
                                    TimePoint aNow) const
 {
-  const bool isWarm = aRank < mOptions.mReplicas ||
-                      aPool.IsWarm(aBackend, aObject, aNow);
+  const bool isWarm =
+    aRank < mOptions.mReplicas || aPool.IsWarm(aBackend, aObject, aNow);
   double factor = aPool.Slowness(aBackend, aNow);
   if (aPool.IsCold(aBackend, aNow)) {
     factor *= mOptions.mColdFactor;
--- a/src/libcranberrywing/gateway/policy.cpp
+++ b/src/libcranberrywing/gateway/policy.cpp
@@ -12,9 +12,10 @@
 std::string NormalizeHost(std::string_view aHost)
 {
   std::string host(aHost.substr(0, aHost.rfind(':')));
-  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char c) {
-    return static_cast<char>(std::tolower(c));
-  });
+  std::transform(
+    host.begin(), host.end(), host.begin(), [](unsigned char aLetter) {
+      return static_cast<char>(std::tolower(aLetter));
+    });
   return host;
 }
 
@@ -96,14 +97,12 @@
   }
   for (std::size_t n = 0; n < content.mAccounts.size(); ++n) {
     for (const std::string& key : content.mAccounts[n].mKeys) {
-      const auto [it, isNew] =
-        policy->mAccountByKey.emplace(DigestKey(key), n);
+      const auto [it, isNew] = policy->mAccountByKey.emplace(DigestKey(key), n);
       if (!isNew && it->second != n) {
-        return MakeError(ResultCode::InvalidSettings,
-                         "accounts " +
-                           content.mAccounts[it->second].mAccount.mName +
-                           " and " + content.mAccounts[n].mAccount.mName +
-                           " share a key");
+        return MakeError(
+          ResultCode::InvalidSettings,
+          "accounts " + content.mAccounts[it->second].mAccount.mName + " and " +
+            content.mAccounts[n].mAccount.mName + " share a key");
       }
     }
   }
--- a/src/libcranberrywing/gateway/region_plan.cpp
+++ b/src/libcranberrywing/gateway/region_plan.cpp
@@ -104,15 +104,12 @@
 bool RegionPlan::HasLostRoom(const Service& aService,
                              const RegionalLoad& aLoad) const
 {
-  return std::any_of(aService.mShares.begin(),
-                     aService.mShares.end(),
-                     [&](const auto& aEntry) {
-                       const double before =
-                         ValueOf(aService.mOffered, aEntry.first);
-                       const double now =
-                         ValueOf(aLoad.mOffered, aEntry.first);
-                       return now < before * (1 - mOptions.mUrgentLoss);
-                     });
+  return std::any_of(
+    aService.mShares.begin(), aService.mShares.end(), [&](const auto& aEntry) {
+      const double before = ValueOf(aService.mOffered, aEntry.first);
+      const double now = ValueOf(aLoad.mOffered, aEntry.first);
+      return now < before * (1 - mOptions.mUrgentLoss);
+    });
 }
 
 void RegionPlan::Update(const ServiceId& aService,
--- a/src/libcranberrywing/gateway/region_plan_test.cpp
+++ b/src/libcranberrywing/gateway/region_plan_test.cpp
@@ -100,8 +100,8 @@
 
 TEST_CASE("The guess of the demand follows the number of VMs")
 {
-  const auto demand =
-    GuessDemand({ { kNear, 8 }, { kFar, 92 } }, { { kNear, 3 }, { kFar, 1 } }, 0.5);
+  const auto demand = GuessDemand(
+    { { kNear, 8 }, { kFar, 92 } }, { { kNear, 3 }, { kFar, 1 } }, 0.5);
   CHECK(demand.at(kNear) == Approx(37.5));
   CHECK(demand.at(kFar) == Approx(12.5));
 }
--- a/src/libcranberrywing/gateway/service_split.cpp
+++ b/src/libcranberrywing/gateway/service_split.cpp
@@ -11,15 +11,15 @@
     return aRoute.mServices.front().mService;
   }
   std::vector<Part>& parts = mRoutes[aRoute.mRoute];
-  const bool isSame = std::equal(parts.begin(),
-                                 parts.end(),
-                                 aRoute.mServices.begin(),
-                                 aRoute.mServices.end(),
-                                 [](const Part& aPart, const auto& aWeighted) {
-                                   return aPart.mService ==
-                                            aWeighted.mService &&
-                                          aPart.mWeight == aWeighted.mWeight;
-                                 });
+  const bool isSame =
+    std::equal(parts.begin(),
+               parts.end(),
+               aRoute.mServices.begin(),
+               aRoute.mServices.end(),
+               [](const Part& aPart, const auto& aWeighted) {
+                 return aPart.mService == aWeighted.mService &&
+                        aPart.mWeight == aWeighted.mWeight;
+               });
   if (!isSame) {
     parts.clear();
     for (const WeightedService& weighted : aRoute.mServices) {
--- a/src/libcranberrywing/gateway/service_times.cpp
+++ b/src/libcranberrywing/gateway/service_times.cpp
@@ -54,8 +54,8 @@
   const auto [it, isNew] = mMeans.emplace(aService, aLatency);
   if (!isNew) {
     const double mean = static_cast<double>(it->second.count());
-    const double sample = std::min(static_cast<double>(aLatency.count()),
-                                   kLargestSample * mean);
+    const double sample =
+      std::min(static_cast<double>(aLatency.count()), kLargestSample * mean);
     it->second = Duration(
       static_cast<Duration::rep>(mean + kSampleWeight * (sample - mean)));
   }
--- a/src/libcranberrywing/gateway/store_follower.cpp
+++ b/src/libcranberrywing/gateway/store_follower.cpp
@@ -26,8 +26,8 @@
 
 void StoreFollower::Call(StoreLane aLane, const StoreCall& aCall)
 {
-  Duration timeout = mWasLost && !mIsInContact ? mOptions.mLostTimeout
-                                               : mOptions.mCallTimeout;
+  Duration timeout =
+    mWasLost && !mIsInContact ? mOptions.mLostTimeout : mOptions.mCallTimeout;
   if (const auto* const watch = std::get_if<store_call::Watch>(&aCall)) {
     timeout += watch->mWait;
   }
@@ -262,8 +262,7 @@
   if (std::holds_alternative<store_call::GrantLease>(mLeaseCall)) {
     mLease = aReply.mLease;
     mIsOwnWritten = false;
-  } else if (const auto* const put =
-               std::get_if<store_call::Put>(&mLeaseCall);
+  } else if (const auto* const put = std::get_if<store_call::Put>(&mLeaseCall);
              put && put->mLease == 0) {
     mIsRosterWritten = true;
   } else if (put) {
@@ -285,9 +284,8 @@
 void StoreFollower::EndLease()
 {
   if (mLease != 0) {
-    mHooks.mCall(StoreLane::Lease,
-                 store_call::EndLease{ mLease },
-                 mOptions.mCallTimeout);
+    mHooks.mCall(
+      StoreLane::Lease, store_call::EndLease{ mLease }, mOptions.mCallTimeout);
     mLease = 0;
   }
 }
--- a/src/libcranberrywing/gateway/store_follower_test.cpp
+++ b/src/libcranberrywing/gateway/store_follower_test.cpp
@@ -13,24 +13,23 @@
 {
 public:
   Follower()
-    : mFollower(StoreFollower::Options{ .mOwnKey = "vms/a",
-                                        .mOwnValue = "me",
-                                        .mRosterKey = "roster/a" },
-                StoreFollowerHooks{
-                  .mCall =
-                    [this](StoreLane aLane, const StoreCall& aCall, Duration) {
-                      (aLane == StoreLane::Follow ? mFollow : mLease) = aCall;
-                    },
-                  .mOnChange =
-                    [this](const StoreChange& aChange) {
-                      mChanges.push_back(aChange);
-                    },
-                  .mOnComplete = [this] { ++mCompleted; },
-                  .mOnContact = [this](bool aIs) { mIsInContact = aIs; },
-                  .mIsPerishable =
-                    [](const std::string& aKey) {
-                      return aKey.starts_with("servers/");
-                    } })
+    : mFollower(
+        StoreFollower::Options{ .mOwnKey = "vms/a",
+                                .mOwnValue = "me",
+                                .mRosterKey = "roster/a" },
+        StoreFollowerHooks{
+          .mCall =
+            [this](StoreLane aLane, const StoreCall& aCall, Duration) {
+              (aLane == StoreLane::Follow ? mFollow : mLease) = aCall;
+            },
+          .mOnChange =
+            [this](const StoreChange& aChange) { mChanges.push_back(aChange); },
+          .mOnComplete = [this] { ++mCompleted; },
+          .mOnContact = [this](bool aIs) { mIsInContact = aIs; },
+          .mIsPerishable =
+            [](const std::string& aKey) {
+              return aKey.starts_with("servers/");
+            } })
   {
     mFollower.Start(mNow);
   }
