Shorten the waits that less urgent requests may have

Normal requests may wait 0.45 and low ones 0.22 of their target. The test's bounds follow the new parts, closer on both sides.

--- a/src/libcranberrywing/gateway/admission.cpp
+++ b/src/libcranberrywing/gateway/admission.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 /// Longest wait in a server's queue, as a part of the target latency.
-constexpr double kNormalWaitPart = 0.6;
-constexpr double kLowWaitPart = 0.35;
+constexpr double kNormalWaitPart = 0.45;
+constexpr double kLowWaitPart = 0.22;
 /// Network time that an expectation of the server's work leaves out.
 constexpr Duration kNetworkMargin = std::chrono::milliseconds(30);
 
--- a/src/libcranberrywing/gateway/limits_test.cpp
+++ b/src/libcranberrywing/gateway/limits_test.cpp
@@ -99,10 +99,10 @@
 // first, so that the queue stays short enough for the urgent ones.
 TEST_CASE("Under load the less urgent are refused at shorter queues")
 {
-  CHECK(DecideAdmission(Waiting(2, Milliseconds(100))).mIsAdmitted);
-  CHECK_FALSE(DecideAdmission(Waiting(2, Milliseconds(200))).mIsAdmitted);
-  CHECK(DecideAdmission(Waiting(1, Milliseconds(200))).mIsAdmitted);
-  CHECK_FALSE(DecideAdmission(Waiting(1, Milliseconds(300))).mIsAdmitted);
+  CHECK(DecideAdmission(Waiting(2, Milliseconds(80))).mIsAdmitted);
+  CHECK_FALSE(DecideAdmission(Waiting(2, Milliseconds(100))).mIsAdmitted);
+  CHECK(DecideAdmission(Waiting(1, Milliseconds(170))).mIsAdmitted);
+  CHECK_FALSE(DecideAdmission(Waiting(1, Milliseconds(200))).mIsAdmitted);
   CHECK(DecideAdmission(Waiting(0, Milliseconds(300))).mIsAdmitted);
 }
 
