--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -134,6 +134,8 @@
               std::vector<cranberrywing::effect::Field> aFields);
   /// VMs that may lend tokens of the account, nearest first.
   std::vector<VmId> TokenPeers(const AccountId& aAccount);
+
+  // gateway_upkeep.cpp
   void SendStatus();
   void UpdatePlan();
   RegionalLoad LoadOf(const ServiceId& aService) const;
@@ -158,6 +160,8 @@
   bool MayRetry(const Request& aRequest);
   bool Retry(Request& aRequest);
   Request* FindAttempt(RequestId aRequest, AttemptNumber aAttempt);
+
+  // gateway_outcomes.cpp
   /// Ends the present attempt's accounting.
   Backend* EndAttempt(Request& aRequest, bool aHasAnswered);
   void NoteSuccess(Request& aRequest,
--- a/src/libcranberrywing/gateway/admission.cpp
+++ b/src/libcranberrywing/gateway/admission.cpp
@@ -2,8 +2,12 @@
 
 #include <algorithm>
 
+#include "duration_math.h"
+
 namespace cranberrywing::gateway {
 
+using detail::Scale;
+
 namespace {
 
 /// Longest wait in a server's queue, as a part of the target latency.
@@ -12,12 +16,6 @@
 /// Network time that an expectation of the server's work leaves out.
 constexpr Duration kNetworkMargin = std::chrono::milliseconds(30);
 
-Duration Scale(Duration aDuration, double aFactor)
-{
-  return Duration(static_cast<Duration::rep>(
-    static_cast<double>(aDuration.count()) * aFactor));
-}
-
 } // namespace
 
 AdmissionDecision DecideAdmission(const AdmissionRequest& aRequest)
--- a/src/libcranberrywing/gateway/gateway_requests.cpp
+++ b/src/libcranberrywing/gateway/gateway_requests.cpp
@@ -2,46 +2,26 @@
 #include <cmath>
 
 #include "cranberrywing/gateway/gateway.h"
+#include "duration_math.h"
+#include "request_limits.h"
 
 namespace cranberrywing::gateway {
 
+using detail::kAnswerMargin;
+using detail::kArrivalSeconds;
+using detail::kUsualRetry;
+using detail::ToMs;
+
 namespace {
 
-/// Time constant of the moving average of arrivals.
-constexpr double kArrivalSeconds = 2.0;
-/// A server that gave no answer for this long may be gone.
-constexpr Duration kShortestAttempt = std::chrono::milliseconds(500);
 /// Less than this is not worth a repeat.
 constexpr Duration kShortestRepeat = std::chrono::milliseconds(60);
-/// Wait that callers are told when nothing better is known.
-constexpr Duration kUsualRetry = std::chrono::milliseconds(250);
-constexpr Duration kLongestRetry = std::chrono::seconds(2);
-/// An answer that comes this much before the deadline still reaches the
-/// caller in time.
-constexpr Duration kAnswerMargin = std::chrono::milliseconds(15);
-
-double ToSeconds(Duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
-std::string ToMs(Duration aDuration)
-{
-  return std::to_string(
-    std::chrono::duration_cast<Milliseconds>(aDuration).count());
-}
 
 std::string_view PathOf(std::string_view aTarget)
 {
   return aTarget.substr(0, aTarget.find('?'));
 }
 
-/// Statuses that promise callers that the request has not run.
-bool PromisesNotRun(std::uint32_t aStatus)
-{
-  return aStatus == 408 || aStatus == 421 || aStatus == 429 || aStatus == 503;
-}
-
 bool Contains(const std::vector<RegionId>& aRegions, const RegionId& aRegion)
 {
   return aRegions.empty() ||
@@ -266,27 +246,6 @@
   });
 }
 
-Gateway::Request* Gateway::FindAttempt(RequestId aRequest,
-                                       AttemptNumber aAttempt)
-{
-  const auto it = mRequests.find(aRequest);
-  if (it == mRequests.end() || it->second.mAttempt != aAttempt ||
-      it->second.mBackend.IsEmpty()) {
-    return nullptr;
-  }
-  return &it->second;
-}
-
-Backend* Gateway::EndAttempt(Request& aRequest, bool aHasAnswered)
-{
-  Backend* const backend = mPool.Find(aRequest.mBackend);
-  if (backend) {
-    mPool.OnEnded(*backend, aHasAnswered, mNow);
-  }
-  aRequest.mBackend = BackendId();
-  return backend;
-}
-
 bool Gateway::MayRetry(const Request& aRequest)
 {
   return aRequest.mAttempt < aRequest.mRoute->mMaxAttempts &&
@@ -306,304 +265,4 @@
   return true;
 }
 
-void Gateway::NoteSuccess(Request& aRequest,
-                          Backend& aBackend,
-                          const event::BackendReplied& aEvent)
-{
-  const ExpectedTimes times =
-    mTimes.Expect(*aRequest.mRoute, aRequest.mService);
-  mPool.OnSuccess(aBackend,
-                  ToSeconds(aEvent.mLatency) /
-                    std::max(1e-3, ToSeconds(times.mWarm)),
-                  mNow);
-  const bool hasQueued = aRequest.mExpectedWait > Duration::zero() ||
-                         (aEvent.mLoad && aEvent.mLoad->mWaiting > 0);
-  if (!hasQueued && !mPool.IsCold(aBackend, mNow)) {
-    mTimes.Learn(*aRequest.mRoute,
-                 aRequest.mService,
-                 aRequest.mObject == 0 || aRequest.mWasWarm,
-                 aEvent.mLatency);
-  }
-  mCrashGuard.OnSuccess(aRequest.mFingerprint);
-}
-
-void Gateway::On(const event::BackendReplied& aEvent)
-{
-  Request* const request = FindAttempt(aEvent.mRequest, aEvent.mAttempt);
-  if (!request) {
-    return;
-  }
-  Backend* const backend = EndAttempt(*request, true);
-  if (backend && aEvent.mLoad) {
-    mPool.OnLoad(*backend, *aEvent.mLoad, mNow);
-  }
-  const std::uint32_t status = aEvent.mAnswer ? aEvent.mAnswer->mStatus : 0;
-  switch (aEvent.mKind) {
-    case event::ReplyKind::Answer:
-      break;
-    case event::ReplyKind::WrongServer:
-      if (backend) {
-        mPool.Eject(*backend, mNow);
-      }
-      [[fallthrough]];
-    case event::ReplyKind::NotRun:
-      if (backend && aEvent.mKind == event::ReplyKind::NotRun) {
-        const bool isFull =
-          !aEvent.mLoad || aEvent.mLoad->mRunning >= backend->mEntry.mSlots;
-        if (!isFull) {
-          mPool.OnFailure(*backend, mNow);
-        }
-      }
-      if (!Retry(*request)) {
-        if (request->mMayHaveRun) {
-          FailUnknown(*request, "refused_after_a_run");
-          return;
-        }
-        const Duration wait =
-          mTimes.Expect(*request->mRoute, request->mService).mMean;
-        RefuseRequest(*request,
-                      { .mCode = ResultCode::Overloaded,
-                        .mDetail = "the server refused the request",
-                        .mRetryAfter = SpreadRetry(wait) });
-      }
-      return;
-    case event::ReplyKind::Unproven:
-      request->mMayHaveRun = true;
-      if (backend) {
-        mPool.OnFailure(*backend, mNow);
-      }
-      if (!request->mRoute->mIsIdempotent || !Retry(*request)) {
-        FailUnknown(*request, "unproven_answer");
-      }
-      return;
-  }
-  request->mMayHaveRun = true;
-  if (status < 500) {
-    if (backend) {
-      NoteSuccess(*request, *backend, aEvent);
-    }
-  } else {
-    if (backend) {
-      mPool.OnFailure(*backend, mNow);
-    }
-    if (request->mRoute->mIsIdempotent && Retry(*request)) {
-      return;
-    }
-  }
-  if (PromisesNotRun(status)) {
-    // The server ran the request and says so by the lack of its mark; the
-    // caller would read the status as a promise that it did not.
-    FailUnknown(*request, "status_" + std::to_string(status));
-    return;
-  }
-  Answer(*request, aEvent.mAnswer);
-}
-
-void Gateway::On(const event::BackendFailed& aEvent)
-{
-  Request* const request = FindAttempt(aEvent.mRequest, aEvent.mAttempt);
-  if (!request) {
-    return;
-  }
-  const BackendId server = request->mBackend;
-  Backend* const backend = EndAttempt(*request, false);
-  const bool isSent = aEvent.mStage == event::FailureStage::AfterFirstByte;
-  request->mMayHaveRun = request->mMayHaveRun || isSent;
-  if (aEvent.mKind == event::FailureKind::Connect) {
-    cranberrywing::EffectList effects;
-    mCrashGuard.OnServerDown(server, mNow, effects);
-    TakeCoreEffects(effects);
-    if (backend) {
-      mPool.Eject(*backend, mNow);
-    }
-  } else if (backend) {
-    const bool isEjected = mPool.OnFailure(*backend, mNow);
-    if (aEvent.mKind == event::FailureKind::Reset && isSent && !isEjected) {
-      // A probe tells at once whether the server or only the connection died.
-      mPool.Suspect(*backend, mNow);
-    }
-  }
-  if (aEvent.mKind == event::FailureKind::Reset && isSent) {
-    mCrashGuard.OnReset(request->mFingerprint, server, mNow);
-  }
-  const bool mayRepeat = !isSent || request->mRoute->mIsIdempotent;
-  if (mayRepeat && Retry(*request)) {
-    return;
-  }
-  if (!request->mMayHaveRun || request->mRoute->mIsIdempotent) {
-    const bool isNotRun = !request->mMayHaveRun;
-    RefuseRequest(
-      *request,
-      { .mCode = isNotRun ? ResultCode::NoBackend : ResultCode::BackendFailed,
-        .mExecution = isNotRun ? Execution::NotRun : Execution::Unknown,
-        .mDetail = "the server failed",
-        .mRetryAfter = isNotRun ? SpreadRetry(kUsualRetry) : Duration() });
-    return;
-  }
-  FailUnknown(*request, "server_failed");
-}
-
-void Gateway::On(const event::RequestCancelled& aEvent)
-{
-  const auto it = mRequests.find(aEvent.mRequest);
-  if (it == mRequests.end()) {
-    return;
-  }
-  Request& request = it->second;
-  ++mCounters.mCancelled;
-  if (request.mWaitsForTokens) {
-    mRates.Cancel(aEvent.mRequest);
-  }
-  if (!request.mBackend.IsEmpty()) {
-    mOut.push_back(effect::CancelDispatch{ aEvent.mRequest, request.mAttempt });
-    EndAttempt(request, true);
-  }
-  Record("request_cancelled",
-         { { "trace", request.mArrival.mTrace },
-           { "after_ms", ToMs(mNow - request.mArrivedAt) } });
-  mRequests.erase(it);
-}
-
-void Gateway::Answer(Request& aRequest, AnswerContentPtr aAnswer)
-{
-  ++mCounters.mAnswered;
-  Record(
-    "request_answered",
-    { { "trace", aRequest.mArrival.mTrace },
-      { "route", aRequest.mRoute->mRoute.mName },
-      { "backend", aRequest.mTried.back().mName },
-      { "status", std::to_string(aAnswer->mStatus) },
-      { "attempts", std::to_string(aRequest.mAttempt) },
-      { "object", std::to_string(aRequest.mObject) },
-      { "rank", std::to_string(aRequest.mRank) },
-      { "expected_wait_ms", ToMs(aRequest.mExpectedWait) },
-      { "expected_ms", ToMs(aRequest.mExpected) },
-      { "took_ms", ToMs(mNow - aRequest.mArrivedAt) },
-      { "policy", std::to_string(aRequest.mPolicy->GetRevision().mNumber) } });
-  mOut.push_back(effect::Respond{ .mRequest = aRequest.mArrival.mRequest,
-                                  .mAnswer = std::move(aAnswer),
-                                  .mCloseAfter = mStoppingSince.has_value() });
-  const RequestId id = aRequest.mArrival.mRequest;
-  mRequests.erase(id);
-}
-
-void Gateway::RefuseRequest(Request& aRequest, Refusal aRefusal)
-{
-  ++mCounters.mRefused[aRefusal.mCode];
-  Record(
-    "request_refused",
-    { { "trace", aRequest.mArrival.mTrace },
-      { "route",
-        aRequest.mRoute ? aRequest.mRoute->mRoute.mName : std::string() },
-      { "account",
-        aRequest.mAccount ? aRequest.mAccount->mAccount.mName : std::string() },
-      { "code", std::string(ToString(aRefusal.mCode)) },
-      { "execution", std::string(ToString(aRefusal.mExecution)) },
-      { "reason", aRefusal.mDetail },
-      { "attempts", std::to_string(aRequest.mAttempt) },
-      { "backend",
-        aRequest.mTried.empty() ? std::string()
-                                : aRequest.mTried.back().mName },
-      { "after_ms", ToMs(mNow - aRequest.mArrivedAt) },
-      { "retry_after_ms", ToMs(aRefusal.mRetryAfter) },
-      { "policy",
-        mPolicy ? std::to_string(mPolicy->GetRevision().mNumber) : "" } });
-  mOut.push_back(effect::Refuse{ .mRequest = aRequest.mArrival.mRequest,
-                                 .mRefusal = std::move(aRefusal),
-                                 .mCloseAfter = mStoppingSince.has_value() });
-  const RequestId id = aRequest.mArrival.mRequest;
-  mRequests.erase(id);
-}
-
-void Gateway::FailUnknown(Request& aRequest, std::string aReason)
-{
-  RefuseRequest(aRequest,
-                { .mCode = ResultCode::BackendFailed,
-                  .mExecution = Execution::Unknown,
-                  .mDetail = std::move(aReason) });
-}
-
-void Gateway::LeaveSilentServers()
-{
-  if (mStoppingSince) {
-    return;
-  }
-  std::vector<RequestId> stuck;
-  for (const auto& [id, request] : mRequests) {
-    const Backend* const backend =
-      request.mBackend.IsEmpty() ? nullptr : mPool.Find(request.mBackend);
-    if (!backend || !request.mRoute->mIsIdempotent ||
-        mNow - request.mSentAt < kShortestAttempt) {
-      continue;
-    }
-    const Duration longest =
-      mTimes.Expect(*request.mRoute, request.mService).mUnknown;
-    if (mPool.IsSilent(*backend, longest, mNow)) {
-      stuck.push_back(id);
-    }
-  }
-  for (const RequestId id : stuck) {
-    Request& request = mRequests.at(id);
-    // The attempt goes on unless another one is sure to follow: its server may
-    // still be at work.
-    if (!MayRetry(request) ||
-        !mRetries.TryRetry(request.mService, mFleet.ShareCount(), mNow)) {
-      continue;
-    }
-    ++mCounters.mRetries;
-    mOut.push_back(effect::CancelDispatch{ id, request.mAttempt });
-    request.mMayHaveRun = true;
-    if (Backend* const backend = EndAttempt(request, false)) {
-      mPool.OnFailure(*backend, mNow);
-    }
-    Send(request);
-  }
-}
-
-void Gateway::CheckDeadlines()
-{
-  std::vector<RequestId> due;
-  for (const auto& [id, request] : mRequests) {
-    if (mNow >= request.mDeadline - kAnswerMargin) {
-      due.push_back(id);
-    }
-  }
-  for (const RequestId id : due) {
-    Request& request = mRequests.at(id);
-    if (request.mWaitsForTokens) {
-      mRates.Cancel(id);
-    }
-    if (!request.mBackend.IsEmpty()) {
-      request.mMayHaveRun = true;
-      mOut.push_back(effect::CancelDispatch{ id, request.mAttempt });
-      if (Backend* const backend = EndAttempt(request, false)) {
-        const Duration usual =
-          mTimes.Expect(*request.mRoute, request.mService).mWarm;
-        mPool.OnTimeout(*backend,
-                        ToSeconds(mNow - request.mSentAt) /
-                          std::max(1e-3, ToSeconds(usual)),
-                        mNow);
-      }
-    }
-    const bool isNotRun = !request.mMayHaveRun;
-    RefuseRequest(
-      request,
-      { .mCode =
-          isNotRun ? ResultCode::Overloaded : ResultCode::DeadlineExceeded,
-        .mExecution = isNotRun ? Execution::NotRun : Execution::Unknown,
-        .mDetail = "no answer in time" });
-  }
-}
-
-Duration Gateway::SpreadRetry(Duration aBase)
-{
-  // Callers that are refused together must not come back together.
-  const double factor =
-    std::uniform_real_distribution<double>(0.75, 1.5)(mRandom);
-  const auto spread = Duration(static_cast<Duration::rep>(
-    static_cast<double>(std::max(aBase, Duration(Milliseconds(50))).count()) *
-    factor));
-  return std::min(spread, kLongestRetry);
-}
-
 } // namespace cranberrywing::gateway
--- a/src/libcranberrywing/gateway/object_selector.cpp
+++ b/src/libcranberrywing/gateway/object_selector.cpp
@@ -2,8 +2,12 @@
 
 #include <algorithm>
 
+#include "duration_math.h"
+
 namespace cranberrywing::gateway {
 
+using detail::Scale;
+
 namespace {
 
 /// Mixes two 64-bit hashes (finaliser of SplitMix64).
@@ -15,12 +19,6 @@
   return n ^ (n >> 31U);
 }
 
-Duration Scale(Duration aDuration, double aFactor)
-{
-  return Duration(static_cast<Duration::rep>(
-    static_cast<double>(aDuration.count()) * aFactor));
-}
-
 } // namespace
 
 ObjectHash HashObject(const ServiceId& aService, std::string_view aObject)
--- a/src/libcranberrywing/gateway/region_plan.cpp
+++ b/src/libcranberrywing/gateway/region_plan.cpp
@@ -4,8 +4,12 @@
 #include <cmath>
 #include <numeric>
 
+#include "duration_math.h"
+
 namespace cranberrywing::gateway {
 
+using detail::ToSeconds;
+
 namespace {
 
 double ValueOf(const std::map<RegionId, double>& aValues,
@@ -23,11 +27,6 @@
     });
 }
 
-double ToSeconds(Duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
 /// Takes shares of regions without servers to the others, in proportion.
 void DropEmptyRegions(RegionShares& aShares, const RegionalLoad& aLoad)
 {
--- a/src/libcranberrywing/gateway/store_follower_test.cpp
+++ b/src/libcranberrywing/gateway/store_follower_test.cpp
@@ -96,10 +96,10 @@
   Follower follower;
   follower.Reply({ .mStatus = StoreStatus::Ok,
                    .mRevision = 7,
-                   .mItems = { { "op/config", "c", 3 } },
+                   .mItems = { { "config", "c", 3 } },
                    .mHasMore = true });
   CHECK(std::get<store_call::ListPage>(*follower.mFollow).mAfterKey ==
-        "op/config");
+        "config");
   follower.Reply({ .mStatus = StoreStatus::Ok,
                    .mRevision = 9,
                    .mItems = { { "servers/0", "s", 4 } } });
