--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -138,6 +138,8 @@
     "backend_registered",
     { { "backend", entry.mBackend.mName },
       { "service", entry.mService.mName },
+      { "region", entry.mRegion.mName },
+      { "failure_domain", entry.mFailureDomain.mName },
       { "draining", entry.mIsDraining ? "1" : "0" },
       { "cold_ms",
         std::to_string(std::chrono::duration_cast<Milliseconds>(entry.mColdFor)
