Call a server silent only after the longest usual time

Cause: a server counted as silent after twice the 0.6 quantile of the answers about objects that this VM had not sent there. Most of those servers know the object from other VMs and answer in 250 ms, so the limit was about 600 ms, and a server that had forgotten the object needs 840 ms. Others of the VM's requests avoided the server for the same reason. Change: the limit is 1.5 times the 0.95 quantile. New lines event=request_retried tell why a request went to another server; answers name the account and whether the object was known there.

--- a/src/include/cranberrywing/gateway/backend_pool.h
+++ b/src/include/cranberrywing/gateway/backend_pool.h
@@ -108,8 +108,8 @@
     /// Objects remembered per server.
     std::size_t mObjectLimit = 128;
     /// A server is silent if it gives no answer for this multiple of the
-    /// time that an object new to it takes, and for at least mSilence.
-    double mSilenceFactor = 2;
+    /// longest time that a request usually takes, and for at least mSilence.
+    double mSilenceFactor = 1.5;
     Duration mSilence = std::chrono::milliseconds(500);
   };
 
@@ -145,7 +145,7 @@
   double Slowness(const Backend& aBackend, TimePoint aNow) const;
   /// Whether requests wait there and no answer has come for long.
   bool IsSilent(const Backend& aBackend,
-                Duration aServiceTime,
+                Duration aLongest,
                 TimePoint aNow) const;
   bool IsWarm(const Backend& aBackend,
               ObjectHash aObject,
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -158,7 +159,10 @@
   bool IsAllowed(const Request& aRequest, const RegionId& aRegion) const;
   std::optional<Selection> Select(const Request& aRequest);
   bool MayRetry(const Request& aRequest);
-  bool Retry(Request& aRequest);
+  /// Sends the request to another server if the rules allow it. aReason says
+  /// in the log how the last attempt ended.
+  bool Retry(Request& aRequest, std::string_view aReason);
+  void RecordRetry(const Request& aRequest, std::string_view aReason);
   Request* FindAttempt(RequestId aRequest, AttemptNumber aAttempt);
 
   // gateway_outcomes.cpp
--- a/src/include/cranberrywing/gateway/object_selector.h
+++ b/src/include/cranberrywing/gateway/object_selector.h
@@ -32,6 +32,9 @@
   Duration mUnknown = std::chrono::milliseconds(300);
   /// Mean over a server's queue.
   Duration mMean = std::chrono::milliseconds(150);
+  /// Nearly all answers come sooner, those of servers that did not know the
+  /// object included.
+  Duration mLongest = std::chrono::milliseconds(600);
 };
 
 struct Selection
--- a/src/include/cranberrywing/gateway/service_times.h
+++ b/src/include/cranberrywing/gateway/service_times.h
@@ -50,6 +50,7 @@
     Samples mUnknownSamples;
     std::optional<Duration> mWarm;
     std::optional<Duration> mUnknown;
+    std::optional<Duration> mLongest;
   };
 
   std::map<std::pair<RouteId, ServiceId>, RouteTimes> mRoutes;
--- a/src/libcranberrywing/gateway/backend_pool.cpp
+++ b/src/libcranberrywing/gateway/backend_pool.cpp
@@ -179,13 +179,13 @@
 }
 
 bool BackendPool::IsSilent(const Backend& aBackend,
-                           Duration aServiceTime,
+                           Duration aLongest,
                            TimePoint aNow) const
 {
   const auto limit = std::max(
     mOptions.mSilence,
-    Duration(static_cast<Duration::rep>(
-      static_cast<double>(aServiceTime.count()) * mOptions.mSilenceFactor)));
+    Duration(static_cast<Duration::rep>(static_cast<double>(aLongest.count()) *
+                                        mOptions.mSilenceFactor)));
   return aBackend.mInFlight > 0 && aNow - aBackend.mAwaitingSince > limit;
 }
 
--- a/src/libcranberrywing/gateway/gateway_outcomes.cpp
+++ b/src/libcranberrywing/gateway/gateway_outcomes.cpp
@@ -94,7 +94,9 @@
           mPool.OnFailure(*backend, mNow);
         }
       }
-      if (!Retry(*request)) {
+      if (!Retry(*request,
+                 aEvent.mKind == event::ReplyKind::NotRun ? "refused"
+                                                          : "wrong_server")) {
         if (request->mMayHaveRun) {
           FailUnknown(*request, "refused_after_a_run");
           return;
@@ -112,7 +114,8 @@
       if (backend) {
         mPool.OnFailure(*backend, mNow);
       }
-      if (!request->mRoute->mIsIdempotent || !Retry(*request)) {
+      if (!request->mRoute->mIsIdempotent ||
+          !Retry(*request, "unproven_answer")) {
         FailUnknown(*request, "unproven_answer");
       }
       return;
@@ -126,7 +129,7 @@
     if (backend) {
       mPool.OnFailure(*backend, mNow);
     }
-    if (request->mRoute->mIsIdempotent && Retry(*request)) {
+    if (request->mRoute->mIsIdempotent && Retry(*request, "failed_answer")) {
       return;
     }
   }
@@ -167,7 +170,7 @@
     mCrashGuard.OnReset(request->mFingerprint, server, mNow);
   }
   const bool mayRepeat = !isSent || request->mRoute->mIsIdempotent;
-  if (mayRepeat && Retry(*request)) {
+  if (mayRepeat && Retry(*request, isSent ? "connection_lost" : "not_sent")) {
     return;
   }
   if (!request->mMayHaveRun || request->mRoute->mIsIdempotent) {
@@ -211,11 +214,14 @@
     "request_answered",
     { { "trace", aRequest.mArrival.mTrace },
       { "route", aRequest.mRoute->mRoute.mName },
+      { "account",
+        aRequest.mAccount ? aRequest.mAccount->mAccount.mName : std::string() },
       { "backend", aRequest.mTried.back().mName },
       { "status", std::to_string(aAnswer->mStatus) },
       { "attempts", std::to_string(aRequest.mAttempt) },
       { "object", std::to_string(aRequest.mObject) },
       { "rank", std::to_string(aRequest.mRank) },
+      { "warm", aRequest.mWasWarm ? "1" : "0" },
       { "expected_wait_ms", ToMs(aRequest.mExpectedWait) },
       { "expected_ms", ToMs(aRequest.mExpected) },
       { "took_ms", ToMs(mNow - aRequest.mArrivedAt) },
@@ -244,6 +250,8 @@
       { "backend",
         aRequest.mTried.empty() ? std::string()
                                 : aRequest.mTried.back().mName },
+      { "expected_wait_ms", ToMs(aRequest.mExpectedWait) },
+      { "expected_ms", ToMs(aRequest.mExpected) },
       { "after_ms", ToMs(mNow - aRequest.mArrivedAt) },
       { "retry_after_ms", ToMs(aRefusal.mRetryAfter) },
       { "policy",
@@ -277,7 +285,7 @@
       continue;
     }
     const Duration longest =
-      mTimes.Expect(*request.mRoute, request.mService).mUnknown;
+      mTimes.Expect(*request.mRoute, request.mService).mLongest;
     if (mPool.IsSilent(*backend, longest, mNow)) {
       stuck.push_back(id);
     }
@@ -290,7 +298,7 @@
         !mRetries.TryRetry(request.mService, mFleet.ShareCount(), mNow)) {
       continue;
     }
-    ++mCounters.mRetries;
+    RecordRetry(request, "silent_server");
     mOut.push_back(effect::CancelDispatch{ id, request.mAttempt });
     request.mMayHaveRun = true;
     if (Backend* const backend = EndAttempt(request, false)) {
--- a/src/libcranberrywing/gateway/gateway_requests.cpp
+++ b/src/libcranberrywing/gateway/gateway_requests.cpp
@@ -254,15 +254,28 @@
          Select(aRequest).has_value();
 }
 
-bool Gateway::Retry(Request& aRequest)
+bool Gateway::Retry(Request& aRequest, std::string_view aReason)
 {
   if (!MayRetry(aRequest) ||
       !mRetries.TryRetry(aRequest.mService, mFleet.ShareCount(), mNow)) {
     return false;
   }
-  ++mCounters.mRetries;
+  RecordRetry(aRequest, aReason);
   Send(aRequest);
   return true;
 }
 
+void Gateway::RecordRetry(const Request& aRequest, std::string_view aReason)
+{
+  ++mCounters.mRetries;
+  Record("request_retried",
+         { { "trace", aRequest.mArrival.mTrace },
+           { "reason", std::string(aReason) },
+           { "backend", aRequest.mTried.back().mName },
+           { "attempts", std::to_string(aRequest.mAttempt) },
+           { "expected_wait_ms", ToMs(aRequest.mExpectedWait) },
+           { "expected_ms", ToMs(aRequest.mExpected) },
+           { "after_ms", ToMs(mNow - aRequest.mArrivedAt) } });
+}
+
 } // namespace cranberrywing::gateway
--- a/src/libcranberrywing/gateway/object_selector.cpp
+++ b/src/libcranberrywing/gateway/object_selector.cpp
@@ -58,7 +58,7 @@
   if (ahead > 0) {
     selection.mWait = Scale(aTimes.mMean, factor * ahead / slots);
   }
-  if (aPool.IsSilent(aBackend, aTimes.mUnknown, aNow)) {
+  if (aPool.IsSilent(aBackend, aTimes.mLongest, aNow)) {
     selection.mWait += mOptions.mSilenceCost;
   }
   selection.mTotal =
--- a/src/libcranberrywing/gateway/service_times.cpp
+++ b/src/libcranberrywing/gateway/service_times.cpp
@@ -17,6 +17,8 @@
 /// Of the servers that this VM never sent an object to, some got it from
 /// others.
 constexpr double kUnknownQuantile = 0.6;
+/// The slowest samples are of servers that did not know the object.
+constexpr double kLongestQuantile = 0.95;
 
 } // namespace
 
@@ -27,12 +29,15 @@
   // warm server and is missed by others.
   ExpectedTimes times{ .mWarm = aRoute.mTargetLatency / 2,
                        .mUnknown = aRoute.mTargetLatency,
-                       .mMean = aRoute.mTargetLatency / 2 };
+                       .mMean = aRoute.mTargetLatency / 2,
+                       .mLongest = 2 * aRoute.mTargetLatency };
   const auto it = mRoutes.find({ aRoute.mRoute, aService });
   if (it != mRoutes.end()) {
     times.mWarm = it->second.mWarm.value_or(times.mWarm);
     times.mUnknown =
       std::max(times.mWarm, it->second.mUnknown.value_or(2 * times.mWarm));
+    times.mLongest =
+      std::max(2 * times.mWarm, it->second.mLongest.value_or(times.mLongest));
   }
   times.mMean = Mean(aService).value_or(times.mMean);
   return times;
@@ -50,6 +55,7 @@
   } else {
     times.mUnknownSamples.Add(aLatency);
     times.mUnknown = times.mUnknownSamples.Quantile(kUnknownQuantile);
+    times.mLongest = times.mUnknownSamples.Quantile(kLongestQuantile);
   }
   const auto [it, isNew] = mMeans.emplace(aService, aLatency);
   if (!isNew) {
