Forget after 3 s that an object was sent to a further server

Cause: an object that left its server in a burst counted as known at up to three servers for 60 s, so that its requests went to all of them for good. Change: 3 s instead of 60 s. The new test fails with 60 s.

--- a/src/include/cranberrywing/gateway/backend_pool.h
+++ b/src/include/cranberrywing/gateway/backend_pool.h
@@ -103,8 +103,10 @@
     Duration mSlownessHalfLife = std::chrono::seconds(4);
     /// Time in which a load sample's count of others' requests halves.
     Duration mLoadHalfLife = std::chrono::milliseconds(600);
-    /// Time without use after which a server has forgotten an object.
-    Duration mObjectMemory = std::chrono::seconds(60);
+    /// Time without use after which a server has forgotten an object. With
+    /// 60 s an object that once left its server in a burst used several servers
+    /// for good, more objects than they remember.
+    Duration mObjectMemory = std::chrono::seconds(3);
     /// Objects remembered per server.
     std::size_t mObjectLimit = 128;
     /// A server is silent if it gives no answer for this multiple of the
--- a/src/libcranberrywing/gateway/object_selector_test.cpp
+++ b/src/libcranberrywing/gateway/object_selector_test.cpp
@@ -128,3 +128,27 @@
   servers.mPool.OnSent(first, object, kNow - std::chrono::seconds(5));
   CHECK(servers.Choose(object).mBackend != &first);
 }
+
+// Guards against objects that stay spread after a burst: for as long as each
+// of three servers counted as knowing the object, requests went to all of them.
+TEST_CASE("After a burst an object returns to its own server")
+{
+  Servers servers(12);
+  const ObjectHash object = HashObject(kService, "hot");
+  Backend& first = *servers.Choose(object).mBackend;
+  for (int n = 0; n < 90; ++n) {
+    servers.mPool.OnSent(first, object, kNow);
+  }
+  Backend& second = *servers.Choose(object).mBackend;
+  REQUIRE(&second != &first);
+  servers.mPool.OnSent(second, object, kNow);
+  for (int n = 0; n < 86; ++n) {
+    servers.mPool.OnEnded(first, true, kNow);
+  }
+  // Four of the object's requests hold the first server's four slots.
+  const TimePoint later = kNow + std::chrono::seconds(5);
+  const auto selection = servers.mSelector.Choose(
+    servers.mPool, { &first, &second }, object, servers.mTimes, later);
+  REQUIRE(selection);
+  CHECK(selection->mBackend == &first);
+}
