--- a/src/cranberrywing/kept_file.cpp
+++ b/src/cranberrywing/kept_file.cpp
@@ -3,8 +3,6 @@
 #include <charconv>
 #include <fcntl.h>
 #include <filesystem>
-#include <fstream>
-#include <sstream>
 #include <unistd.h>
 
 namespace cranberrywing::cli {
@@ -27,17 +25,6 @@
 
 } // namespace
 
-Result<std::string> ReadFile(const std::string& aPath)
-{
-  std::ifstream file(aPath, std::ios::binary);
-  std::ostringstream text;
-  text << file.rdbuf();
-  if (!file) {
-    return MakeError(ResultCode::InvalidArgument, "cannot read " + aPath);
-  }
-  return std::move(text).str();
-}
-
 Result<void> WriteNewFile(const std::string& aPath, std::string_view aText)
 {
   const int file =
--- a/src/cranberrywing/kept_file.h
+++ b/src/cranberrywing/kept_file.h
@@ -11,9 +11,6 @@
 
 namespace cranberrywing::cli {
 
-/// Errors: InvalidArgument. Thread-safe.
-Result<std::string> ReadFile(const std::string& aPath);
-
 /// Writes a new file that only its owner may read, since a document that is
 /// being edited may hold a new secret. Errors: InvalidArgument if it exists or
 /// cannot be written. Thread-safe.
--- a/src/cranberrywing/settings_commands.cpp
+++ b/src/cranberrywing/settings_commands.cpp
@@ -1,6 +1,7 @@
 #include "cranberrywing/settings_commands.h"
 #include "cranberrywing/kept_file.h"
 #include "cranberrywing/settings_access.h"
+#include "netutil/program.h"
 
 namespace cranberrywing::cli {
 
@@ -171,7 +172,7 @@
 Result<void> RunApply(Invocation& aInvocation)
 {
   const std::string& path = aInvocation.mWords[0];
-  const auto text = ReadFile(path);
+  const auto text = netutil::ReadFile(path);
   if (!text) {
     return tl::unexpected(text.error());
   }
--- a/src/cranberrywing/settings_history_commands.cpp
+++ b/src/cranberrywing/settings_history_commands.cpp
@@ -4,6 +4,7 @@
 #include "cranberrywing/settings_access.h"
 #include "cranberrywing/settings_commands.h"
 #include "netutil/json.h"
+#include "netutil/program.h"
 
 namespace cranberrywing::cli {
 
@@ -128,7 +129,7 @@
   if (!before) {
     return tl::unexpected(before.error());
   }
-  const auto after = hasFile ? ReadFile(aInvocation.mWords[0])
+  const auto after = hasFile ? netutil::ReadFile(aInvocation.mWords[0])
                      : aInvocation.Has("to")
                        ? ReadRevisionText(aInvocation, "to")
                        : ReadInForce(aInvocation);
@@ -204,7 +205,7 @@
 Result<void> RunCheck(Invocation& aInvocation)
 {
   const std::string& path = aInvocation.mWords[0];
-  const auto text = ReadFile(path);
+  const auto text = netutil::ReadFile(path);
   if (!text) {
     return tl::unexpected(text.error());
   }
--- a/src/cranberrywing/tool_test.cpp
+++ b/src/cranberrywing/tool_test.cpp
@@ -4,6 +4,7 @@
 #include "cranberrywing/fake_daemon_for_tests.h"
 #include "cranberrywing/kept_file.h"
 #include "cranberrywing/timeline_merge.h"
+#include "netutil/program.h"
 
 using namespace cranberrywing;
 using namespace cranberrywing::cli;
@@ -108,7 +109,7 @@
   CHECK(daemon.mDocument == kOthersDocument);
   const auto kept = std::filesystem::directory_iterator(tool.Folder())->path();
   CHECK(Holds(tool.Errors(), kept.string()));
-  const auto marked = ReadRevisionMark(*ReadFile(kept.string()));
+  const auto marked = ReadRevisionMark(*netutil::ReadFile(kept.string()));
   CHECK(marked.mRevision == Revision{ 1 });
   CHECK(Holds(marked.mDocument, "6s"));
   CHECK(
--- a/src/cranberrywingd/main.cpp
+++ b/src/cranberrywingd/main.cpp
@@ -1,9 +1,7 @@
 #include <cxxopts.hpp>
-#include <fstream>
 #include <glog/logging.h>
 #include <iomanip>
 #include <iostream>
-#include <sstream>
 #include <sys/resource.h>
 
 #include "cranberrywing/settings.h"
@@ -16,17 +14,6 @@
 
 constexpr std::string_view kProgram = "cranberrywingd";
 
-Result<std::string> ReadFile(const std::string& aPath)
-{
-  std::ifstream file(aPath, std::ios::binary);
-  std::ostringstream text;
-  text << file.rdbuf();
-  if (!file) {
-    return MakeError(ResultCode::InvalidArgument, "cannot read " + aPath);
-  }
-  return std::move(text).str();
-}
-
 /// Boot settings from the file, then from the command line, which takes
 /// precedence.
 Result<daemon::BootSettings> ReadBootSettings(
@@ -35,7 +22,7 @@
   daemon::BootSettings boot;
   if (aParsed.count("config") > 0) {
     const auto path = aParsed["config"].as<std::string>();
-    const auto text = ReadFile(path);
+    const auto text = netutil::ReadFile(path);
     if (!text) {
       return tl::unexpected(text.error());
     }
@@ -67,7 +54,7 @@
   if (aPath.empty()) {
     return std::string();
   }
-  auto text = ReadFile(aPath);
+  auto text = netutil::ReadFile(aPath);
   if (!text) {
     return text;
   }
@@ -85,7 +72,7 @@
   if (aPath.empty()) {
     return std::vector<std::string>();
   }
-  const auto text = ReadFile(aPath);
+  const auto text = netutil::ReadFile(aPath);
   if (!text) {
     return tl::unexpected(text.error());
   }
--- a/src/netutil/program.cpp
+++ b/src/netutil/program.cpp
@@ -2,7 +2,9 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 
 namespace cranberrywing::netutil {
 
@@ -42,4 +44,15 @@
   return ExitStatus(aError.mCode);
 }
 
+Result<std::string> ReadFile(const std::string& aPath)
+{
+  std::ifstream file(aPath, std::ios::binary);
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (!file) {
+    return MakeError(ResultCode::InvalidArgument, "cannot read " + aPath);
+  }
+  return std::move(text).str();
+}
+
 } // namespace cranberrywing::netutil
--- a/src/netutil/program.h
+++ b/src/netutil/program.h
@@ -1,10 +1,11 @@
 /// \file
 /// What the programs' main functions share: running an event loop until the
-/// process is told to stop.
+/// process is told to stop, and reading the files that they are given.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <string>
 #include <string_view>
 
 #include "cranberrywing/result_code.h"
@@ -27,4 +28,7 @@
 /// of the error's code.
 int ReportError(std::string_view aProgram, const Error& aError);
 
+/// The whole file. Errors: InvalidArgument. Thread-safe.
+Result<std::string> ReadFile(const std::string& aPath);
+
 } // namespace cranberrywing::netutil
