Lengthen the waits that less urgent requests may have

Cause: the limits of 0.45 and 0.22 of the target were chosen while a service's mean time, and with it every expected wait, was taken for too small. Change: 0.8 and 0.5.

--- a/src/libcranberrywing/gateway/admission.cpp
+++ b/src/libcranberrywing/gateway/admission.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 /// Longest wait in a server's queue, as a part of the target latency.
-constexpr double kNormalWaitPart = 0.45;
-constexpr double kLowWaitPart = 0.22;
+constexpr double kNormalWaitPart = 0.8;
+constexpr double kLowWaitPart = 0.5;
 /// Network time that an expectation of the server's work leaves out.
 constexpr Duration kNetworkMargin = std::chrono::milliseconds(30);
 
