End an exchange whose connection ended with another request's answer

Cause: found by the new tests of the client. An answer without a length ends with its connection; if it belonged to another request, it was dropped and the exchange then waited for its time-out on the closed connection. Change: the exchange fails with Reset at once. Tests now also cover late answers that are dropped, answers without a length, and a connection whose stated idle time is used up. The test of this fault fails first (Timeout).

--- a/src/netutil/http_client.cpp
+++ b/src/netutil/http_client.cpp
@@ -220,7 +220,9 @@
     boost::system::error_code ec;
     mParser->put_eof(ec);
     if (!ec) {
-      OnAnswerRead();
+      if (!OnAnswerRead()) {
+        Fail(ExchangeFailureKind::Reset, "no answer to this request");
+      }
       return;
     }
   }
--- a/src/netutil/http_client_test.cpp
+++ b/src/netutil/http_client_test.cpp
@@ -1,5 +1,6 @@
 #include "netutil/http_pool.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
@@ -20,6 +21,8 @@
   std::vector<std::shared_ptr<tcp::socket>> mSockets;
   std::string mAnswer;
   bool mClosesAfter = false;
+  /// Whether closing discards what the other end has not read.
+  bool mResetsAfter = false;
 
   RawServer(boost::asio::io_context& aContext,
             std::string aAnswer,
@@ -61,6 +64,9 @@
         }
         boost::asio::write(*aSocket, boost::asio::buffer(mAnswer));
         if (mClosesAfter) {
+          if (mResetsAfter) {
+            aSocket->set_option(boost::asio::socket_base::linger(true, 0));
+          }
           aSocket->close();
           return;
         }
@@ -77,19 +83,22 @@
 ExchangeResult Exchange(boost::asio::io_context& aContext,
                         HttpClientPool& aPool,
                         const Endpoint& aEndpoint,
-                        const std::string& aMethod = "GET")
+                        const std::string& aMethod = "GET",
+                        AnswerFilter aFilter = {})
 {
   RequestContent request;
   request.mMethod = aMethod;
   request.mTarget = "/";
   const auto outcome = std::make_shared<Outcome>();
-  aPool.Start(aEndpoint,
-              std::make_shared<const RequestContent>(std::move(request)),
-              {},
-              std::chrono::seconds(20),
-              [outcome](ExchangeResult aResult) {
-                outcome->mResult = std::move(aResult);
-              });
+  aPool.Start(
+    aEndpoint,
+    std::make_shared<const RequestContent>(std::move(request)),
+    {},
+    std::chrono::seconds(20),
+    [outcome](ExchangeResult aResult) {
+      outcome->mResult = std::move(aResult);
+    },
+    std::move(aFilter));
   REQUIRE(RunUntil(aContext, [&] { return outcome->mResult.has_value(); }));
   return *outcome->mResult;
 }
@@ -179,3 +188,99 @@
   REQUIRE(result.has_value());
   CHECK(result->mBody.empty());
 }
+
+// Guards against MIXED: an answer to an earlier request of the connection that
+// arrives late is given to the caller of the present one.
+TEST_CASE("an answer to another request is dropped and reading goes on")
+{
+  boost::asio::io_context context(1);
+  RawServer server(context,
+                   "HTTP/1.1 200 OK\r\nEcho: earlier\r\nContent-Length: "
+                   "3\r\n\r\nold"
+                   "HTTP/1.1 200 OK\r\nEcho: present\r\nContent-Length: "
+                   "3\r\n\r\nnew",
+                   false);
+  HttpClientPool pool(context, {});
+  const auto result = Exchange(
+    context, pool, server.Address(), "GET", [](const AnswerContent& aAnswer) {
+      return std::any_of(
+        aAnswer.mHeaders.begin(),
+        aAnswer.mHeaders.end(),
+        [](const Header& aHeader) { return aHeader.mValue == "present"; });
+    });
+  REQUIRE(result.has_value());
+  CHECK(result->mBody == "new");
+}
+
+// Guards against a request that gets no answer at all, since only the late
+// one came before the connection ended.
+TEST_CASE("a connection that ends after an answer to another request fails")
+{
+  boost::asio::io_context context(1);
+  RawServer server(
+    context, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold", true);
+  HttpClientPool pool(context, {});
+  const auto result =
+    Exchange(context, pool, server.Address(), "GET", [](const AnswerContent&) {
+      return false;
+    });
+  REQUIRE_FALSE(result.has_value());
+  CHECK(result.error().mKind == ExchangeFailureKind::Reset);
+  CHECK(result.error().mWasSent);
+}
+
+// Guards against whole answers refused where the server marks their end by
+// closing, and against one that a reset cut taken as whole.
+TEST_CASE("an answer without a length ends with its connection if allowed")
+{
+  boost::asio::io_context context(1);
+  const HttpClientPool::Options options{ .mClient = { .mAcceptsUnboundedBody =
+                                                        true } };
+  RawServer whole(context, "HTTP/1.1 200 OK\r\n\r\nto the end", true);
+  RawServer cut(context, "HTTP/1.1 200 OK\r\n\r\nto the", true);
+  cut.mResetsAfter = true;
+  HttpClientPool pool(context, options);
+  const auto result = Exchange(context, pool, whole.Address());
+  REQUIRE(result.has_value());
+  CHECK(result->mBody == "to the end");
+  CHECK(pool.IdleCount(whole.Address()) == 0);
+  const auto failure = Exchange(context, pool, cut.Address());
+  REQUIRE_FALSE(failure.has_value());
+  CHECK(failure.error().mWasSent);
+}
+
+// Guards against a request that waits for its time-out on a connection that
+// has ended: the last bytes were an answer to another request.
+TEST_CASE("an answer without a length to another request ends the exchange")
+{
+  boost::asio::io_context context(1);
+  const HttpClientPool::Options options{ .mClient = { .mAcceptsUnboundedBody =
+                                                        true } };
+  RawServer server(context, "HTTP/1.1 200 OK\r\n\r\nold", true);
+  HttpClientPool pool(context, options);
+  const auto result =
+    Exchange(context, pool, server.Address(), "GET", [](const AnswerContent&) {
+      return false;
+    });
+  REQUIRE_FALSE(result.has_value());
+  CHECK(result.error().mKind == ExchangeFailureKind::Reset);
+}
+
+// Guards against LOST: a request that may not be repeated is written to a
+// connection that the server is about to close, as its Keep-Alive has told.
+TEST_CASE("a connection whose stated idle time is used up is not used again")
+{
+  boost::asio::io_context context(1);
+  const std::string answer = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\n"
+                             "Content-Length: 2\r\n\r\nok";
+  RawServer server(context, answer, false);
+  // Any idle time is more than none of the second.
+  HttpClientPool brief(context, { .mClient = { .mKeepAlivePart = 0 } });
+  HttpClientPool lasting(context, { .mClient = { .mKeepAlivePart = 1000 } });
+  for (int n = 0; n < 2; ++n) {
+    CHECK(Exchange(context, brief, server.Address()).has_value());
+    CHECK(Exchange(context, lasting, server.Address()).has_value());
+  }
+  CHECK(brief.OpenedCount() == 2);
+  CHECK(lasting.OpenedCount() == 1);
+}
