Spread requests without an object over equal servers

Requests that name no object leave the candidates in the order of their identifiers, and the first of the servers that are equally soon wins: on every VM the same one. No VM could know that it was cold: its entry came at 12.4 s. Ruled out: VMs that differ in whom they count; the quota is one request for each of ten VMs. Change: such requests take the servers in an order that follows from their own hash. The test fails with the old order.

--- a/src/include/cranberrywing/gateway/object_selector.h
+++ b/src/include/cranberrywing/gateway/object_selector.h
@@ -76,12 +76,15 @@
   explicit ObjectSelector(Options aOptions);
 
   /// The server with the earliest expected answer among aCandidates, which
-  /// are all fit for the request. Nothing if there are none.
+  /// are all fit for the request. Nothing if there are none. A request without
+  /// an object takes any of the servers that are equally soon, in an order that
+  /// follows from aRequestHash.
   std::optional<Selection> Choose(const BackendPool& aPool,
                                   std::vector<Backend*> aCandidates,
                                   ObjectHash aObject,
                                   const ExpectedTimes& aTimes,
-                                  TimePoint aNow) const;
+                                  TimePoint aNow,
+                                  std::uint64_t aRequestHash = 0) const;
 
 private:
   /// Whether the server is expected to know the object.
--- a/src/libcranberrywing/gateway/gateway_requests.cpp
+++ b/src/libcranberrywing/gateway/gateway_requests.cpp
@@ -183,8 +183,13 @@
     if (!IsAllowed(aRequest, region)) {
       continue;
     }
-    const auto selection = mSelector.Choose(
-      mPool, Candidates(aRequest, region), aRequest.mObject, times, mNow);
+    const auto selection =
+      mSelector.Choose(mPool,
+                       Candidates(aRequest, region),
+                       aRequest.mObject,
+                       times,
+                       mNow,
+                       HashBytes(aRequest.mArrival.mTrace));
     if (selection) {
       return selection;
     }
--- a/src/libcranberrywing/gateway/object_selector.cpp
+++ b/src/libcranberrywing/gateway/object_selector.cpp
@@ -80,18 +80,18 @@
   std::vector<Backend*> aCandidates,
   ObjectHash aObject,
   const ExpectedTimes& aTimes,
-  TimePoint aNow) const
+  TimePoint aNow,
+  std::uint64_t aRequestHash) const
 {
   if (aCandidates.empty()) {
     return std::nullopt;
   }
-  if (aObject != 0) {
-    std::sort(aCandidates.begin(),
-              aCandidates.end(),
-              [aObject](const Backend* aLeft, const Backend* aRight) {
-                return Mix(aObject, aLeft->mHash) > Mix(aObject, aRight->mHash);
-              });
-  }
+  const std::uint64_t key = aObject == 0 ? aRequestHash : aObject;
+  std::sort(aCandidates.begin(),
+            aCandidates.end(),
+            [key](const Backend* aLeft, const Backend* aRight) {
+              return Mix(key, aLeft->mHash) > Mix(key, aRight->mHash);
+            });
   const std::size_t width = aObject == 0
                               ? aCandidates.size()
                               : std::min(mOptions.mWidth, aCandidates.size());
--- a/src/libcranberrywing/gateway/object_selector_test.cpp
+++ b/src/libcranberrywing/gateway/object_selector_test.cpp
@@ -152,3 +152,27 @@
   REQUIRE(selection);
   CHECK(selection->mBackend == &first);
 }
+
+// Guards against FAILBACK: requests without an object all took the first of
+// the servers that were equally soon, on every VM the same one. It got 16 of
+// them in a second while it was cold and no VM knew yet (adwoa-hq-grown,
+// hunt-f411-3; 14.3 were allowed).
+TEST_CASE("Requests without an object spread over idle servers")
+{
+  const Servers servers(12);
+  std::map<BackendId, int> chosen;
+  for (int n = 0; n < 1200; ++n) {
+    const auto selection =
+      servers.mSelector.Choose(servers.mPool,
+                               servers.mPool.OfService(kService),
+                               0,
+                               servers.mTimes,
+                               kNow,
+                               HashBytes(std::to_string(n)));
+    ++chosen[selection->mBackend->mEntry.mBackend];
+  }
+  CHECK(chosen.size() == 12);
+  for (const auto& [backend, count] : chosen) {
+    CHECK(count < 150);
+  }
+}
