Keep one ParseNumber and one ToSeconds in the core

Change: cranberrywing/parse_number.h and ToSeconds in types.h; all of them call these. No change of behaviour. The two ParseDuration stay apart: the platform's times may have fractions and know ms and s only.

--- a/src/cranberrywing/status_commands.cpp
+++ b/src/cranberrywing/status_commands.cpp
@@ -1,7 +1,7 @@
 #include <boost/json/parse.hpp>
-#include <charconv>
 
 #include "cranberrywing/command.h"
+#include "cranberrywing/parse_number.h"
 #include "cranberrywing/timeline_merge.h"
 #include "netutil/json.h"
 
@@ -206,14 +206,12 @@
                                  const std::string& aOption)
 {
   const std::string text = aInvocation.Text(aOption);
-  std::uint64_t number = 0;
-  const char* const last = text.data() + text.size();
-  const auto [end, error] = std::from_chars(text.data(), last, number);
-  if (!text.empty() && (error != std::errc() || end != last)) {
+  const auto number = ParseNumber<std::uint64_t>(text);
+  if (!text.empty() && !number) {
     return MakeError(ResultCode::InvalidArgument,
                      "--" + aOption + " needs a whole number");
   }
-  return number;
+  return number.value_or(0);
 }
 
 Result<void> RunWatch(Invocation& aInvocation)
--- a/src/cranberrywingd/admin_server.cpp
+++ b/src/cranberrywingd/admin_server.cpp
@@ -1,7 +1,6 @@
 #include "cranberrywingd/admin_server.h"
 
-#include <charconv>
-
+#include "cranberrywing/parse_number.h"
 #include "cranberrywingd/lookup_api.h"
 #include "netutil/problem.h"
 
@@ -159,15 +158,14 @@
 void AdminServer::GetTimeline(const Call& aCall)
 {
   const std::string since = aCall.Parameter("since");
-  std::uint64_t number = 0;
-  const char* const last = since.data() + since.size();
-  const auto [end, error] = std::from_chars(since.data(), last, number);
-  if (!since.empty() && (error != std::errc() || end != last)) {
+  const auto number = ParseNumber<std::uint64_t>(since);
+  if (!since.empty() && !number) {
     Fail(aCall, ResultCode::InvalidArgument, "since must be a number");
     return;
   }
   Answer(aCall,
-         netutil::JsonAnswer(200, TimelineView(mSources.mTimeline, number)));
+         netutil::JsonAnswer(
+           200, TimelineView(mSources.mTimeline, number.value_or(0))));
 }
 
 void AdminServer::GetMetrics(const Call& aCall)
--- a/src/cranberrywingd/admin_server_explain.cpp
+++ b/src/cranberrywingd/admin_server_explain.cpp
@@ -1,6 +1,5 @@
-#include <charconv>
-
 #include "cranberrywing/explain.h"
+#include "cranberrywing/parse_number.h"
 #include "cranberrywingd/admin_server.h"
 #include "cranberrywingd/lookup_api.h"
 #include "netutil/problem.h"
@@ -61,13 +60,12 @@
   question.mAccount = AccountId(aCall.Parameter("account"));
   question.mIdempotencyKey = aCall.Parameter("key");
   const std::string bytes = aCall.Parameter("bytes");
-  const char* const last = bytes.data() + bytes.size();
-  const auto [end, error] =
-    std::from_chars(bytes.data(), last, question.mBodyBytes);
-  if (!bytes.empty() && (error != std::errc() || end != last)) {
+  const auto number = ParseNumber<std::uint64_t>(bytes);
+  if (!bytes.empty() && !number) {
     Fail(aCall, ResultCode::InvalidArgument, "bytes must be a number");
     return;
   }
+  question.mBodyBytes = number.value_or(0);
   Answer(aCall,
          ExplanationAnswer(
            ExplainRequest(mSources.mReducer, question, ReadClock())));
--- a/src/cranberrywingd/admin_server_settings.cpp
+++ b/src/cranberrywingd/admin_server_settings.cpp
@@ -1,7 +1,7 @@
-#include <charconv>
 #include <openssl/rand.h>
 
 #include "cranberrywing/keys.h"
+#include "cranberrywing/parse_number.h"
 #include "cranberrywingd/admin_server.h"
 #include "netutil/json.h"
 #include "netutil/problem.h"
@@ -165,17 +165,13 @@
 
 void AdminServer::GetRevision(const Call& aCall)
 {
-  const std::string text = aCall.Parameter("number");
-  Revision revision;
-  const char* const last = text.data() + text.size();
-  const auto [end, error] =
-    std::from_chars(text.data(), last, revision.mNumber);
-  if (error != std::errc() || end != last) {
+  const auto number = ParseNumber<std::uint64_t>(aCall.Parameter("number"));
+  if (!number) {
     Fail(aCall, ResultCode::InvalidArgument, "number must be a revision");
     return;
   }
   ReadRecord(aCall,
-             ConfigurationHistoryKey(mSources.mStorePrefix, revision),
+             ConfigurationHistoryKey(mSources.mStorePrefix, { *number }),
              [this, call = aCall](const ConfigurationRecord& aRecord) {
                Answer(
                  call,
--- a/src/cranberrywingd/admin_settings.cpp
+++ b/src/cranberrywingd/admin_settings.cpp
@@ -2,8 +2,8 @@
 
 #include <array>
 #include <boost/json/object.hpp>
-#include <charconv>
 
+#include "cranberrywing/parse_number.h"
 #include "netutil/headers.h"
 #include "netutil/problem.h"
 
@@ -140,14 +140,11 @@
 
 Result<Revision> ReadEntityTag(std::string_view aText)
 {
-  Revision revision;
   if (aText.size() > 2 && aText.front() == '"' && aText.back() == '"') {
-    const std::string_view digits = aText.substr(1, aText.size() - 2);
-    const char* const last = digits.data() + digits.size();
-    const auto [end, error] =
-      std::from_chars(digits.data(), last, revision.mNumber);
-    if (error == std::errc() && end == last) {
-      return revision;
+    const auto number =
+      ParseNumber<std::uint64_t>(aText.substr(1, aText.size() - 2));
+    if (number) {
+      return Revision{ *number };
     }
   }
   return MakeError(ResultCode::InvalidArgument,
--- a/src/cranberrywingd/backend_client.cpp
+++ b/src/cranberrywingd/backend_client.cpp
@@ -1,7 +1,6 @@
 #include "cranberrywingd/backend_client.h"
 
-#include <charconv>
-
+#include "cranberrywing/parse_number.h"
 #include "cranberrywingd/caller_request.h"
 #include "netutil/headers.h"
 
@@ -17,17 +16,15 @@
 {
   const std::string* text =
     netutil::FindHeader(aAnswer.mHeaders, "Retry-After");
-  std::int64_t seconds = 0;
   if (!text) {
     return {};
   }
-  const char* const last = text->data() + text->size();
-  const auto [end, error] = std::from_chars(text->data(), last, seconds);
+  const auto seconds = ParseNumber<std::int64_t>(*text);
   // The other allowed form is a date, which the sender's clock would decide.
-  if (error != std::errc() || end != last || seconds < 0) {
+  if (!seconds || *seconds < 0) {
     return {};
   }
-  return std::chrono::seconds(std::min(seconds, kLongestRetryAfterSeconds));
+  return std::chrono::seconds(std::min(*seconds, kLongestRetryAfterSeconds));
 }
 
 std::string_view NameOf(event::FailureKind aKind)
--- a/src/cranberrywingd/boot_settings.cpp
+++ b/src/cranberrywingd/boot_settings.cpp
@@ -5,10 +5,11 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/url/parse.hpp>
 #include <boost/url/url_view.hpp>
-#include <charconv>
 #include <functional>
 #include <yaml-cpp/yaml.h>
 
+#include "cranberrywing/parse_number.h"
+
 namespace cranberrywing::daemon {
 
 namespace {
@@ -51,13 +52,11 @@
 
 Result<std::uint16_t> ReadPort(std::string_view aText)
 {
-  std::uint16_t port = 0;
-  const char* const last = aText.data() + aText.size();
-  const auto [end, error] = std::from_chars(aText.data(), last, port);
-  if (error != std::errc() || end != last || port == 0) {
+  const auto port = ParseNumber<std::uint16_t>(aText);
+  if (!port || *port == 0) {
     return Bad("'" + std::string(aText) + "' is not a port from 1 to 65535");
   }
-  return port;
+  return *port;
 }
 
 Result<VmListAddress> ReadVmList(std::string_view aText)
--- a/src/cranberrywingd/caller_request.cpp
+++ b/src/cranberrywingd/caller_request.cpp
@@ -1,8 +1,8 @@
 #include "cranberrywingd/caller_request.h"
 
 #include <boost/beast/core/string.hpp>
-#include <charconv>
 
+#include "cranberrywing/parse_number.h"
 #include "netutil/headers.h"
 
 namespace cranberrywing::daemon {
@@ -68,14 +68,11 @@
   if (!FindHeader(aHeaders, kDeadline)) {
     return Duration::zero();
   }
-  std::int64_t number = 0;
-  const char* const last = text->data() + text->size();
-  const auto [end, error] = std::from_chars(text->data(), last, number);
-  if (error != std::errc() || end != last || number < 1 ||
-      number > kLongestTimeoutMs) {
+  const auto number = ParseNumber<std::int64_t>(*text);
+  if (!number || *number < 1 || *number > kLongestTimeoutMs) {
     return Bad(kDeadline, "must be a number of milliseconds from 1");
   }
-  return Duration(Milliseconds(number));
+  return Duration(Milliseconds(*number));
 }
 
 /// The key of a bearer credential. Other schemes count as no key.
--- a/src/cranberrywingd/gateway_settings.cpp
+++ b/src/cranberrywingd/gateway_settings.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <yaml-cpp/yaml.h>
 
+#include "cranberrywing/parse_number.h"
+
 namespace cranberrywing::daemon {
 
 namespace {
@@ -88,12 +90,12 @@
 
   static Result<void> Convert(const std::string& aText, double& aValue)
   {
-    const char* const last = aText.data() + aText.size();
-    const auto [end, error] = std::from_chars(aText.data(), last, aValue);
-    if (error != std::errc() || end != last || !(aValue >= 0)) {
+    const auto number = ParseNumber<double>(aText);
+    if (!number || !(*number >= 0)) {
       return MakeError(ResultCode::InvalidSettings,
                        "is not a number from 0: " + aText);
     }
+    aValue = *number;
     return {};
   }
 
--- a/src/cranberrywingd/metrics.cpp
+++ b/src/cranberrywingd/metrics.cpp
@@ -14,11 +14,6 @@
 /// each of them has a sample.
 constexpr std::size_t kLeastSamples = 2 * LatencySummary::kQuantiles.size() + 3;
 
-double Seconds(Duration aTime)
-{
-  return std::chrono::duration<double>(aTime).count();
-}
-
 std::string NumberText(double aValue)
 {
   if (std::isnan(aValue)) {
@@ -66,7 +61,7 @@
     mCurrent = MakeAccumulator();
     mWindowStart = aNow;
   }
-  const double seconds = Seconds(aLatency);
+  const double seconds = ToSeconds(aLatency);
   mCurrent(seconds);
   ++mCount;
   mSum += seconds;
--- a/src/include/cranberrywing/types.h
+++ b/src/include/cranberrywing/types.h
@@ -150,6 +150,12 @@
 {
 };
 
+/// Thread-safe.
+inline double ToSeconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
 /// 128-bit xxHash digest, for comparing contents; not a security measure.
 struct ContentDigest
 {
--- a/src/libcranberrywing/backend_health.cpp
+++ b/src/libcranberrywing/backend_health.cpp
@@ -23,11 +23,6 @@
 /// Time for which a server counts as used after an exchange.
 constexpr Duration kUseMemory = std::chrono::seconds(10);
 
-double Seconds(Duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
 } // namespace
 
 double BackendStatus::Warmth(TimePoint aNow) const
@@ -35,7 +30,7 @@
   if (!mColdSince || mSlowStart <= Duration::zero()) {
     return 1;
   }
-  const double part = Seconds(aNow - *mColdSince) / Seconds(mSlowStart);
+  const double part = ToSeconds(aNow - *mColdSince) / ToSeconds(mSlowStart);
   return std::clamp(part, kLeastWarmth, 1.0);
 }
 
@@ -55,7 +50,7 @@
     return false;
   }
   const Duration age = aNow - *mLastSuccess;
-  return Seconds(age) <= kOwnEvidenceIntervals * Seconds(mProbeInterval);
+  return ToSeconds(age) <= kOwnEvidenceIntervals * ToSeconds(mProbeInterval);
 }
 
 BackendHealth::BackendHealth(Options aOptions)
@@ -118,7 +113,7 @@
     status.mColdSince = aNow;
   }
   std::uniform_real_distribution<double> part(0, 1);
-  const double wait = Seconds(status.mProbeInterval) * part(mRandom);
+  const double wait = ToSeconds(status.mProbeInterval) * part(mRandom);
   status.mNextProbe = aNow + std::chrono::duration_cast<Duration>(
                                std::chrono::duration<double>(wait));
 }
@@ -196,7 +191,7 @@
 Duration BackendHealth::Jittered(Duration aInterval, double aFactor)
 {
   std::uniform_real_distribution<double> factor(1 - kProbeJitter, 1);
-  const double seconds = Seconds(aInterval) * aFactor * factor(mRandom);
+  const double seconds = ToSeconds(aInterval) * aFactor * factor(mRandom);
   return std::chrono::duration_cast<Duration>(
     std::chrono::duration<double>(std::max(seconds, 0.01)));
 }
@@ -242,7 +237,7 @@
   status->mConsecutiveFailures = 0;
   status->mLastSuccess = aNow;
   ++status->mSuccesses;
-  status->mLatencySum += Seconds(aLatency);
+  status->mLatencySum += ToSeconds(aLatency);
 }
 
 void BackendHealth::OnFailure(const BackendId& aBackend,
--- a/src/libcranberrywing/backend_selector.cpp
+++ b/src/libcranberrywing/backend_selector.cpp
@@ -26,11 +26,6 @@
 /// Draws of a usable, free and warm server before all are compared.
 constexpr int kDraws = 6;
 
-double Seconds(Duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
 template<class Value>
 bool Contains(const std::vector<Value>& aValues, const Value& aValue)
 {
@@ -140,7 +135,7 @@
     candidate.mLatency = std::min(penalty, kLongestLatency);
     return;
   }
-  const double sample = Seconds(*aLatency);
+  const double sample = ToSeconds(*aLatency);
   mUsualLatency = mUsualLatency == 0
                     ? sample
                     : mUsualLatency + kGain * (sample - mUsualLatency);
@@ -280,7 +275,7 @@
   if (aCandidate.mLatency == 0) {
     return mUsualLatency;
   }
-  const double age = Seconds(aNow - aCandidate.mSampled);
+  const double age = ToSeconds(aNow - aCandidate.mSampled);
   if (age < kForgetHalfLife / 10) {
     return aCandidate.mLatency;
   }
@@ -294,13 +289,13 @@
   if (aCandidate.mInFlight > 0) {
     // A server that hangs reports no latency; the time since it last ended
     // an exchange is a lower bound of it.
-    latency = std::max(latency, Seconds(aNow - aCandidate.mProgress));
+    latency = std::max(latency, ToSeconds(aNow - aCandidate.mProgress));
   }
   double cost =
     (aCandidate.mInFlight + 1.0) * std::max(latency, kShortestLatency);
   const BackendStatus& status = *aCandidate.mStatus;
   if (status.mLoad) {
-    const double age = std::max(0.0, Seconds(aNow - status.mLoadTime));
+    const double age = std::max(0.0, ToSeconds(aNow - status.mLoadTime));
     const double weight = kLoadHalfLife / (kLoadHalfLife + age);
     const double load = std::clamp(status.mLoad->mUtilization, 0.0, 2.0);
     cost *= 1 + weight * load;
--- a/src/libcranberrywing/capacity_reservations.cpp
+++ b/src/libcranberrywing/capacity_reservations.cpp
@@ -38,11 +38,6 @@
 /// Asks that may be answered late.
 constexpr std::size_t kMostAsks = 16;
 
-double Seconds(Duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
 } // namespace
 
 CapacityReservations::CapacityReservations(RegionId aRegion)
@@ -160,7 +155,7 @@
     }
     PeakNeed& peak = service.mPeaks[region];
     const double faded =
-      peak.mAmount * std::exp(-Seconds(aNow - peak.mTime) / kNeedMemory);
+      peak.mAmount * std::exp(-ToSeconds(aNow - peak.mTime) / kNeedMemory);
     peak = { std::max(need, faded), aNow };
     if (current > peak.mAmount * kSurplus) {
       Lower(service, region, current - peak.mAmount);
@@ -286,7 +281,7 @@
     return;
   }
   if (!isNew) {
-    const double seconds = std::max(Seconds(age), kShortestUse);
+    const double seconds = std::max(ToSeconds(age), kShortestUse);
     const double used = static_cast<double>(aReservation.mSent) / seconds;
     aReservation.mUsedPerSecond +=
       kUseSmoothing * (used - aReservation.mUsedPerSecond);
@@ -356,7 +351,7 @@
 {
   const double rate = aReservation.IsLive(aNow) ? aReservation.mGranted : 0;
   const double most = std::max(kLeastBurst, rate * kBurstSeconds);
-  const double elapsed = Seconds(aNow - aReservation.mRefilled);
+  const double elapsed = ToSeconds(aNow - aReservation.mRefilled);
   aReservation.mTokens = std::min(most, aReservation.mTokens + rate * elapsed);
   aReservation.mRefilled = aNow;
 }
--- a/src/libcranberrywing/concurrency_limit.cpp
+++ b/src/libcranberrywing/concurrency_limit.cpp
@@ -54,11 +54,6 @@
 constexpr std::uint32_t kMostCuts = 4;
 constexpr double kEffect = 0.15;
 
-double Seconds(Duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
 Duration FromSeconds(double aSeconds)
 {
   constexpr double kLongest = 3600;
@@ -131,7 +126,7 @@
     mLatency = 0;
     StartWindow(aNow);
   }
-  mArea += static_cast<double>(mRunning) * Seconds(idle);
+  mArea += static_cast<double>(mRunning) * ToSeconds(idle);
   mHeld += mIsHeld ? idle : Duration::zero();
   mLastChange = aNow;
 }
@@ -170,9 +165,9 @@
 
 double ConcurrencyLimit::HeldPart(TimePoint aNow) const
 {
-  const double length = Seconds(aNow - mWindowStart);
+  const double length = ToSeconds(aNow - mWindowStart);
   const Duration open = mIsHeld ? aNow - mLastChange : Duration::zero();
-  return length > 0 ? Seconds(mHeld + open) / length : 0;
+  return length > 0 ? ToSeconds(mHeld + open) / length : 0;
 }
 
 void ConcurrencyLimit::Adapt(double aLatency, TimePoint aNow)
@@ -289,7 +284,7 @@
     return Duration::zero();
   }
   // While nothing ends, what runs takes at least as long as that.
-  const double stalled = mRunning > 0 ? Seconds(aNow - mLastProgress) : 0;
+  const double stalled = mRunning > 0 ? ToSeconds(aNow - mLastProgress) : 0;
   return FromSeconds(std::max(mLatency, stalled));
 }
 
--- a/src/libcranberrywing/gateway/duration_math.h
+++ b/src/libcranberrywing/gateway/duration_math.h
@@ -1,17 +1,11 @@
 /// \file
-/// Conversions and products of durations that the gateway's modules share.
+/// Products and time constants of durations that the gateway's modules share.
 #pragma once
 
 #include "cranberrywing/types.h"
 
 namespace cranberrywing::gateway::detail {
 
-/// Thread-safe.
-inline double ToSeconds(Duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
 /// Precondition: the product is within Duration's range. Thread-safe.
 inline Duration Scale(Duration aDuration, double aFactor)
 {
--- a/src/libcranberrywing/gateway/gateway_outcomes.cpp
+++ b/src/libcranberrywing/gateway/gateway_outcomes.cpp
@@ -9,7 +9,6 @@
 using detail::kAnswerMargin;
 using detail::kUsualRetry;
 using detail::ToMs;
-using detail::ToSeconds;
 
 namespace {
 
--- a/src/libcranberrywing/gateway/gateway_upkeep.cpp
+++ b/src/libcranberrywing/gateway/gateway_upkeep.cpp
@@ -9,7 +9,6 @@
 
 using detail::kArrivalSeconds;
 using detail::ToMs;
-using detail::ToSeconds;
 
 namespace {
 
--- a/src/libcranberrywing/gateway/region_plan.cpp
+++ b/src/libcranberrywing/gateway/region_plan.cpp
@@ -8,8 +8,6 @@
 
 namespace cranberrywing::gateway {
 
-using detail::ToSeconds;
-
 namespace {
 
 double ValueOf(const std::map<RegionId, double>& aValues,
--- a/src/libcranberrywing/offers.cpp
+++ b/src/libcranberrywing/offers.cpp
@@ -27,11 +27,6 @@
 /// Requests owed to a region that has no tokens are not kept for longer.
 constexpr double kMostCredit = 2;
 
-double Seconds(Duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
 } // namespace
 
 OfferBook::OfferBook(Options aOptions, OfferBookHooks aHooks)
@@ -165,7 +160,7 @@
     return;
   }
   const double seconds =
-    mNextControl == TimePoint{} ? 0 : Seconds(aNow - mLastControl);
+    mNextControl == TimePoint{} ? 0 : ToSeconds(aNow - mLastControl);
   mNextControl = aNow + kControlInterval;
   mLastControl = aNow;
   for (auto& [service, traffic] : mTraffic) {
--- a/src/libcranberrywing/rate_limiter.cpp
+++ b/src/libcranberrywing/rate_limiter.cpp
@@ -11,11 +11,6 @@
 /// seconds.
 constexpr double kDemandSeconds = 0.5;
 
-double Seconds(Duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
 } // namespace
 
 std::size_t ShareHolderCount(const AccountSettings& aAccount, std::size_t aVms)
@@ -92,7 +87,7 @@
 
 double RateLimiter::Demand(const Account& aAccount, TimePoint aNow)
 {
-  const double elapsed = Seconds(aNow - aAccount.mDemandAt);
+  const double elapsed = ToSeconds(aNow - aAccount.mDemandAt);
   return aAccount.mDemand * std::exp(-elapsed / kDemandSeconds);
 }
 
@@ -108,7 +103,7 @@
   // More than twice what the whole account may use in the longest wait can
   // hardly be served; the constant serves accounts of a low rate.
   constexpr double kFewest = 16;
-  const double served = aAccount.mRate * Seconds(mOptions.mLongestWait);
+  const double served = aAccount.mRate * ToSeconds(mOptions.mLongestWait);
   return static_cast<std::size_t>(kFewest + 2 * served);
 }
 
@@ -201,7 +196,7 @@
   }
   Account& account = *found;
   const TimePoint now = account.mBucket.LastAdvance();
-  const double seconds = Seconds(now - account.mUseSince);
+  const double seconds = ToSeconds(now - account.mUseSince);
   const double allowed = account.mBucket.RefillRate() * seconds;
   const auto wanted = static_cast<double>(account.mArrivals);
   if (seconds <= 0) {
--- a/src/libcranberrywing/rate_limiter_transfers.cpp
+++ b/src/libcranberrywing/rate_limiter_transfers.cpp
@@ -24,11 +24,6 @@
 /// Smaller transfers are not worth a message.
 constexpr double kLeastTransfer = 0.01;
 
-double Seconds(Duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
 } // namespace
 
 RateLimiter::PeerSpare& RateLimiter::SpareOf(Account& aAccount, const VmId& aVm)
@@ -79,7 +74,7 @@
   const double demand = Demand(aAccount, aNow);
   const double waiting = static_cast<double>(aAccount.mWaiters.size());
   const double target =
-    waiting + std::floor(demand * Seconds(AskAhead(aAccount)));
+    waiting + std::floor(demand * ToSeconds(AskAhead(aAccount)));
   // Two thirds of the demand that a request covers, so that requests are few.
   const double lowWater =
     std::max(mOptions.mLowWater * bucket.Capacity(), target * 2 / 3);
@@ -276,7 +271,7 @@
     }
     Serve(account, aNow);
     const double kept = static_cast<double>(account.mWaiters.size()) +
-                        Demand(account, aNow) * Seconds(mOptions.mReserve);
+                        Demand(account, aNow) * ToSeconds(mOptions.mReserve);
     const double spare = account.mBucket.Own() - kept;
     const double wanted = std::min(aMessage.mWanted, spare);
     if (wanted >= kLeastTransfer) {
--- a/src/libcranberrywing/retry_policy.cpp
+++ b/src/libcranberrywing/retry_policy.cpp
@@ -61,8 +61,7 @@
     budget.mUpdated = aNow;
     return budget;
   }
-  const double elapsed =
-    std::chrono::duration<double>(aNow - budget.mUpdated).count();
+  const double elapsed = ToSeconds(aNow - budget.mUpdated);
   budget.mUpdated = aNow;
   budget.mRequestRate *= std::exp(-elapsed / kWindowSeconds);
   const double greatest =
--- a/src/libcranberrywing/settings_reader.cpp
+++ b/src/libcranberrywing/settings_reader.cpp
@@ -1,11 +1,11 @@
 #include "settings_reader.h"
 
 #include <algorithm>
-#include <charconv>
 #include <sstream>
 #include <unordered_set>
 #include <yaml-cpp/eventhandler.h>
 
+#include "cranberrywing/parse_number.h"
 #include "cranberrywing/settings.h"
 
 namespace cranberrywing::detail {
@@ -22,18 +22,6 @@
          aCharacter == '_' || aCharacter == '-';
 }
 
-template<class Value>
-std::optional<Value> ParseWhole(const std::string& aText)
-{
-  Value value{};
-  const char* end = aText.data() + aText.size();
-  const auto [rest, ec] = std::from_chars(aText.data(), end, value);
-  if (ec != std::errc() || rest != end) {
-    return std::nullopt;
-  }
-  return value;
-}
-
 std::string Show(double aNumber)
 {
   std::string text = std::to_string(aNumber);
@@ -169,7 +157,7 @@
   if (!IsScalar("a number")) {
     return;
   }
-  const auto value = ParseWhole<double>(mNode.Scalar());
+  const auto value = ParseNumber<double>(mNode.Scalar());
   if (!value) {
     Report("expected a number, not '" + mNode.Scalar() + "'");
     return;
@@ -191,7 +179,7 @@
   if (!IsScalar("a whole number")) {
     return;
   }
-  const auto value = ParseWhole<std::uint64_t>(mNode.Scalar());
+  const auto value = ParseNumber<std::uint64_t>(mNode.Scalar());
   if (!value) {
     Report("expected a whole number, not '" + mNode.Scalar() + "'");
     return;
--- a/src/libcranberrywing/slots_view.cpp
+++ b/src/libcranberrywing/slots_view.cpp
@@ -1,8 +1,8 @@
 // What this VM knows of the store's slot records: reads, the watch, and the
 // changes of ownership that follow from them.
 #include <algorithm>
-#include <charconv>
 
+#include "cranberrywing/parse_number.h"
 #include "cranberrywing/slots.h"
 
 namespace cranberrywing {
@@ -17,18 +17,6 @@
 /// Keeps a damaged count record from claiming all memory.
 constexpr std::uint32_t kMaxSlotCount = 65'536;
 
-template<class Number>
-std::optional<Number> ParseNumber(std::string_view aText)
-{
-  Number number = 0;
-  const auto [end, ec] =
-    std::from_chars(aText.data(), aText.data() + aText.size(), number);
-  if (ec != std::errc() || end != aText.data() + aText.size()) {
-    return std::nullopt;
-  }
-  return number;
-}
-
 /// Reads `<vm>/<incarnation>`; VM names may hold slashes.
 std::optional<VmIncarnation> ParseLiveName(std::string_view aName)
 {
--- a/src/netutil/endpoint.cpp
+++ b/src/netutil/endpoint.cpp
@@ -1,7 +1,8 @@
 #include "netutil/endpoint.h"
 
 #include <boost/asio/ip/address.hpp>
-#include <charconv>
+
+#include "cranberrywing/parse_number.h"
 
 namespace cranberrywing::netutil {
 
@@ -31,14 +32,11 @@
   if (ec) {
     return BadEndpoint(aText);
   }
-  const std::string_view digits = aText.substr(colon + 1);
-  std::uint16_t port = 0;
-  const auto [end, error] =
-    std::from_chars(digits.data(), digits.data() + digits.size(), port);
-  if (error != std::errc() || end != digits.data() + digits.size()) {
+  const auto port = ParseNumber<std::uint16_t>(aText.substr(colon + 1));
+  if (!port) {
     return BadEndpoint(aText);
   }
-  return Endpoint{ address.to_string(), port };
+  return Endpoint{ address.to_string(), *port };
 }
 
 Result<std::vector<Endpoint>> ParseEndpoints(std::string_view aText)
--- a/src/netutil/json.cpp
+++ b/src/netutil/json.cpp
@@ -1,27 +1,13 @@
 #include "netutil/json.h"
 
 #include <boost/json/parse.hpp>
-#include <charconv>
+
+#include "cranberrywing/parse_number.h"
 
 namespace cranberrywing::netutil {
 
 namespace json = boost::json;
 
-namespace {
-
-std::optional<std::int64_t> ParseInteger(std::string_view aText)
-{
-  std::int64_t number = 0;
-  const char* const last = aText.data() + aText.size();
-  const auto [end, error] = std::from_chars(aText.data(), last, number);
-  if (error != std::errc() || end != last) {
-    return std::nullopt;
-  }
-  return number;
-}
-
-} // namespace
-
 Result<json::object> ParseObject(std::string_view aText)
 {
   boost::system::error_code ec;
@@ -69,7 +55,7 @@
     return value->get_int64();
   }
   if (value->is_string()) {
-    return ParseInteger(std::string_view(value->get_string()));
+    return ParseNumber<std::int64_t>(std::string_view(value->get_string()));
   }
   return std::nullopt;
 }
