Decide each retry and refusal of the gateway in one place

Cause: read-through of the change. Change: SelectRetry hands its selection to Send; NoteServerDown, RefuseForRate, MaySendCold; lists of VMs follow from SharingVms; partial_sort; the unread members are gone.

--- a/src/include/cranberrywing/gateway/backend_pool.h
+++ b/src/include/cranberrywing/gateway/backend_pool.h
@@ -173,9 +173,6 @@
   /// Servers whose ejection has ended and that need a health check.
   std::vector<Backend*> TakeProbesDue(TimePoint aNow);
 
-  /// Counts changes of registrations and evacuations.
-  std::uint64_t Version() const { return mVersion; }
-
 private:
   void Reindex();
   void AddRatio(Backend& aBackend, double aRatio, TimePoint aNow);
@@ -184,7 +181,6 @@
   std::map<BackendId, std::unique_ptr<Backend>> mBackends;
   std::unordered_map<ServiceId, std::vector<Backend*>> mByService;
   std::set<FailureDomainId> mEvacuated;
-  std::uint64_t mVersion = 0;
 };
 
 } // namespace cranberrywing::gateway
--- a/src/include/cranberrywing/gateway/fleet_view.h
+++ b/src/include/cranberrywing/gateway/fleet_view.h
@@ -44,7 +44,6 @@
 
   explicit FleetView(Options aOptions);
 
-  const VmRecord& Self() const { return mOptions.mSelf; }
   const std::map<VmId, Peer>& Peers() const { return mPeers; }
 
   void Register(const VmRecord& aRecord, TimePoint aNow);
@@ -65,7 +64,7 @@
   std::size_t ShareCount() const;
   /// Rises whenever SharingVms changes.
   std::uint64_t Version() const { return mVersion; }
-  /// VMs of a region that are not known to have ended, this one included.
+  /// Those of SharingVms in a region.
   std::vector<VmId> VmsOfRegion(const RegionId& aRegion) const;
   /// Usable VMs, this one included if aSelfIsReady: those of the region, or
   /// all if it has none.
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -131,6 +131,8 @@
   void On(const event::StopRequested& aEvent);
   void On(const event::BackendProbed& aEvent);
   void TakeCoreEffects(cranberrywing::EffectList& aEffects);
+  /// The server cannot be reached, says that it is unwell, or is gone.
+  void NoteServerDown(const BackendId& aBackend);
   void Record(std::string aName,
               std::vector<cranberrywing::effect::Field> aFields);
   /// VMs that may lend tokens of the account, nearest first.
@@ -153,12 +155,18 @@
   void On(const event::BackendFailed& aEvent);
   std::optional<Refusal> Identify(Request& aRequest);
   void Proceed(Request& aRequest);
-  void Send(Request& aRequest);
+  void RefuseForRate(Request& aRequest);
+  /// Sends the request to the selected server, or refuses it.
+  void Send(Request& aRequest, const std::optional<Selection>& aSelection);
   std::vector<Backend*> Candidates(const Request& aRequest,
                                    const RegionId& aRegion);
+  /// Whether this VM's part of a cold server's rate in its region has room.
+  bool MaySendCold(const Request& aRequest, Backend& aBackend) const;
   bool IsAllowed(const Request& aRequest, const RegionId& aRegion) const;
   std::optional<Selection> Select(const Request& aRequest);
-  bool MayRetry(const Request& aRequest);
+  /// The server for a further attempt, whose budget is then spent; nothing if
+  /// the rules allow none.
+  std::optional<Selection> SelectRetry(const Request& aRequest);
   /// Sends the request to another server if the rules allow it. aReason says
   /// in the log how the last attempt ended.
   bool Retry(Request& aRequest, std::string_view aReason);
--- a/src/libcranberrywing/gateway/backend_pool.cpp
+++ b/src/libcranberrywing/gateway/backend_pool.cpp
@@ -77,7 +77,6 @@
 
 void BackendPool::Reindex()
 {
-  ++mVersion;
   mByService.clear();
   for (const auto& [id, backend] : mBackends) {
     mByService[backend->mEntry.mService].push_back(backend.get());
@@ -87,7 +86,6 @@
 void BackendPool::SetEvacuated(const FailureDomainId& aDomain,
                                bool aIsEvacuated)
 {
-  ++mVersion;
   if (aIsEvacuated) {
     mEvacuated.insert(aDomain);
   } else {
--- a/src/libcranberrywing/gateway/fleet_view.cpp
+++ b/src/libcranberrywing/gateway/fleet_view.cpp
@@ -123,14 +123,11 @@
 std::vector<VmId> FleetView::VmsOfRegion(const RegionId& aRegion) const
 {
   std::vector<VmId> vms;
-  for (const auto& [id, peer] : mPeers) {
-    if (peer.mRecord.mRegion == aRegion) {
-      vms.push_back(id);
+  for (const SharingVm& vm : SharingVms()) {
+    if (vm.mRegion == aRegion) {
+      vms.push_back(vm.mVm);
     }
   }
-  if (mOptions.mSelf.mRegion == aRegion) {
-    vms.push_back(mOptions.mSelf.mVm);
-  }
   return vms;
 }
 
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -99,6 +99,13 @@
   aEffects.clear();
 }
 
+void Gateway::NoteServerDown(const BackendId& aBackend)
+{
+  cranberrywing::EffectList effects;
+  mCrashGuard.OnServerDown(aBackend, mNow, effects);
+  TakeCoreEffects(effects);
+}
+
 void Gateway::On(const event::PolicyReceived& aEvent)
 {
   if (mPolicy && aEvent.mPolicy->GetRevision() <= mPolicy->GetRevision()) {
@@ -154,9 +161,7 @@
   }
   mOut.push_back(effect::CloseBackendConnections{ backend->mEntry.mAddress,
                                                   backend->mEntry.mPort });
-  cranberrywing::EffectList effects;
-  mCrashGuard.OnServerDown(aEvent.mBackend, mNow, effects);
-  TakeCoreEffects(effects);
+  NoteServerDown(aEvent.mBackend);
   mPool.Remove(aEvent.mBackend);
   Record("backend_removed", { { "backend", aEvent.mBackend.mName } });
 }
@@ -222,9 +227,7 @@
   }
   mPool.OnProbe(*backend, aEvent.mIsHealthy, mNow);
   if (!aEvent.mIsHealthy) {
-    cranberrywing::EffectList effects;
-    mCrashGuard.OnServerDown(aEvent.mBackend, mNow, effects);
-    TakeCoreEffects(effects);
+    NoteServerDown(aEvent.mBackend);
   }
   Record("backend_probed",
          { { "backend", aEvent.mBackend.mName },
@@ -270,12 +273,9 @@
     }
     it->second.mWaitsForTokens = false;
     if (outcome.mAdmitted) {
-      Send(it->second);
+      Send(it->second, Select(it->second));
     } else {
-      RefuseRequest(it->second,
-                    { .mCode = ResultCode::RateExceeded,
-                      .mDetail = "the account's rate is used up",
-                      .mRetryAfter = SpreadRetry(std::chrono::seconds(1)) });
+      RefuseForRate(it->second);
     }
   }
   CheckDeadlines();
--- a/src/libcranberrywing/gateway/gateway_outcomes.cpp
+++ b/src/libcranberrywing/gateway/gateway_outcomes.cpp
@@ -152,9 +152,7 @@
   const bool isSent = aEvent.mStage == event::FailureStage::AfterFirstByte;
   request->mMayHaveRun = request->mMayHaveRun || isSent;
   if (aEvent.mKind == event::FailureKind::Connect) {
-    cranberrywing::EffectList effects;
-    mCrashGuard.OnServerDown(server, mNow, effects);
-    TakeCoreEffects(effects);
+    NoteServerDown(server);
     if (backend) {
       mPool.Eject(*backend, mNow);
     }
@@ -293,8 +291,8 @@
     Request& request = mRequests.at(id);
     // The attempt goes on unless another one is sure to follow: its server may
     // still be at work.
-    if (!MayRetry(request) ||
-        !mRetries.TryRetry(request.mService, mFleet.ShareCount(), mNow)) {
+    const auto selection = SelectRetry(request);
+    if (!selection) {
       continue;
     }
     RecordRetry(request, "silent_server");
@@ -303,7 +301,7 @@
     if (Backend* const backend = EndAttempt(request, false)) {
       mPool.OnFailure(*backend, mNow);
     }
-    Send(request);
+    Send(request, selection);
   }
 }
 
--- a/src/libcranberrywing/gateway/gateway_requests.cpp
+++ b/src/libcranberrywing/gateway/gateway_requests.cpp
@@ -112,7 +112,7 @@
 void Gateway::Proceed(Request& aRequest)
 {
   if (!aRequest.mAccount || aRequest.mAccount->mRate <= 0) {
-    Send(aRequest);
+    Send(aRequest, Select(aRequest));
     return;
   }
   cranberrywing::EffectList effects;
@@ -124,20 +124,25 @@
   TakeCoreEffects(effects);
   switch (decision) {
     case RateDecision::Admitted:
-      Send(aRequest);
+      Send(aRequest, Select(aRequest));
       break;
     case RateDecision::Waiting:
       aRequest.mWaitsForTokens = true;
       break;
     case RateDecision::Refused:
-      RefuseRequest(aRequest,
-                    { .mCode = ResultCode::RateExceeded,
-                      .mDetail = "the account's rate is used up",
-                      .mRetryAfter = SpreadRetry(std::chrono::seconds(1)) });
+      RefuseForRate(aRequest);
       break;
   }
 }
 
+void Gateway::RefuseForRate(Request& aRequest)
+{
+  RefuseRequest(aRequest,
+                { .mCode = ResultCode::RateExceeded,
+                  .mDetail = "the account's rate is used up",
+                  .mRetryAfter = SpreadRetry(std::chrono::seconds(1)) });
+}
+
 bool Gateway::IsAllowed(const Request& aRequest, const RegionId& aRegion) const
 {
   return Contains(aRequest.mRoute->mAllowedRegions, aRegion) &&
@@ -149,8 +154,7 @@
                                           const RegionId& aRegion)
 {
   std::vector<Backend*> candidates;
-  const ServicePolicy* const service =
-    aRequest.mPolicy->FindService(aRequest.mService);
+  const bool isOwnRegion = aRegion == mOptions.mSelf.mRegion;
   for (Backend* const backend : mPool.OfService(aRequest.mService)) {
     if (backend->mEntry.mRegion != aRegion || !mPool.IsUsable(*backend, mNow) ||
         std::find(aRequest.mTried.begin(),
@@ -158,38 +162,43 @@
                   backend->mEntry.mBackend) != aRequest.mTried.end()) {
       continue;
     }
-    if (mPool.IsCold(*backend, mNow)) {
-      std::vector<VmId> vms = mFleet.VmsOfRegion(aRegion);
-      if (!mColdStart.MaySend(*backend,
-                              service ? service->mColdRate : 0,
-                              vms,
-                              mOptions.mSelf.mVm,
-                              mNow) ||
-          mOptions.mSelf.mRegion != aRegion) {
-        continue;
-      }
+    if (mPool.IsCold(*backend, mNow) &&
+        !(isOwnRegion && MaySendCold(aRequest, *backend))) {
+      continue;
     }
     candidates.push_back(backend);
   }
   return candidates;
 }
 
+bool Gateway::MaySendCold(const Request& aRequest, Backend& aBackend) const
+{
+  const ServicePolicy* const service =
+    aRequest.mPolicy->FindService(aRequest.mService);
+  return mColdStart.MaySend(aBackend,
+                            service ? service->mColdRate : 0,
+                            mFleet.VmsOfRegion(mOptions.mSelf.mRegion),
+                            mOptions.mSelf.mVm,
+                            mNow);
+}
+
 std::optional<Selection> Gateway::Select(const Request& aRequest)
 {
   const ExpectedTimes times =
     mTimes.Expect(*aRequest.mRoute, aRequest.mService);
+  const std::uint64_t requestHash =
+    aRequest.mObject == 0 ? HashBytes(aRequest.mArrival.mTrace) : 0;
   for (const RegionId& region :
        mPlan.Rank(aRequest.mService, aRequest.mPosition)) {
     if (!IsAllowed(aRequest, region)) {
       continue;
     }
-    const auto selection =
-      mSelector.Choose(mPool,
-                       Candidates(aRequest, region),
-                       aRequest.mObject,
-                       times,
-                       mNow,
-                       HashBytes(aRequest.mArrival.mTrace));
+    const auto selection = mSelector.Choose(mPool,
+                                            Candidates(aRequest, region),
+                                            aRequest.mObject,
+                                            times,
+                                            mNow,
+                                            requestHash);
     if (selection) {
       return selection;
     }
@@ -197,14 +206,14 @@
   return std::nullopt;
 }
 
-void Gateway::Send(Request& aRequest)
+void Gateway::Send(Request& aRequest,
+                   const std::optional<Selection>& aSelection)
 {
-  const auto selection = Select(aRequest);
-  if (aRequest.mMayHaveRun && !selection) {
+  if (aRequest.mMayHaveRun && !aSelection) {
     FailUnknown(aRequest, "no_further_server");
     return;
   }
-  if (!selection) {
+  if (!aSelection) {
     RefuseRequest(aRequest,
                   { .mCode = ResultCode::NoBackend,
                     .mDetail = "no server of the service is usable",
@@ -217,24 +226,24 @@
     .mElapsed = mNow - aRequest.mArrivedAt,
     .mTimeLeft = timeLeft,
     .mTargetLatency = aRequest.mRoute->mTargetLatency,
-    .mWait = selection->mWait,
-    .mTotal = selection->mTotal,
+    .mWait = aSelection->mWait,
+    .mTotal = aSelection->mTotal,
   });
   if (!decision.mIsAdmitted && !aRequest.mMayHaveRun) {
     RefuseRequest(aRequest,
                   { .mCode = ResultCode::Overloaded,
-                    .mDetail = "expected_ms=" + ToMs(selection->mTotal),
+                    .mDetail = "expected_ms=" + ToMs(aSelection->mTotal),
                     .mRetryAfter = SpreadRetry(decision.mRetryAfter) });
     return;
   }
-  Backend& backend = *selection->mBackend;
+  Backend& backend = *aSelection->mBackend;
   ++aRequest.mAttempt;
   aRequest.mBackend = backend.mEntry.mBackend;
   aRequest.mTried.push_back(backend.mEntry.mBackend);
   aRequest.mSentAt = mNow;
-  aRequest.mExpected = selection->mTotal;
-  aRequest.mExpectedWait = selection->mWait;
-  aRequest.mRank = selection->mRank;
+  aRequest.mExpected = aSelection->mTotal;
+  aRequest.mExpectedWait = aSelection->mWait;
+  aRequest.mRank = aSelection->mRank;
   aRequest.mWasWarm = mPool.IsWarm(backend, aRequest.mObject, mNow);
   mPool.OnSent(backend, aRequest.mObject, mNow);
   ++mCounters.mDispatched;
@@ -251,22 +260,29 @@
   });
 }
 
-bool Gateway::MayRetry(const Request& aRequest)
+std::optional<Selection> Gateway::SelectRetry(const Request& aRequest)
 {
-  return aRequest.mAttempt < aRequest.mRoute->mMaxAttempts &&
-         aRequest.mDeadline - mNow >= kShortestRepeat &&
-         !mCrashGuard.IsSuspect(aRequest.mFingerprint, mNow) &&
-         Select(aRequest).has_value();
+  if (aRequest.mAttempt >= aRequest.mRoute->mMaxAttempts ||
+      aRequest.mDeadline - mNow < kShortestRepeat ||
+      mCrashGuard.IsSuspect(aRequest.mFingerprint, mNow)) {
+    return std::nullopt;
+  }
+  const auto selection = Select(aRequest);
+  if (!selection ||
+      !mRetries.TryRetry(aRequest.mService, mFleet.ShareCount(), mNow)) {
+    return std::nullopt;
+  }
+  return selection;
 }
 
 bool Gateway::Retry(Request& aRequest, std::string_view aReason)
 {
-  if (!MayRetry(aRequest) ||
-      !mRetries.TryRetry(aRequest.mService, mFleet.ShareCount(), mNow)) {
+  const auto selection = SelectRetry(aRequest);
+  if (!selection) {
     return false;
   }
   RecordRetry(aRequest, aReason);
-  Send(aRequest);
+  Send(aRequest, selection);
   return true;
 }
 
--- a/src/libcranberrywing/gateway/gateway_upkeep.cpp
+++ b/src/libcranberrywing/gateway/gateway_upkeep.cpp
@@ -148,9 +148,9 @@
     mFleet.Demand(own, aService, mNow) + ArrivalRate(aService) * seconds;
   if (load.mDemand[own] < kIdleSlots) {
     load.mIsIdle = true;
-    std::map<RegionId, std::size_t> vms{ { own, 1 } };
-    for (const auto& [id, peer] : mFleet.Peers()) {
-      ++vms[peer.mRecord.mRegion];
+    std::map<RegionId, std::size_t> vms;
+    for (const SharingVm& vm : mFleet.SharingVms()) {
+      ++vms[vm.mRegion];
     }
     load.mDemand = GuessDemand(load.mOffered, vms, kGuessedUse);
   }
@@ -177,9 +177,8 @@
   }
   for (const auto& [id, backend] : mPool.All()) {
     const auto it = inFlight.find(backend->mHash);
-    Backend* const known = mPool.Find(id);
-    known->mPeerInFlight = it == inFlight.end() ? 0 : it->second;
-    known->mPeerInFlightAt = mNow;
+    backend->mPeerInFlight = it == inFlight.end() ? 0 : it->second;
+    backend->mPeerInFlightAt = mNow;
   }
 }
 
--- a/src/libcranberrywing/gateway/object_selector.cpp
+++ b/src/libcranberrywing/gateway/object_selector.cpp
@@ -87,20 +87,18 @@
     return std::nullopt;
   }
   const std::uint64_t key = aObject == 0 ? aRequestHash : aObject;
-  std::sort(aCandidates.begin(),
-            aCandidates.end(),
-            [key](const Backend* aLeft, const Backend* aRight) {
-              return Mix(key, aLeft->mHash) > Mix(key, aRight->mHash);
-            });
   const std::size_t width = aObject == 0
                               ? aCandidates.size()
                               : std::min(mOptions.mWidth, aCandidates.size());
+  std::partial_sort(aCandidates.begin(),
+                    aCandidates.begin() + static_cast<std::ptrdiff_t>(width),
+                    aCandidates.end(),
+                    [key](const Backend* aLeft, const Backend* aRight) {
+                      return Mix(key, aLeft->mHash) > Mix(key, aRight->mHash);
+                    });
   std::optional<Selection> best;
   Duration bestCost{};
-  for (std::size_t n = 0; n < aCandidates.size(); ++n) {
-    if (n >= width) {
-      break;
-    }
+  for (std::size_t n = 0; n < width; ++n) {
     const Selection selection =
       Evaluate(aPool, *aCandidates[n], n, aObject, aTimes, aNow);
     Duration cost = selection.mTotal;
