Carry out the gateway's effects in a file of their own

Its constructor built the gateway's options twice to get the VM's record, and the log had a second copy of the daemon's wall clock. No change of behaviour.

--- a/src/cranberrywingd/daemon.cpp
+++ b/src/cranberrywingd/daemon.cpp
@@ -14,13 +14,6 @@
 /// Least limit of a body, for requests that no route will take anyway.
 constexpr std::uint64_t kLeastBodyBytes = 64 * 1024;
 
-std::int64_t WallMilliseconds()
-{
-  return std::chrono::duration_cast<Milliseconds>(
-           std::chrono::system_clock::now().time_since_epoch())
-    .count();
-}
-
 MemberUpdate MakeSelf(const BootSettings& aBoot, Incarnation aIncarnation)
 {
   MemberUpdate self;
--- a/src/cranberrywingd/decision_log.cpp
+++ b/src/cranberrywingd/decision_log.cpp
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include "cranberrywingd/event_sink.h"
 #include "cranberrywingd/timeline.h"
 
 namespace cranberrywing::daemon {
@@ -12,13 +13,6 @@
 
 constexpr std::string_view kUsualEvent = "request_answered";
 
-std::int64_t WallMs()
-{
-  return std::chrono::duration_cast<Milliseconds>(
-           std::chrono::system_clock::now().time_since_epoch())
-    .count();
-}
-
 } // namespace
 
 DecisionLog::DecisionLog(Options aOptions, VmId aVm)
@@ -69,7 +63,8 @@
     ++mDroppedInAll;
     return;
   }
-  mBuffer += "time_ms=" + std::to_string(WallMs()) + " vm=" + mVm.mName + " ";
+  mBuffer +=
+    "time_ms=" + std::to_string(WallMilliseconds()) + " vm=" + mVm.mName + " ";
   mBuffer += line;
   mBuffer += '\n';
 }
--- a/src/cranberrywingd/event_sink.h
+++ b/src/cranberrywingd/event_sink.h
@@ -1,5 +1,5 @@
 /// \file
-/// How the daemon's modules hand events to the reducer.
+/// How the daemon's modules hand events to the reducer, and its clocks.
 #pragma once
 
 #include <functional>
@@ -19,4 +19,12 @@
     std::chrono::steady_clock::now().time_since_epoch()));
 }
 
+/// Time of day in Unix milliseconds, for logs. It may jump.
+inline std::int64_t WallMilliseconds()
+{
+  return std::chrono::duration_cast<Milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
 } // namespace cranberrywing::daemon
--- a/src/cranberrywingd/gateway_daemon.cpp
+++ b/src/cranberrywingd/gateway_daemon.cpp
@@ -3,7 +3,6 @@
 #include <boost/asio/post.hpp>
 
 #include "cranberrywingd/event_sink.h"
-#include "netutil/headers.h"
 
 namespace cranberrywing::daemon {
 
@@ -15,7 +14,6 @@
 /// A server's listen queue drops the opening packet when it is full, and it is
 /// sent again after a second only.
 constexpr Milliseconds kConnectTimeout{ 350 };
-constexpr Milliseconds kProbeTimeout{ 600 };
 /// For servers that do not state how long they keep idle connections.
 constexpr std::chrono::seconds kIdleTime{ 7 };
 /// Readiness checks and lookups are short.
@@ -24,22 +22,6 @@
 constexpr std::size_t kFiles = 200;
 constexpr std::size_t kStoreAnswerBytes = 8 * 1024 * 1024;
 
-gateway::event::FailureKind KindOf(netutil::ExchangeFailureKind aKind)
-{
-  using netutil::ExchangeFailureKind;
-  switch (aKind) {
-    case ExchangeFailureKind::Connect:
-      return gateway::event::FailureKind::Connect;
-    case ExchangeFailureKind::Timeout:
-      return gateway::event::FailureKind::Timeout;
-    case ExchangeFailureKind::Reset:
-      return gateway::event::FailureKind::Reset;
-    case ExchangeFailureKind::Malformed:
-      break;
-  }
-  return gateway::event::FailureKind::MalformedAnswer;
-}
-
 /// Half of the descriptors that sockets may use; the rest is for backend
 /// servers, the store and other VMs.
 std::size_t CallerConnections(std::size_t aFileLimit)
@@ -68,19 +50,25 @@
 
 } // namespace
 
+gateway::VmRecord GatewayDaemon::MakeRecord(const Options& aOptions)
+{
+  const GatewaySettings& settings = aOptions.mSettings;
+  return { .mVm = settings.mVm,
+           .mIncarnation = aOptions.mIncarnation,
+           .mRegion = settings.mRegion,
+           .mFailureDomain = settings.mFailureDomain,
+           .mAddress = settings.mCallers.mAddress,
+           .mCallerPort = settings.mCallers.mPort,
+           .mPeerPort = settings.mPeers.mPort };
+}
+
 gateway::Gateway::Options GatewayDaemon::GatewayOptions(
   const Options& aOptions,
-  const VmIncarnation& aSelf)
+  const gateway::VmRecord& aRecord)
 {
   const GatewaySettings& settings = aOptions.mSettings;
   gateway::Gateway::Options options;
-  options.mSelf = { .mVm = aSelf.mVm,
-                    .mIncarnation = aSelf.mIncarnation,
-                    .mRegion = settings.mRegion,
-                    .mFailureDomain = settings.mFailureDomain,
-                    .mAddress = settings.mCallers.mAddress,
-                    .mCallerPort = settings.mCallers.mPort,
-                    .mPeerPort = settings.mPeers.mPort };
+  options.mSelf = aRecord;
   options.mSeed = aOptions.mSeed;
   options.mRetries.mRatio = settings.mRetryRatio;
   options.mRetries.mAllowance = settings.mRetryAllowance;
@@ -98,9 +86,9 @@
   : mContext(aContext)
   , mOptions(std::move(aOptions))
   , mSelf{ mOptions.mSettings.mVm, mOptions.mIncarnation }
-  , mRecord(GatewayOptions(mOptions, mSelf).mSelf)
+  , mRecord(MakeRecord(mOptions))
   , mLog(DecisionLog::Options{}, mSelf.mVm)
-  , mGateway(GatewayOptions(mOptions, mSelf))
+  , mGateway(GatewayOptions(mOptions, mRecord))
   , mStore(
       gateway::StoreFollower::Options{
         .mOwnKey = mOptions.mDialect.mVmKey(mSelf.mVm),
@@ -296,165 +284,6 @@
   mRequestOf.erase(it);
 }
 
-void GatewayDaemon::CarryOut(gateway::effect::Dispatch& aEffect)
-{
-  const auto it = mExchanges.find(aEffect.mRequest);
-  if (it == mExchanges.end()) {
-    return;
-  }
-  ++mMetrics.mBackendExchanges;
-  const TimePoint sentAt = ReadClock();
-  const RequestContentPtr content = aEffect.mContent;
-  it->second.mAttempt = aEffect.mAttempt;
-  it->second.mBackend = mBackends.Start(
-    { aEffect.mAddress, aEffect.mPort },
-    content,
-    mOptions.mDialect.mBackendFields(aEffect),
-    aEffect.mTimeout,
-    [this,
-     content,
-     sentAt,
-     request = aEffect.mRequest,
-     attempt = aEffect.mAttempt](netutil::ExchangeResult aResult) {
-      OnBackendResult(request, attempt, content, sentAt, std::move(aResult));
-    },
-    [this, content](const AnswerContent& aAnswer) {
-      return mOptions.mDialect.mIsAnswerTo(*content, aAnswer);
-    });
-}
-
-void GatewayDaemon::OnBackendResult(RequestId aRequest,
-                                    AttemptNumber aAttempt,
-                                    const RequestContentPtr& aContent,
-                                    TimePoint aSentAt,
-                                    netutil::ExchangeResult aResult)
-{
-  const auto it = mExchanges.find(aRequest);
-  if (it != mExchanges.end() && it->second.mAttempt == aAttempt) {
-    it->second.mBackend.reset();
-  }
-  if (aResult) {
-    const TimePoint now = ReadClock();
-    mMetrics.mBackendLatency.Add(now - aSentAt, now);
-    gateway::event::BackendReplied replied =
-      mOptions.mDialect.mReadAnswer(*aContent, std::move(*aResult));
-    replied.mRequest = aRequest;
-    replied.mAttempt = aAttempt;
-    replied.mLatency = now - aSentAt;
-    Deliver(std::move(replied));
-    return;
-  }
-  const netutil::ExchangeFailure& failure = aResult.error();
-  Deliver(gateway::event::BackendFailed{
-    .mRequest = aRequest,
-    .mAttempt = aAttempt,
-    .mStage = failure.mWasSent ? gateway::event::FailureStage::AfterFirstByte
-                               : gateway::event::FailureStage::BeforeFirstByte,
-    .mKind = KindOf(failure.mKind),
-  });
-}
-
-void GatewayDaemon::CarryOut(gateway::effect::CancelDispatch& aEffect)
-{
-  const auto it = mExchanges.find(aEffect.mRequest);
-  if (it != mExchanges.end() && it->second.mAttempt == aEffect.mAttempt &&
-      it->second.mBackend) {
-    it->second.mBackend->Close();
-    it->second.mBackend.reset();
-  }
-}
-
-void GatewayDaemon::AnswerCaller(RequestId aRequest,
-                                 const AnswerContentPtr& aAnswer,
-                                 bool aCloseAfter)
-{
-  const auto it = mExchanges.find(aRequest);
-  if (it == mExchanges.end()) {
-    return;
-  }
-  const netutil::ExchangeId exchange = it->second.mId;
-  mExchanges.erase(it);
-  mRequestOf.erase(exchange);
-  ++mMetrics.mAnswersByStatus[aAnswer->mStatus];
-  mCallers.Answer(exchange, aAnswer, { .mCloseAfter = aCloseAfter });
-}
-
-void GatewayDaemon::CarryOut(gateway::effect::Respond& aEffect)
-{
-  AnswerCaller(aEffect.mRequest, aEffect.mAnswer, aEffect.mCloseAfter);
-}
-
-void GatewayDaemon::CarryOut(gateway::effect::Refuse& aEffect)
-{
-  AnswerCaller(aEffect.mRequest,
-               mOptions.mDialect.mWriteRefusal(aEffect.mRefusal),
-               aEffect.mCloseAfter);
-}
-
-void GatewayDaemon::CarryOut(gateway::effect::SendMessage& aEffect)
-{
-  mPeers.Send({ aEffect.mAddress, aEffect.mPort },
-              EncodeEnvelope({ mSelf, std::move(aEffect.mMessage) }, mCodec));
-}
-
-void GatewayDaemon::CarryOut(gateway::effect::ProbeBackend& aEffect)
-{
-  const auto request = std::make_shared<RequestContent>();
-  request->mMethod = "GET";
-  request->mTarget = aEffect.mHealthPath;
-  mBackends.Start(
-    { aEffect.mAddress, aEffect.mPort },
-    request,
-    {},
-    kProbeTimeout,
-    [this, backend = aEffect.mBackend](netutil::ExchangeResult aResult) {
-      Deliver(aResult ? mOptions.mDialect.mReadProbe(backend, *aResult)
-                      : gateway::event::BackendProbed{ .mBackend = backend });
-    });
-}
-
-void GatewayDaemon::CarryOut(gateway::effect::CloseBackendConnections& aEffect)
-{
-  mBackends.CloseIdle({ aEffect.mAddress, aEffect.mPort });
-}
-
-void GatewayDaemon::CarryOut(gateway::effect::AnnounceLeaving&)
-{
-  mRecord.mIsLeaving = true;
-  mStore.SetOwnValue(mOptions.mDialect.mWriteVmRecord(mRecord), ReadClock());
-}
-
-void GatewayDaemon::CarryOut(gateway::effect::CloseCallerConnections&)
-{
-  mCallers.CloseAllAfterAnswers();
-}
-
-void GatewayDaemon::CarryOut(gateway::effect::ApplyCallerLimits& aEffect)
-{
-  const gateway::CallerLimits& limits = aEffect.mLimits;
-  mCallers.SetBodyLimit(limits.mBodyBytes);
-  mCallers.SetLimits(
-    limits.mHeaderBytes, limits.mHeaderTimeout, limits.mIdleTimeout);
-}
-
-void GatewayDaemon::CarryOut(gateway::effect::RecordTimeline& aEffect)
-{
-  mLog.Record(aEffect, ReadClock());
-}
-
-void GatewayDaemon::CarryOut(gateway::effect::Exit&)
-{
-  mStore.EndLease();
-  mCallers.CloseAllAfterAnswers();
-  mLog.Flush();
-  // The last calls and answers still have to reach the kernel.
-  mTimer.expires_after(std::chrono::milliseconds(50));
-  mTimer.async_wait([this](boost::system::error_code) {
-    mLog.Flush();
-    mContext.stop();
-  });
-}
-
 void GatewayDaemon::CallStore(gateway::StoreLane aLane,
                               const gateway::StoreCall& aCall,
                               Duration aTimeout)
--- a/src/cranberrywingd/gateway_daemon.h
+++ b/src/cranberrywingd/gateway_daemon.h
@@ -52,11 +52,15 @@
     AttemptNumber mAttempt = 0;
   };
 
-  static gateway::Gateway::Options GatewayOptions(const Options& aOptions,
-                                                  const VmIncarnation& aSelf);
+  static gateway::VmRecord MakeRecord(const Options& aOptions);
+  static gateway::Gateway::Options GatewayOptions(
+    const Options& aOptions,
+    const gateway::VmRecord& aRecord);
   void Deliver(gateway::Event aEvent);
   void Drain();
   void Tick();
+
+  // gateway_daemon_effects.cpp
   void CarryOut(gateway::effect::Dispatch& aEffect);
   void CarryOut(gateway::effect::CancelDispatch& aEffect);
   void CarryOut(gateway::effect::Respond& aEffect);
@@ -69,10 +73,6 @@
   void CarryOut(gateway::effect::ApplyCallerLimits& aEffect);
   void CarryOut(gateway::effect::RecordTimeline& aEffect);
   void CarryOut(gateway::effect::Exit& aEffect);
-
-  void OnCallerRequest(const netutil::ExchangeId& aExchange,
-                       RequestContent&& aContent);
-  void OnCallerGone(const netutil::ExchangeId& aExchange);
   void OnBackendResult(RequestId aRequest,
                        AttemptNumber aAttempt,
                        const RequestContentPtr& aContent,
@@ -81,6 +81,11 @@
   void AnswerCaller(RequestId aRequest,
                     const AnswerContentPtr& aAnswer,
                     bool aCloseAfter);
+
+  // gateway_daemon.cpp
+  void OnCallerRequest(const netutil::ExchangeId& aExchange,
+                       RequestContent&& aContent);
+  void OnCallerGone(const netutil::ExchangeId& aExchange);
   void CallStore(gateway::StoreLane aLane,
                  const gateway::StoreCall& aCall,
                  Duration aTimeout);
--- /dev/null
+++ b/src/cranberrywingd/gateway_daemon_effects.cpp
@@ -0,0 +1,187 @@
+#include "cranberrywingd/event_sink.h"
+#include "cranberrywingd/gateway_daemon.h"
+
+namespace cranberrywing::daemon {
+
+namespace {
+
+constexpr Milliseconds kProbeTimeout{ 600 };
+
+gateway::event::FailureKind KindOf(netutil::ExchangeFailureKind aKind)
+{
+  using netutil::ExchangeFailureKind;
+  switch (aKind) {
+    case ExchangeFailureKind::Connect:
+      return gateway::event::FailureKind::Connect;
+    case ExchangeFailureKind::Timeout:
+      return gateway::event::FailureKind::Timeout;
+    case ExchangeFailureKind::Reset:
+      return gateway::event::FailureKind::Reset;
+    case ExchangeFailureKind::Malformed:
+      break;
+  }
+  return gateway::event::FailureKind::MalformedAnswer;
+}
+
+} // namespace
+
+void GatewayDaemon::CarryOut(gateway::effect::Dispatch& aEffect)
+{
+  const auto it = mExchanges.find(aEffect.mRequest);
+  if (it == mExchanges.end()) {
+    return;
+  }
+  ++mMetrics.mBackendExchanges;
+  const TimePoint sentAt = ReadClock();
+  const RequestContentPtr content = aEffect.mContent;
+  it->second.mAttempt = aEffect.mAttempt;
+  it->second.mBackend = mBackends.Start(
+    { aEffect.mAddress, aEffect.mPort },
+    content,
+    mOptions.mDialect.mBackendFields(aEffect),
+    aEffect.mTimeout,
+    [this,
+     content,
+     sentAt,
+     request = aEffect.mRequest,
+     attempt = aEffect.mAttempt](netutil::ExchangeResult aResult) {
+      OnBackendResult(request, attempt, content, sentAt, std::move(aResult));
+    },
+    [this, content](const AnswerContent& aAnswer) {
+      return mOptions.mDialect.mIsAnswerTo(*content, aAnswer);
+    });
+}
+
+void GatewayDaemon::OnBackendResult(RequestId aRequest,
+                                    AttemptNumber aAttempt,
+                                    const RequestContentPtr& aContent,
+                                    TimePoint aSentAt,
+                                    netutil::ExchangeResult aResult)
+{
+  const auto it = mExchanges.find(aRequest);
+  if (it != mExchanges.end() && it->second.mAttempt == aAttempt) {
+    it->second.mBackend.reset();
+  }
+  if (aResult) {
+    const TimePoint now = ReadClock();
+    mMetrics.mBackendLatency.Add(now - aSentAt, now);
+    gateway::event::BackendReplied replied =
+      mOptions.mDialect.mReadAnswer(*aContent, std::move(*aResult));
+    replied.mRequest = aRequest;
+    replied.mAttempt = aAttempt;
+    replied.mLatency = now - aSentAt;
+    Deliver(std::move(replied));
+    return;
+  }
+  const netutil::ExchangeFailure& failure = aResult.error();
+  Deliver(gateway::event::BackendFailed{
+    .mRequest = aRequest,
+    .mAttempt = aAttempt,
+    .mStage = failure.mWasSent ? gateway::event::FailureStage::AfterFirstByte
+                               : gateway::event::FailureStage::BeforeFirstByte,
+    .mKind = KindOf(failure.mKind),
+  });
+}
+
+void GatewayDaemon::CarryOut(gateway::effect::CancelDispatch& aEffect)
+{
+  const auto it = mExchanges.find(aEffect.mRequest);
+  if (it != mExchanges.end() && it->second.mAttempt == aEffect.mAttempt &&
+      it->second.mBackend) {
+    it->second.mBackend->Close();
+    it->second.mBackend.reset();
+  }
+}
+
+void GatewayDaemon::AnswerCaller(RequestId aRequest,
+                                 const AnswerContentPtr& aAnswer,
+                                 bool aCloseAfter)
+{
+  const auto it = mExchanges.find(aRequest);
+  if (it == mExchanges.end()) {
+    return;
+  }
+  const netutil::ExchangeId exchange = it->second.mId;
+  mExchanges.erase(it);
+  mRequestOf.erase(exchange);
+  ++mMetrics.mAnswersByStatus[aAnswer->mStatus];
+  mCallers.Answer(exchange, aAnswer, { .mCloseAfter = aCloseAfter });
+}
+
+void GatewayDaemon::CarryOut(gateway::effect::Respond& aEffect)
+{
+  AnswerCaller(aEffect.mRequest, aEffect.mAnswer, aEffect.mCloseAfter);
+}
+
+void GatewayDaemon::CarryOut(gateway::effect::Refuse& aEffect)
+{
+  AnswerCaller(aEffect.mRequest,
+               mOptions.mDialect.mWriteRefusal(aEffect.mRefusal),
+               aEffect.mCloseAfter);
+}
+
+void GatewayDaemon::CarryOut(gateway::effect::SendMessage& aEffect)
+{
+  mPeers.Send({ aEffect.mAddress, aEffect.mPort },
+              EncodeEnvelope({ mSelf, std::move(aEffect.mMessage) }, mCodec));
+}
+
+void GatewayDaemon::CarryOut(gateway::effect::ProbeBackend& aEffect)
+{
+  const auto request = std::make_shared<RequestContent>();
+  request->mMethod = "GET";
+  request->mTarget = aEffect.mHealthPath;
+  mBackends.Start(
+    { aEffect.mAddress, aEffect.mPort },
+    request,
+    {},
+    kProbeTimeout,
+    [this, backend = aEffect.mBackend](netutil::ExchangeResult aResult) {
+      Deliver(aResult ? mOptions.mDialect.mReadProbe(backend, *aResult)
+                      : gateway::event::BackendProbed{ .mBackend = backend });
+    });
+}
+
+void GatewayDaemon::CarryOut(gateway::effect::CloseBackendConnections& aEffect)
+{
+  mBackends.CloseIdle({ aEffect.mAddress, aEffect.mPort });
+}
+
+void GatewayDaemon::CarryOut(gateway::effect::AnnounceLeaving&)
+{
+  mRecord.mIsLeaving = true;
+  mStore.SetOwnValue(mOptions.mDialect.mWriteVmRecord(mRecord), ReadClock());
+}
+
+void GatewayDaemon::CarryOut(gateway::effect::CloseCallerConnections&)
+{
+  mCallers.CloseAllAfterAnswers();
+}
+
+void GatewayDaemon::CarryOut(gateway::effect::ApplyCallerLimits& aEffect)
+{
+  const gateway::CallerLimits& limits = aEffect.mLimits;
+  mCallers.SetBodyLimit(limits.mBodyBytes);
+  mCallers.SetLimits(
+    limits.mHeaderBytes, limits.mHeaderTimeout, limits.mIdleTimeout);
+}
+
+void GatewayDaemon::CarryOut(gateway::effect::RecordTimeline& aEffect)
+{
+  mLog.Record(aEffect, ReadClock());
+}
+
+void GatewayDaemon::CarryOut(gateway::effect::Exit&)
+{
+  mStore.EndLease();
+  mCallers.CloseAllAfterAnswers();
+  mLog.Flush();
+  // The last calls and answers still have to reach the kernel.
+  mTimer.expires_after(std::chrono::milliseconds(50));
+  mTimer.async_wait([this](boost::system::error_code) {
+    mLog.Flush();
+    mContext.stop();
+  });
+}
+
+} // namespace cranberrywing::daemon
