Let an unreadable row of the configuration disable only itself

Cause: one row of an unknown kind, type or reference made the adapter refuse the whole configuration, which ended all service on a VM that had no earlier one.

--- a/src/include/cranberrywing/gateway/policy.h
+++ b/src/include/cranberrywing/gateway/policy.h
@@ -48,6 +48,9 @@
   bool mIsSticky = false;
   /// Regions that may serve the route; empty for all.
   std::vector<RegionId> mAllowedRegions;
+  /// Not set if part of the route's configuration could not be read. Its
+  /// requests are refused.
+  bool mIsUsable = true;
 };
 
 struct ServicePolicy
@@ -73,6 +76,9 @@
   double mBurst = 0;
   /// Regions that may serve the account; empty for all.
   std::vector<RegionId> mAllowedRegions;
+  /// Not set if part of the account's configuration could not be read. Its
+  /// requests are refused.
+  bool mIsUsable = true;
 };
 
 /// Size limits and timeouts of caller connections.
@@ -91,6 +97,9 @@
   std::vector<ServicePolicy> mServices;
   std::vector<AccountPolicy> mAccounts;
   CallerLimits mLimits;
+  /// Parts of the configuration that could not be read, one line each, without
+  /// API keys.
+  std::vector<std::string> mProblems;
 };
 
 /// Immutable and therefore thread-safe. Returned pointers are valid as long as
@@ -98,10 +107,10 @@
 class Policy
 {
 public:
-  /// Validates the content and builds the indices. Returns InvalidSettings for
-  /// an invalid route, a reference to an unknown service, or a key that two
-  /// accounts share.
-  static Result<std::shared_ptr<const Policy>> Make(PolicyContent aContent);
+  /// Validates the content and builds the indices. A route that is invalid or
+  /// refers to an unknown service, and accounts that share a key, are marked as
+  /// not usable and added to PolicyContent::mProblems.
+  static std::shared_ptr<const Policy> Make(PolicyContent aContent);
 
   Revision GetRevision() const { return mContent.mRevision; }
   const PolicyContent& Content() const { return mContent; }
@@ -118,6 +127,9 @@
 private:
   explicit Policy(PolicyContent aContent);
 
+  void IndexServicesAndRoutes();
+  void IndexKeys();
+
   /// SHA-256 of a key. Looking keys up by digest prevents timing attacks: the
   /// time does not depend on how much of a guessed key is correct.
   using KeyDigest = std::array<unsigned char, 32>;
--- a/src/libcranberrywing/gateway/gateway_requests.cpp
+++ b/src/libcranberrywing/gateway/gateway_requests.cpp
@@ -54,6 +54,12 @@
                       .mDetail = "the API key is missing or unknown" };
     }
   }
+  if (!aRequest.mRoute->mIsUsable ||
+      (aRequest.mAccount && !aRequest.mAccount->mIsUsable)) {
+    return Refusal{ .mCode = ResultCode::NoConfiguration,
+                    .mDetail = "the configuration of the route or of the "
+                               "account could not be read" };
+  }
   return std::nullopt;
 }
 
--- a/src/libcranberrywing/gateway/gateway_test.cpp
+++ b/src/libcranberrywing/gateway/gateway_test.cpp
@@ -241,4 +241,24 @@
   CHECK(crashed == 3);
 }
 
+// A route that could not be read must not be served by defaults.
+TEST_CASE("Requests of a route or account that is not usable are refused")
+{
+  GatewayFixture fixture;
+  PolicyContent content = fixture.Content(2);
+  content.mRoutes[0].mIsUsable = false;
+  fixture.SetPolicy(content);
+  fixture.Request("/prices/1");
+  REQUIRE(fixture.FindEffect<effect::Refuse>());
+  CHECK(fixture.FindEffect<effect::Refuse>()->mRefusal.mCode ==
+        ResultCode::NoConfiguration);
+  fixture.Request("/orders/1");
+  CHECK(fixture.FindEffect<effect::Dispatch>());
+  content.mRevision = { 3 };
+  content.mAccounts[0].mIsUsable = false;
+  fixture.SetPolicy(content);
+  fixture.Request("/orders/1");
+  CHECK_FALSE(fixture.FindEffect<effect::Dispatch>());
+}
+
 } // namespace cranberrywing::gateway::testing
--- a/src/libcranberrywing/gateway/gateway_test_fleet.h
+++ b/src/libcranberrywing/gateway/gateway_test_fleet.h
@@ -72,7 +72,7 @@
 
   void SetPolicy(PolicyContent aContent)
   {
-    Deliver(event::PolicyReceived{ *Policy::Make(std::move(aContent)) });
+    Deliver(event::PolicyReceived{ Policy::Make(std::move(aContent)) });
   }
 
   void Register(const std::string& aName, bool aIsDraining = false)
--- a/src/libcranberrywing/gateway/policy.cpp
+++ b/src/libcranberrywing/gateway/policy.cpp
@@ -9,9 +9,14 @@
 
 namespace {
 
+/// Lower case, without the port. The address in brackets of an IPv6 host is
+/// kept whole.
 std::string NormalizeHost(std::string_view aHost)
 {
-  std::string host(aHost.substr(0, aHost.rfind(':')));
+  const std::size_t bracket = aHost.starts_with('[') ? aHost.find(']') : 0;
+  const std::size_t colon = aHost.find(':', std::min(bracket, aHost.size()));
+  const bool isBareIpv6 = bracket == 0 && colon != aHost.rfind(':');
+  std::string host(isBareIpv6 ? aHost : aHost.substr(0, colon));
   std::transform(
     host.begin(), host.end(), host.begin(), [](unsigned char aLetter) {
       return static_cast<char>(std::tolower(aLetter));
@@ -19,36 +24,32 @@
   return host;
 }
 
-Result<void> ValidateRoute(
+/// Returns what is wrong with a route; empty if nothing is.
+std::string FindProblem(
   const RoutePolicy& aRoute,
   const std::unordered_map<ServiceId, std::size_t>& aServices)
 {
-  const auto invalid = [&](const std::string& aReason) {
-    return MakeError(ResultCode::InvalidSettings,
-                     "route " + aRoute.mRoute.mName + ": " + aReason);
-  };
   if (aRoute.mPrefix.empty() || aRoute.mPrefix.front() != '/' ||
       aRoute.mPrefix.back() != '/') {
-    return invalid("the path prefix must begin and end with a slash");
+    return "the path prefix must begin and end with a slash";
   }
   if (aRoute.mTimeout <= Duration::zero()) {
-    return invalid("the timeout must be positive");
+    return "the timeout must be positive";
   }
   if (aRoute.mServices.empty()) {
-    return invalid("no service is given");
+    return "no service is given";
   }
   double weights = 0;
   for (const WeightedService& part : aRoute.mServices) {
     if (!aServices.contains(part.mService)) {
-      return invalid("service " + part.mService.mName + " does not exist");
+      return "service '" + part.mService.mName + "' does not exist";
     }
-    if (part.mWeight < 0) {
-      return invalid("the weight of a service is negative");
+    if (!(part.mWeight >= 0)) {
+      return "the weight of a service is negative";
     }
     weights += part.mWeight;
   }
-  return weights > 0 ? Result<void>()
-                     : invalid("the weights of all services are zero");
+  return weights > 0 ? "" : "the weights of all services are zero";
 }
 
 } // namespace
@@ -74,40 +75,55 @@
 {
 }
 
-Result<PolicyPtr> Policy::Make(PolicyContent aContent)
+PolicyPtr Policy::Make(PolicyContent aContent)
 {
   const std::shared_ptr<Policy> policy(new Policy(std::move(aContent)));
-  const PolicyContent& content = policy->mContent;
-  for (std::size_t n = 0; n < content.mServices.size(); ++n) {
-    policy->mServiceIndex.emplace(content.mServices[n].mService, n);
+  policy->IndexServicesAndRoutes();
+  policy->IndexKeys();
+  return policy;
+}
+
+void Policy::IndexServicesAndRoutes()
+{
+  for (std::size_t n = 0; n < mContent.mServices.size(); ++n) {
+    mServiceIndex.emplace(mContent.mServices[n].mService, n);
   }
-  for (std::size_t n = 0; n < content.mRoutes.size(); ++n) {
-    const RoutePolicy& route = content.mRoutes[n];
-    const auto checked = ValidateRoute(route, policy->mServiceIndex);
-    if (!checked) {
-      return tl::unexpected(checked.error());
+  for (std::size_t n = 0; n < mContent.mRoutes.size(); ++n) {
+    RoutePolicy& route = mContent.mRoutes[n];
+    const std::string problem = FindProblem(route, mServiceIndex);
+    if (route.mIsUsable && !problem.empty()) {
+      route.mIsUsable = false;
+      mContent.mProblems.push_back("route " + route.mRoute.mName + ": " +
+                                   problem);
     }
-    policy->mRoutesByHost[NormalizeHost(route.mHost)].push_back(n);
+    mRoutesByHost[NormalizeHost(route.mHost)].push_back(n);
   }
-  for (auto& [host, routes] : policy->mRoutesByHost) {
+  for (auto& [host, routes] : mRoutesByHost) {
     std::stable_sort(
       routes.begin(), routes.end(), [&](std::size_t aLeft, std::size_t aRight) {
-        return content.mRoutes[aLeft].mPrefix.size() >
-               content.mRoutes[aRight].mPrefix.size();
+        return mContent.mRoutes[aLeft].mPrefix.size() >
+               mContent.mRoutes[aRight].mPrefix.size();
       });
   }
-  for (std::size_t n = 0; n < content.mAccounts.size(); ++n) {
-    for (const std::string& key : content.mAccounts[n].mKeys) {
-      const auto [it, isNew] = policy->mAccountByKey.emplace(DigestKey(key), n);
-      if (!isNew && it->second != n) {
-        return MakeError(
-          ResultCode::InvalidSettings,
-          "accounts " + content.mAccounts[it->second].mAccount.mName + " and " +
-            content.mAccounts[n].mAccount.mName + " have an API key in common");
+}
+
+void Policy::IndexKeys()
+{
+  for (std::size_t n = 0; n < mContent.mAccounts.size(); ++n) {
+    for (const std::string& key : mContent.mAccounts[n].mKeys) {
+      const auto [it, isNew] = mAccountByKey.emplace(DigestKey(key), n);
+      if (isNew || it->second == n) {
+        continue;
       }
+      AccountPolicy& other = mContent.mAccounts[it->second];
+      AccountPolicy& account = mContent.mAccounts[n];
+      other.mIsUsable = false;
+      account.mIsUsable = false;
+      mContent.mProblems.push_back("accounts " + other.mAccount.mName +
+                                   " and " + account.mAccount.mName +
+                                   " have an API key in common");
     }
   }
-  return policy;
 }
 
 const RoutePolicy* Policy::FindRoute(std::string_view aHost,
