--- a/src/cranberrywingd/event_sink.h
+++ b/src/cranberrywingd/event_sink.h
@@ -2,6 +2,7 @@
 /// Event delivery from the I/O modules to the reducer, and the daemon's clocks.
 #pragma once
 
+#include <ctime>
 #include <functional>
 
 #include "cranberrywing/event.h"
@@ -12,11 +13,15 @@
 /// then queued until all effects of the current event are executed.
 using EventSink = std::function<void(Event)>;
 
-/// Current time of the monotonic clock that the reducer uses. Thread-safe.
+/// Current time of the monotonic clock that the reducer uses. It also counts
+/// the time for which the VM was suspended, so that leases, quotas and ages do
+/// not outlive a suspension. Thread-safe.
 inline TimePoint ReadClock()
 {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
   return TimePoint(std::chrono::duration_cast<Duration>(
-    std::chrono::steady_clock::now().time_since_epoch()));
+    std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 /// Wall-clock time in Unix milliseconds. It may jump, so it must not be used
--- a/src/cranberrywingd/gateway_daemon.cpp
+++ b/src/cranberrywingd/gateway_daemon.cpp
@@ -39,6 +39,16 @@
   return options;
 }
 
+/// Other VMs answer from memory within the region's round trip.
+netutil::HttpClientPool::Options RelayPoolOptions()
+{
+  netutil::HttpClientPool::Options options;
+  options.mClient.mConnectTimeout = kConnectTimeout;
+  options.mClient.mMaxBodyBytes = kMaxStoreAnswerBytes;
+  options.mIdleTimeout = std::chrono::seconds(20);
+  return options;
+}
+
 netutil::HttpClientPool::Options StorePoolOptions()
 {
   netutil::HttpClientPool::Options options;
@@ -96,6 +106,7 @@
         .mRosterKey = mOptions.mDialect.mRosterKey(mSelf.mVm),
         .mLeaseTtl =
           std::max(Milliseconds(4000), mOptions.mSettings.mLeaseTtlMin),
+        .mSeed = mOptions.mSeed,
       },
       gateway::StoreFollowerHooks{
         .mCall =
@@ -103,9 +114,7 @@
                  const gateway::StoreCall& aCall,
                  Duration aTimeout) { CallStore(aChannel, aCall, aTimeout); },
         .mOnChange =
-          [this](const gateway::StoreChange& aChange) {
-            OnStoreChange(aChange);
-          },
+          [this](const StoreChange& aChange) { OnStoreChange(aChange); },
         .mOnListingComplete =
           [this] { Deliver(gateway::event::RegistrationsComplete{}); },
         .mOnReachabilityChange =
@@ -145,8 +154,20 @@
           },
         .mOnAborted = [](const netutil::ExchangeId&) {},
       })
+  , mRelayServer(aContext,
+                 { .mMaxBodyBytes = kMaxQueryBodyBytes },
+                 netutil::HttpServerHooks{
+                   .mOnRequest =
+                     [this](const netutil::ExchangeId& aExchange,
+                            RequestContent&& aContent) {
+                       mRelayServer.Answer(
+                         aExchange, AnswerStorePull(aContent), {});
+                     },
+                   .mOnAborted = [](const netutil::ExchangeId&) {},
+                 })
   , mBackends(aContext, BackendPoolOptions())
   , mStoreConnections(aContext, StorePoolOptions())
+  , mRelayConnections(aContext, RelayPoolOptions())
   , mPeers(
       aContext,
       mMetrics,
@@ -191,6 +212,7 @@
                             listen(mReadiness, settings.mReadiness),
                             listen(mLookups, settings.mLookups),
                             listen(mMetricsServer, settings.mMetrics),
+                            listen(mRelayServer, settings.mPeers),
                             mPeers.Listen(settings.mPeers) }) {
     if (!done) {
       return done;
@@ -226,6 +248,7 @@
 void GatewayDaemon::Tick()
 {
   mStore.Tick(ReadClock());
+  ReportStoreProgress();
   Deliver(gateway::event::Tick{});
   mLog.Flush();
   mTimer.expires_after(kTickInterval);
@@ -284,66 +307,6 @@
   mRequestByExchange.erase(it);
 }
 
-void GatewayDaemon::CallStore(gateway::StoreChannel aChannel,
-                              const gateway::StoreCall& aCall,
-                              Duration aTimeout)
-{
-  ++mMetrics.mStoreCalls;
-  const bool isLeaseEnd =
-    std::holds_alternative<gateway::store_call::RevokeLease>(aCall);
-  const TimePoint sentAt = ReadClock();
-  if (aChannel == gateway::StoreChannel::Follow && mWatchConnection) {
-    mWatchConnection->Close();
-  }
-  const auto connection = mStoreConnections.Start(
-    mOptions.mSettings.mStore,
-    std::make_shared<const RequestContent>(
-      mOptions.mDialect.mWriteStoreCall(aCall)),
-    {},
-    aTimeout,
-    [this, aChannel, aCall, isLeaseEnd, sentAt](
-      netutil::ExchangeResult aResult) {
-      const TimePoint now = ReadClock();
-      gateway::StoreReply reply;
-      if (aResult) {
-        mMetrics.mStoreLatency.Add(now - sentAt, now);
-        reply = mOptions.mDialect.mReadStoreReply(aCall, *aResult);
-      }
-      if (reply.mStatus == gateway::StoreStatus::Refused ||
-          reply.mStatus == gateway::StoreStatus::NoAnswer) {
-        ++mMetrics.mStoreFailures;
-        Record(
-          "store_call_failed",
-          { { "status", aResult ? std::to_string(aResult->mStatus) : "none" },
-            { "detail", aResult ? std::string() : aResult.error().mDetail } });
-      }
-      if (aChannel == gateway::StoreChannel::Follow) {
-        mWatchConnection.reset();
-      }
-      if (!isLeaseEnd) {
-        mStore.OnReply(aChannel, reply, now);
-      }
-    });
-  if (aChannel == gateway::StoreChannel::Follow) {
-    mWatchConnection = connection;
-  }
-}
-
-void GatewayDaemon::OnStoreChange(const gateway::StoreChange& aChange)
-{
-  auto event = mOptions.mDialect.mReadStoreChange(aChange);
-  if (!event) {
-    Record("store_entry_ignored",
-           { { "key", aChange.mItem.mKey },
-             { "revision", std::to_string(aChange.mItem.mRevision) },
-             { "reason", event.error().mMessage } });
-    return;
-  }
-  if (*event) {
-    Deliver(std::move(**event));
-  }
-}
-
 AnswerContentPtr GatewayDaemon::WriteMetricsPage() const
 {
   MetricsWriter writer;
@@ -367,12 +330,27 @@
                    static_cast<double>(count),
                    { { "code", std::string(ToString(code)) } });
   }
+  writer.Counter("cranberrywing_policy_problems_total",
+                 "Parts of configurations that could not be read.",
+                 static_cast<double>(counters.mPolicyProblems));
   writer.Gauge("cranberrywing_requests_in_flight",
                "Requests that have not been answered yet.",
                static_cast<double>(mGateway.InFlight()));
   writer.Gauge("cranberrywing_vms",
                "VMs that share fleet-wide limits.",
                static_cast<double>(mGateway.Fleet().SharingVmCount()));
+  writer.Gauge("cranberrywing_store_revision",
+               "Revision of this VM's copy of the store.",
+               static_cast<double>(mStore.KnownRevision()));
+  if (const auto age = mGateway.StoreAge(ReadClock())) {
+    writer.Gauge("cranberrywing_store_age_seconds",
+                 "Time since the store confirmed this VM's copy, directly or "
+                 "through other VMs.",
+                 std::chrono::duration<double>(*age).count());
+  }
+  writer.Counter("cranberrywing_store_pulls_total",
+                 "Requests to other VMs for changes of the store.",
+                 static_cast<double>(mStorePulls));
   writer.Counter("cranberrywing_backend_connections_total",
                  "Connections opened to backend servers.",
                  static_cast<double>(mBackends.OpenedCount()));
--- a/src/cranberrywingd/gateway_daemon.h
+++ b/src/cranberrywingd/gateway_daemon.h
@@ -87,14 +87,26 @@
                     const AnswerContentPtr& aAnswer,
                     bool aCloseAfter);
 
+  // gateway_daemon_store.cpp
+  void Execute(gateway::effect::FollowStore& aEffect);
+  void Execute(gateway::effect::ReadStore& aEffect);
+  void Execute(gateway::effect::PullStoreChanges& aEffect);
+  void CallStore(gateway::StoreChannel aChannel,
+                 const gateway::StoreCall& aCall,
+                 Duration aTimeout);
+  void OnStoreChange(const StoreChange& aChange);
+  /// Tells the gateway the store follower's state if it has changed.
+  void ReportStoreProgress();
+  /// Answers another VM's request for changes of the store.
+  AnswerContentPtr AnswerStorePull(const RequestContent& aRequest);
+  /// Applies the answer of another VM to PullStoreChanges.
+  gateway::PullResult OnStorePullEnded(const VmId& aFrom,
+                                       const netutil::ExchangeResult& aResult);
+
   // gateway_daemon.cpp
   void OnCallerRequest(const netutil::ExchangeId& aExchange,
                        RequestContent&& aContent);
   void OnCallerDisconnected(const netutil::ExchangeId& aExchange);
-  void CallStore(gateway::StoreChannel aChannel,
-                 const gateway::StoreCall& aCall,
-                 Duration aTimeout);
-  void OnStoreChange(const gateway::StoreChange& aChange);
   AnswerContentPtr WriteMetricsPage() const;
   netutil::HttpServerHooks PlatformQueryHooks(netutil::HttpServer& aServer);
 
@@ -111,13 +123,19 @@
   netutil::HttpServer mReadiness;
   netutil::HttpServer mLookups;
   netutil::HttpServer mMetricsServer;
+  /// Serves this VM's copy of the store to other VMs.
+  netutil::HttpServer mRelayServer;
   netutil::HttpClientPool mBackends;
   netutil::HttpClientPool mStoreConnections;
+  netutil::HttpClientPool mRelayConnections;
   /// Connection of the call in the Follow channel; null if none is in progress.
   netutil::HttpClientConnectionPtr mWatchConnection;
   PeerDatagrams mPeers;
   boost::asio::steady_timer mTimer;
 
+  /// State of mStore as last delivered to mGateway.
+  gateway::StoreProgress mStoreProgress;
+  std::uint64_t mStorePulls = 0;
   std::uint64_t mNextRequest = 1;
   std::unordered_map<RequestId, Exchange> mExchanges;
   std::map<netutil::ExchangeId, RequestId> mRequestByExchange;
--- /dev/null
+++ b/src/cranberrywingd/gateway_daemon_store.cpp
@@ -0,0 +1,193 @@
+#include <boost/url/parse.hpp>
+
+#include "cranberrywing/parse_number.h"
+#include "cranberrywingd/event_sink.h"
+#include "cranberrywingd/gateway_daemon.h"
+
+namespace cranberrywing::daemon {
+
+namespace {
+
+/// Target of requests for changes of the store, with the parameters after (a
+/// revision) and large (0 or 1).
+constexpr std::string_view kStorePullPath = "/v1/store-changes";
+constexpr std::string_view kAfterParameter = "after";
+constexpr std::string_view kLargeParameter = "large";
+/// Changes above this size are read from the store, if possible. A VM's link
+/// may be as slow as 10 Mbit/s, and it carries them to each VM of its group.
+constexpr std::size_t kLargeAnswerBytes = 48 * 1024;
+constexpr std::uint32_t kStatusTooLarge = 413;
+constexpr Milliseconds kPullTimeout{ 600 };
+constexpr Milliseconds kLargePullTimeout{ 3000 };
+
+std::string WritePullTarget(const gateway::StorePull& aPull)
+{
+  return std::string(kStorePullPath) + '?' + std::string(kAfterParameter) +
+         '=' + std::to_string(aPull.mAfterRevision) + '&' +
+         std::string(kLargeParameter) + '=' + (aPull.mMayBeLarge ? '1' : '0');
+}
+
+} // namespace
+
+void GatewayDaemon::CallStore(gateway::StoreChannel aChannel,
+                              const gateway::StoreCall& aCall,
+                              Duration aTimeout)
+{
+  ++mMetrics.mStoreCalls;
+  const bool isLeaseEnd =
+    std::holds_alternative<gateway::store_call::RevokeLease>(aCall);
+  const TimePoint sentAt = ReadClock();
+  if (aChannel == gateway::StoreChannel::Follow && mWatchConnection) {
+    mWatchConnection->Close();
+  }
+  const auto connection = mStoreConnections.Start(
+    mOptions.mSettings.mStore,
+    std::make_shared<const RequestContent>(
+      mOptions.mDialect.mWriteStoreCall(aCall)),
+    {},
+    aTimeout,
+    [this, aChannel, aCall, isLeaseEnd, sentAt](
+      netutil::ExchangeResult aResult) {
+      const TimePoint now = ReadClock();
+      gateway::StoreReply reply;
+      if (aResult) {
+        mMetrics.mStoreLatency.Add(now - sentAt, now);
+        reply = mOptions.mDialect.mReadStoreReply(aCall, *aResult);
+      }
+      if (reply.mStatus == gateway::StoreStatus::Refused ||
+          reply.mStatus == gateway::StoreStatus::NoAnswer) {
+        ++mMetrics.mStoreFailures;
+        Record(
+          "store_call_failed",
+          { { "status", aResult ? std::to_string(aResult->mStatus) : "none" },
+            { "detail", aResult ? std::string() : aResult.error().mDetail } });
+      }
+      if (aChannel == gateway::StoreChannel::Follow) {
+        mWatchConnection.reset();
+      }
+      if (!isLeaseEnd) {
+        mStore.OnReply(aChannel, reply, now);
+      }
+    });
+  if (aChannel == gateway::StoreChannel::Follow) {
+    mWatchConnection = connection;
+  }
+}
+
+void GatewayDaemon::OnStoreChange(const StoreChange& aChange)
+{
+  auto event = mOptions.mDialect.mReadStoreChange(aChange);
+  if (!event) {
+    Record("store_entry_ignored",
+           { { "key", aChange.mItem.mKey },
+             { "revision", std::to_string(aChange.mItem.mRevision) },
+             { "reason", event.error().mMessage } });
+    // What the key named before must not stay in use.
+    event = mOptions.mDialect.mReadStoreChange(
+      { .mItem = { .mKey = aChange.mItem.mKey }, .mIsRemoved = true });
+  }
+  if (event && *event) {
+    Deliver(std::move(**event));
+  }
+}
+
+void GatewayDaemon::ReportStoreProgress()
+{
+  const gateway::StoreProgress progress{ mStore.KnownRevision(),
+                                         mStore.ConfirmedAt() };
+  if (progress != mStoreProgress) {
+    mStoreProgress = progress;
+    Deliver(gateway::event::StoreProgressed{ progress });
+  }
+}
+
+AnswerContentPtr GatewayDaemon::AnswerStorePull(const RequestContent& aRequest)
+{
+  AnswerContent answer;
+  const auto target = boost::urls::parse_origin_form(aRequest.mTarget);
+  if (!target || target->encoded_path() != kStorePullPath) {
+    answer.mStatus = 404;
+    return std::make_shared<const AnswerContent>(std::move(answer));
+  }
+  const auto parameter = [&](std::string_view aName) -> std::string {
+    const auto it = target->params().find(aName);
+    return it == target->params().end() ? std::string() : (*it).value;
+  };
+  const auto after =
+    ParseNumber<std::int64_t>(parameter(kAfterParameter)).value_or(0);
+  if (mStore.Mirror().GetRevision() == 0) {
+    answer.mStatus = 503;
+    return std::make_shared<const AnswerContent>(std::move(answer));
+  }
+  answer.mBody =
+    EncodeEnvelope({ mSelf,
+                     message::StoreChanges{ mStore.Mirror().ChangesAfter(
+                       std::max<std::int64_t>(0, after)) } },
+                   mCodec);
+  answer.mStatus = 200;
+  if (answer.mBody.size() > kLargeAnswerBytes &&
+      parameter(kLargeParameter) != "1") {
+    answer.mBody.clear();
+    answer.mStatus = kStatusTooLarge;
+  }
+  return std::make_shared<const AnswerContent>(std::move(answer));
+}
+
+void GatewayDaemon::Execute(gateway::effect::FollowStore& aEffect)
+{
+  mStore.SetFollowing(aEffect.mFollowing, ReadClock());
+}
+
+void GatewayDaemon::Execute(gateway::effect::ReadStore&)
+{
+  mStore.ReadOnce(ReadClock());
+}
+
+void GatewayDaemon::Execute(gateway::effect::PullStoreChanges& aEffect)
+{
+  ++mStorePulls;
+  const gateway::StorePull& pull = aEffect.mPull;
+  RequestContent request;
+  request.mMethod = "GET";
+  request.mTarget = WritePullTarget(pull);
+  mRelayConnections.Start(
+    { pull.mFrom.mAddress, pull.mFrom.mPort },
+    std::make_shared<const RequestContent>(std::move(request)),
+    {},
+    pull.mMayBeLarge ? kLargePullTimeout : kPullTimeout,
+    [this, from = pull.mFrom.mVm](netutil::ExchangeResult aResult) {
+      Deliver(
+        gateway::event::StorePullEnded{ OnStorePullEnded(from, aResult) });
+    });
+}
+
+gateway::PullResult GatewayDaemon::OnStorePullEnded(
+  const VmId& aFrom,
+  const netutil::ExchangeResult& aResult)
+{
+  if (aResult && aResult->mStatus == kStatusTooLarge) {
+    return gateway::PullResult::TooLarge;
+  }
+  std::string reason = "no answer";
+  if (aResult) {
+    reason = "status " + std::to_string(aResult->mStatus);
+    auto envelope = DecodeEnvelope(aResult->mBody, mCodec);
+    if (aResult->mStatus == 200 && !envelope) {
+      reason = envelope.error().mMessage;
+    }
+    const auto* const changes =
+      aResult->mStatus == 200 && envelope
+        ? std::get_if<message::StoreChanges>(&envelope->mMessage)
+        : nullptr;
+    if (changes) {
+      mStore.OnDelta(changes->mDelta, ReadClock());
+      ReportStoreProgress();
+      return gateway::PullResult::Applied;
+    }
+  }
+  Record("store_pull_failed",
+         { { "from", aFrom.mName }, { "reason", std::move(reason) } });
+  return gateway::PullResult::Failed;
+}
+
+} // namespace cranberrywing::daemon
--- a/src/cranberrywingd/gateway_dialect.h
+++ b/src/cranberrywingd/gateway_dialect.h
@@ -51,8 +51,7 @@
     mReadStoreReply;
   /// Decodes a change in the store; nullopt for keys that gateways do not use.
   /// Errors: Malformed or InvalidSettings, with the reason.
-  std::function<Result<std::optional<gateway::Event>>(
-    const gateway::StoreChange&)>
+  std::function<Result<std::optional<gateway::Event>>(const StoreChange&)>
     mReadStoreChange;
   /// Store key of a VM's record, which is bound to a lease.
   std::function<std::string(const VmId&)> mVmKey;
--- a/src/include/cranberrywing/gateway/event.h
+++ b/src/include/cranberrywing/gateway/event.h
@@ -13,6 +13,7 @@
 #include "cranberrywing/event.h"
 #include "cranberrywing/gateway/backend_pool.h"
 #include "cranberrywing/gateway/policy.h"
+#include "cranberrywing/gateway/store_follower.h"
 
 namespace cranberrywing::gateway {
 
@@ -31,6 +32,43 @@
   bool mIsLeaving = false;
 };
 
+/// Where a VM's copy of the store can be read.
+struct RelayEndpoint
+{
+  VmId mVm;
+  std::string mAddress;
+  /// Both TCP port of the copy and UDP port for messages.
+  std::uint16_t mPort = 0;
+};
+
+/// State of this VM's own store follower.
+struct StoreProgress
+{
+  std::int64_t mRevision = 0;
+  /// StoreFollower::ConfirmedAt.
+  std::optional<TimePoint> mConfirmedAt;
+
+  bool operator==(const StoreProgress&) const = default;
+};
+
+/// A request for the changes that another VM knows.
+struct StorePull
+{
+  RelayEndpoint mFrom;
+  std::int64_t mAfterRevision = 0;
+  /// Whether the answer may be of any size. VMs have slower links than the
+  /// store, which therefore serves large changes unless it cannot be reached.
+  bool mMayBeLarge = false;
+};
+
+enum class PullResult : std::uint8_t
+{
+  Applied,
+  Failed,
+  /// The other VM has the changes, but they should be read from the store.
+  TooLarge,
+};
+
 namespace event {
 
 using cranberrywing::event::BackendFailed;
@@ -144,6 +182,18 @@
 struct RegistrationsComplete
 {};
 
+/// State of this VM's store follower; delivered when it has changed.
+struct StoreProgressed
+{
+  StoreProgress mProgress;
+};
+
+/// A PullStoreChanges effect has ended.
+struct StorePullEnded
+{
+  PullResult mResult = PullResult::Failed;
+};
+
 /// A graceful shutdown of the process was requested.
 struct StopRequested
 {};
@@ -165,6 +215,8 @@
                            event::RosterVmFound,
                            event::VmRemoved,
                            event::RegistrationsComplete,
+                           event::StoreProgressed,
+                           event::StorePullEnded,
                            event::StopRequested>;
 
 namespace effect {
@@ -210,6 +262,23 @@
   std::uint16_t mPort = 0;
 };
 
+/// Sets how this VM follows the store.
+struct FollowStore
+{
+  StoreFollowing mFollowing = StoreFollowing::Eager;
+};
+
+/// Reads the store's changes once although this VM does not follow it.
+struct ReadStore
+{};
+
+/// Reads another VM's copy of the store and applies the changes. The driver
+/// answers with StorePullEnded.
+struct PullStoreChanges
+{
+  StorePull mPull;
+};
+
 /// Marks this VM as leaving in its store entry.
 struct AnnounceLeaving
 {};
@@ -234,6 +303,9 @@
                             effect::SendMessage,
                             effect::ProbeBackend,
                             effect::CloseBackendConnections,
+                            effect::FollowStore,
+                            effect::ReadStore,
+                            effect::PullStoreChanges,
                             effect::AnnounceLeaving,
                             effect::CloseCallerConnections,
                             effect::ApplyCallerLimits,
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -26,6 +26,7 @@
 #include "cranberrywing/gateway/retry_budget.h"
 #include "cranberrywing/gateway/service_split.h"
 #include "cranberrywing/gateway/service_times.h"
+#include "cranberrywing/gateway/store_relay.h"
 #include "cranberrywing/rate_limiter.h"
 
 namespace cranberrywing::gateway {
@@ -38,6 +39,8 @@
   std::uint64_t mDispatched = 0;
   std::uint64_t mRetries = 0;
   std::uint64_t mCancelled = 0;
+  /// Parts of configurations that could not be read.
+  std::uint64_t mPolicyProblems = 0;
   std::map<ResultCode, std::uint64_t> mRefused;
 };
 
@@ -79,6 +82,12 @@
   const GatewayCounters& Counters() const { return mCounters; }
   const BackendPool& Pool() const { return mPool; }
   const FleetView& Fleet() const { return mFleet; }
+  /// Age of the latest confirmation that this VM's copy of the store is
+  /// current; nullopt before the first.
+  std::optional<Duration> StoreAge(TimePoint aNow) const
+  {
+    return mStoreRelay.Age(aNow);
+  }
   const PolicyPtr& CurrentPolicy() const { return mPolicy; }
   std::size_t InFlight() const { return mRequests.size(); }
 
@@ -134,6 +143,8 @@
   void On(const event::RosterVmFound& aEvent);
   void On(const event::VmRemoved& aEvent);
   void On(const event::RegistrationsComplete& aEvent);
+  void On(const event::StoreProgressed& aEvent);
+  void On(const event::StorePullEnded& aEvent);
   void On(const event::StopRequested& aEvent);
   void On(const event::BackendProbed& aEvent);
   /// Moves the effects of modules that are shared with the daemon's reducer to
@@ -151,6 +162,8 @@
   // gateway_upkeep.cpp
   /// Sends status messages that are due, to the own region and to others.
   void SendStatus();
+  /// Sends beacons, starts pulls and sets how this VM follows the store.
+  void RelayStoreChanges();
   void UpdatePlan();
   RegionalLoad ComputeRegionalLoad(const ServiceId& aService) const;
   /// Logs the service's region shares if they changed noticeably.
@@ -232,6 +245,8 @@
 
   BackendPool mPool;
   FleetView mFleet;
+  StoreRelay mStoreRelay;
+  StoreFollowing mStoreFollowing = StoreFollowing::Eager;
   RegionPlan mRegionPlan;
   ObjectSelector mSelector;
   ServiceSplit mServiceSplit;
--- a/src/include/cranberrywing/gateway/store_follower.h
+++ b/src/include/cranberrywing/gateway/store_follower.h
@@ -7,31 +7,16 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <variant>
 #include <vector>
 
+#include "cranberrywing/gateway/store_mirror.h"
 #include "cranberrywing/types.h"
 
 namespace cranberrywing::gateway {
 
-/// A key with its value.
-struct StoreItem
-{
-  std::string mKey;
-  std::string mValue;
-  /// Store revision of the last change.
-  std::int64_t mRevision = 0;
-};
-
-/// A key that was set or removed.
-struct StoreChange
-{
-  StoreItem mItem;
-  /// If set, mItem has no value.
-  bool mIsRemoved = false;
-};
-
 namespace store_call {
 
 /// Reads the items after a key, as many as the store returns in one answer.
@@ -105,6 +90,18 @@
   Milliseconds mTtl{};
 };
 
+/// Whether and how a VM reads changes from the store itself.
+enum class StoreFollowing : std::uint8_t
+{
+  /// Only the own entry is kept; changes come from other VMs.
+  Off,
+  /// Failed calls are repeated seldom: other VMs deliver changes, or many VMs
+  /// are waiting for the store to return.
+  Patient,
+  /// Failed calls are repeated soon.
+  Eager,
+};
+
 /// Each channel has at most one call in progress. Follow is for listings and
 /// watches, Lease for this VM's own entries and their lease.
 enum class StoreChannel : std::uint8_t
@@ -147,20 +144,26 @@
     Milliseconds mWatchWait{ 5000 };
     Duration mCallTimeout = std::chrono::milliseconds(1000);
     /// Pause after changes, so that the next watch returns several at once.
-    Duration mBatchDelay = std::chrono::milliseconds(800);
+    Duration mBatchDelay = std::chrono::milliseconds(500);
     /// Replaces mCallTimeout during an outage: a VM has to learn of changes
     /// soon after the store is reachable again.
     Duration mOutageCallTimeout = std::chrono::milliseconds(500);
     Duration mRetryDelay = std::chrono::milliseconds(150);
     Duration mMaxRetryDelay = std::chrono::milliseconds(300);
+    /// Replaces both unless the follower is eager. Jitter is added.
+    Duration mPatientRetryDelay = std::chrono::milliseconds(1000);
     Milliseconds mLeaseTtl{ 4000 };
     Duration mRenewInterval = std::chrono::milliseconds(1300);
+    /// Replaces mRenewInterval while this VM reads the store for others, which
+    /// need to know that it is reachable.
+    Duration mFollowingRenewInterval = std::chrono::milliseconds(600);
     /// Time after an outage within which servers have restored their expired
     /// entries.
     Duration mRestoreTime = std::chrono::milliseconds(2100);
     /// Fraction of the lease-bound entries whose simultaneous removal is taken
     /// as a result of a store outage.
     double mMassLossFraction = 0.3;
+    std::uint64_t mSeed = 1;
   };
 
   StoreFollower(Options aOptions, StoreFollowerHooks aHooks);
@@ -171,6 +174,16 @@
   void Tick(TimePoint aNow);
   /// Handles the reply to the channel's call in progress.
   void OnReply(StoreChannel aChannel, const StoreReply& aReply, TimePoint aNow);
+  /// Applies changes that another VM read from the store. Ignored if they do
+  /// not follow the known revision. A full copy also completes the initial
+  /// listing.
+  void OnDelta(const StoreDelta& aDelta, TimePoint aNow);
+  /// Reads the store itself, or leaves that to other VMs. The first listing is
+  /// always read. A watch in progress is not ended.
+  void SetFollowing(StoreFollowing aFollowing, TimePoint aNow);
+  /// Reads the changes once, without waiting for any, while this VM does not
+  /// follow the store. A failed call is not repeated.
+  void ReadOnce(TimePoint aNow);
   /// Replaces the value of the own entry.
   void SetOwnValue(std::string aValue, TimePoint aNow);
   /// Revokes the lease, which removes the own entry. No reply is needed.
@@ -179,6 +192,10 @@
   bool IsStoreReachable() const { return mIsReachable; }
   /// Store revision up to which all changes were delivered or are pending.
   std::int64_t KnownRevision() const { return mRevision; }
+  /// Time at which the store last answered while this VM followed it; nullopt
+  /// if this VM does not follow it or cannot reach it.
+  std::optional<TimePoint> ConfirmedAt() const;
+  const StoreMirror& Mirror() const { return mMirror; }
 
 private:
   enum class FollowState : std::uint8_t
@@ -192,7 +209,6 @@
   void ContinueLease(TimePoint aNow);
   void OnFollowReply(const StoreReply& aReply, TimePoint aNow);
   void OnLeaseReply(const StoreReply& aReply, TimePoint aNow);
-  void FinishListing(TimePoint aNow);
   void Apply(const StoreChange& aChange, bool aIsMassLoss, TimePoint aNow);
   void ApplyRemoval(const std::string& aKey, bool aIsMassLoss, TimePoint aNow);
   /// Whether so many lease-bound entries were removed at once that an outage of
@@ -202,11 +218,23 @@
   void ApplyDueRemovals(TimePoint aNow);
   /// Records whether the store is reachable and reports a change.
   void SetReachable(bool aIsReached, TimePoint aNow);
+  /// Delivers a set of changes that the store or another VM reported together.
+  void ApplyChanges(const std::vector<StoreChange>& aChanges, TimePoint aNow);
+  /// Replaces the known items by a complete listing.
+  void ApplyListing(std::int64_t aRevision, TimePoint aNow);
   Duration NextRetryDelay();
+  /// aDelay plus up to half of it at random.
+  Duration AddJitter(Duration aDelay);
+  /// Brings a lease call forward that waits to be repeated after a failure.
+  void HastenLeaseCall(TimePoint aNow);
 
   Options mOptions;
   StoreFollowerHooks mHooks;
+  std::mt19937_64 mRandom;
+  StoreMirror mMirror;
 
+  StoreFollowing mFollowing = StoreFollowing::Eager;
+  bool mReadsOnce = false;
   FollowState mState = FollowState::Listing;
   std::string mAfterKey;
   /// Items of the listing in progress.
@@ -219,14 +247,18 @@
   std::map<std::string, TimePoint> mPendingRemovals;
   std::int64_t mRevision = 0;
   bool mIsFollowCallPending = false;
+  /// State in which the call in progress was started.
+  FollowState mFollowCallState = FollowState::Listing;
   TimePoint mNextFollowCall{};
   Duration mRetryDelay{};
   bool mIsReachable = false;
+  TimePoint mAnsweredAt{};
   bool mHadOutage = false;
   TimePoint mReachableAgainAt{};
 
   bool mIsLeaseCallPending = false;
   TimePoint mNextLeaseCall{};
+  bool mHasLeaseCallFailed = false;
   std::int64_t mLease = 0;
   bool mIsOwnWritten = false;
   bool mIsRosterWritten = false;
--- /dev/null
+++ b/src/include/cranberrywing/gateway/store_relay.h
@@ -0,0 +1,141 @@
+/// \file
+/// Decides which VMs read the platform's store and which learn its changes from
+/// other VMs.
+///
+/// The VMs of a group, a failure domain or a small region, elect one of them to
+/// follow the store. Beacons tell the others its store revision and how long
+/// ago the store confirmed it. A VM whose revision is lower pulls the
+/// difference from the sender. A VM that hears no beacon of recent age reads
+/// the store itself, so that a VM that dies, is paused or is turned away by the
+/// store delays others only by the age limit. Ages count from the contact with
+/// the store, through all VMs on the way, so that VMs cannot confirm old
+/// information to each other.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "cranberrywing/gateway/fleet_view.h"
+#include "cranberrywing/gateway/store_follower.h"
+
+namespace cranberrywing::gateway {
+
+/// Deterministic; not thread-safe. Owned by the gateway.
+class StoreRelay
+{
+public:
+  struct Options
+  {
+    VmRecord mSelf;
+    /// Age of the last confirmation above which a VM reads the store itself.
+    Duration mAgeLimit = std::chrono::milliseconds(1200);
+    /// Added to mAgeLimit for each VM that precedes this one in its group, up
+    /// to mMaxSteps, so that not all start at once.
+    Duration mAgeStep = std::chrono::milliseconds(60);
+    std::size_t mMaxSteps = 6;
+    /// Interval of beacons. Beacons are also sent when the revision changes.
+    Duration mBeaconInterval = std::chrono::milliseconds(300);
+    /// Lower bound of the interval per receiver, which applies to large groups.
+    Duration mIntervalPerReceiver = std::chrono::milliseconds(15);
+    Duration mMaxBeaconInterval = std::chrono::milliseconds(500);
+    /// Regions with at most this many VMs form one group.
+    std::size_t mSmallRegion = 8;
+    /// Interval at which the groups are computed again.
+    Duration mGroupInterval = std::chrono::milliseconds(200);
+    /// Minimum time between the starts of pulls.
+    Duration mPullInterval = std::chrono::milliseconds(100);
+    /// The same after a failed pull.
+    Duration mPullRetryDelay = std::chrono::milliseconds(250);
+    /// Time for reading large changes from the store before they are pulled
+    /// from another VM after all.
+    Duration mLargeReadTime = std::chrono::milliseconds(900);
+    /// Time after which the beacon of a VM is forgotten.
+    Duration mSourceRetention = std::chrono::seconds(10);
+  };
+
+  explicit StoreRelay(Options aOptions);
+
+  /// Sets the state of this VM's own follower.
+  void SetProgress(const StoreProgress& aProgress);
+  /// Stores the beacon of another VM.
+  void OnBeacon(const VmIncarnation& aFrom,
+                const message::StoreBeacon& aBeacon,
+                TimePoint aNow);
+  /// Recomputes the groups if that is due.
+  void Tick(const FleetView& aFleet, TimePoint aNow);
+  /// How this VM has to follow the store now.
+  StoreFollowing Following(TimePoint aNow) const;
+  /// Returns the pull to start now, if any. OnPullEnded has to follow.
+  std::optional<StorePull> TakePull(TimePoint aNow);
+  void OnPullEnded(PullResult aResult, TimePoint aNow);
+  /// Receivers of a beacon that is due now; empty if none is due.
+  std::vector<RelayEndpoint> TakeReceivers(TimePoint aNow);
+  /// Precondition: Age returns a value.
+  message::StoreBeacon Beacon(TimePoint aNow) const;
+
+  /// Age of the newest confirmation that this VM knows of, its own included;
+  /// nullopt if it knows none.
+  std::optional<Duration> Age(TimePoint aNow) const;
+
+private:
+  /// Contact of another VM with the store.
+  struct Confirmation
+  {
+    TimePoint mAt{};
+    /// OrderOf of the VM that had the contact.
+    std::uint64_t mOrigin = 0;
+    bool mIsOriginElected = false;
+  };
+
+  /// A beacon as last received from one VM.
+  struct Source
+  {
+    RelayEndpoint mEndpoint;
+    std::int64_t mRevision = 0;
+    TimePoint mHeardAt{};
+    Confirmation mConfirmation;
+  };
+
+  /// This VM's view of the groups.
+  struct Groups
+  {
+    /// Other VMs of this VM's group, including those whose entries have
+    /// expired: they may have restarted without reaching the store.
+    std::vector<RelayEndpoint> mMates;
+    /// The elected VMs of the other groups.
+    std::vector<RelayEndpoint> mOtherElected;
+    /// Number of usable VMs that precede this VM in its group.
+    std::size_t mRank = 0;
+  };
+
+  Groups FindGroups(const FleetView& aFleet, TimePoint aNow) const;
+  /// Takes over the latest confirmation of a revision that this VM has.
+  void UpdateConfirmation();
+  /// Whether this VM's own confirmation is newer than all others.
+  bool IsOrigin() const;
+  bool IsElected() const { return mGroups.mRank == 0; }
+
+  Options mOptions;
+  std::uint64_t mSelfHash = 0;
+  StoreProgress mProgress;
+  Groups mGroups;
+  TimePoint mNextGroups{};
+  std::map<VmId, Source> mSources;
+  /// Latest confirmation by another VM that covers this VM's copy.
+  std::optional<Confirmation> mConfirmation;
+
+  bool mIsPulling = false;
+  VmId mPulledFrom;
+  /// VM whose last pull failed; others are preferred.
+  VmId mFailedSource;
+  TimePoint mNextPull{};
+  /// Since when large changes are being read from the store.
+  std::optional<TimePoint> mLargeSince;
+
+  TimePoint mNextBeacon{};
+  std::int64_t mBeaconRevision = 0;
+};
+
+} // namespace cranberrywing::gateway
--- a/src/include/cranberrywing/message.h
+++ b/src/include/cranberrywing/message.h
@@ -41,7 +41,9 @@
                              message::SlotHandover,
                              message::RequestBlock,
                              message::ShiftProgress,
-                             message::GatewayStatus>;
+                             message::GatewayStatus,
+                             message::StoreBeacon,
+                             message::StoreChanges>;
 
 /// A message with its sender, as sent over the network.
 struct Envelope
--- a/src/include/cranberrywing/messages/gateway.h
+++ b/src/include/cranberrywing/messages/gateway.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 #include "cranberrywing/types.h"
@@ -38,8 +39,97 @@
   }
 };
 
+/// A key of the platform's store with its value.
+struct StoreItem
+{
+  std::string mKey;
+  std::string mValue;
+  /// Store revision of the last change.
+  std::int64_t mRevision = 0;
+
+  bool operator==(const StoreItem&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mKey, mValue, mRevision);
+  }
+};
+
+/// A key that was set or removed.
+struct StoreChange
+{
+  StoreItem mItem;
+  /// If set, mItem has no value.
+  bool mIsRemoved = false;
+
+  bool operator==(const StoreChange&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mItem, mIsRemoved);
+  }
+};
+
+/// Changes of the store as one VM passes them on to another.
+struct StoreDelta
+{
+  /// Revision that the changes follow; zero if they are a full copy, in which
+  /// keys that are not listed do not exist.
+  std::int64_t mAfterRevision = 0;
+  /// Revision up to which the changes are complete.
+  std::int64_t mRevision = 0;
+  /// In the order of their revisions, except in a full copy.
+  std::vector<StoreChange> mChanges;
+
+  bool operator==(const StoreDelta&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mAfterRevision, mRevision, mChanges);
+  }
+};
+
 namespace message {
 
+/// Tells other VMs how current the sender's copy of the store is, and where the
+/// copy can be read.
+struct StoreBeacon
+{
+  /// Store revision up to which the sender's copy is complete.
+  std::int64_t mRevision = 0;
+  /// Time since a VM confirmed with the store itself that there were no later
+  /// changes. It grows on the way from that VM.
+  std::uint32_t mAgeMs = 0;
+  /// Hash of that VM.
+  std::uint64_t mOrigin = 0;
+  /// Whether that VM is the one chosen by its group to follow the store.
+  bool mIsOriginElected = false;
+  /// Endpoint of the sender for VMs that do not know it.
+  std::string mAddress;
+  std::uint16_t mPort = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mRevision, mAgeMs, mOrigin, mIsOriginElected, mAddress, mPort);
+  }
+};
+
+/// Answer to a request for changes of the store.
+struct StoreChanges
+{
+  StoreDelta mDelta;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mDelta);
+  }
+};
+
 /// Sent several times per second to the VMs of the own region, and less often
 /// and without mInFlight to all others.
 struct GatewayStatus
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -17,6 +17,7 @@
   , mRandom(mOptions.mSeed)
   , mPool(BackendPool::Options{})
   , mFleet(FleetView::Options{ .mSelf = mOptions.mSelf })
+  , mStoreRelay(StoreRelay::Options{ .mSelf = mOptions.mSelf })
   , mRegionPlan(RegionPlan::Options{ .mOwnRegion = mOptions.mSelf.mRegion })
   , mSelector(ObjectSelector::Options{})
   , mColdStart(mOptions.mColdStart)
@@ -129,7 +130,14 @@
     "policy_in_force",
     { { "revision", std::to_string(mPolicy->GetRevision().mNumber) },
       { "routes", std::to_string(mPolicy->Content().mRoutes.size()) },
-      { "accounts", std::to_string(mPolicy->Content().mAccounts.size()) } });
+      { "accounts", std::to_string(mPolicy->Content().mAccounts.size()) },
+      { "problems", std::to_string(mPolicy->Content().mProblems.size()) } });
+  for (const std::string& problem : mPolicy->Content().mProblems) {
+    ++mCounters.mPolicyProblems;
+    Record("policy_problem",
+           { { "revision", std::to_string(mPolicy->GetRevision().mNumber) },
+             { "reason", problem } });
+  }
 }
 
 void Gateway::On(const event::BackendRegistered& aEvent)
@@ -203,6 +211,19 @@
   }
 }
 
+void Gateway::On(const event::StoreProgressed& aEvent)
+{
+  mStoreRelay.SetProgress(aEvent.mProgress);
+}
+
+void Gateway::On(const event::StorePullEnded& aEvent)
+{
+  mStoreRelay.OnPullEnded(aEvent.mResult, mNow);
+  if (aEvent.mResult == PullResult::TooLarge) {
+    mEffects.push_back(effect::ReadStore{});
+  }
+}
+
 void Gateway::On(const event::StopRequested&)
 {
   if (mStoppingSince) {
@@ -242,6 +263,11 @@
     mFleet.OnStatus(aEvent.mFrom, *status, mNow);
     return;
   }
+  if (const auto* const beacon =
+        std::get_if<message::StoreBeacon>(&aEvent.mMessage)) {
+    mStoreRelay.OnBeacon(aEvent.mFrom, *beacon, mNow);
+    return;
+  }
   cranberrywing::EffectList effects;
   if (const auto* const tokenRequest =
         std::get_if<message::TokenRequest>(&aEvent.mMessage)) {
@@ -282,6 +308,7 @@
   ExpireRequests();
   RetryFromSilentServers();
   BroadcastRequestBlocks();
+  RelayStoreChanges();
   UpdatePlan();
   ProbeServers();
   SendStatus();
--- a/src/libcranberrywing/gateway/gateway_upkeep.cpp
+++ b/src/libcranberrywing/gateway/gateway_upkeep.cpp
@@ -70,6 +70,30 @@
   }
 }
 
+void Gateway::RelayStoreChanges()
+{
+  mStoreRelay.Tick(mFleet, mNow);
+  const StoreFollowing following = mStoreRelay.Following(mNow);
+  if (following != mStoreFollowing) {
+    mStoreFollowing = following;
+    mEffects.push_back(effect::FollowStore{ following });
+  }
+  if (const auto pull = mStoreRelay.TakePull(mNow)) {
+    mEffects.push_back(effect::PullStoreChanges{ *pull });
+  }
+  const std::vector<RelayEndpoint> receivers = mStoreRelay.TakeReceivers(mNow);
+  if (receivers.empty()) {
+    return;
+  }
+  const message::StoreBeacon beacon = mStoreRelay.Beacon(mNow);
+  for (const RelayEndpoint& receiver : receivers) {
+    mEffects.push_back(effect::SendMessage{ .mTo = receiver.mVm,
+                                            .mAddress = receiver.mAddress,
+                                            .mPort = receiver.mPort,
+                                            .mMessage = beacon });
+  }
+}
+
 double Gateway::ArrivalRate(const ServiceId& aService) const
 {
   const auto it = mArrivals.find(aService);
--- a/src/libcranberrywing/gateway/store_follower.cpp
+++ b/src/libcranberrywing/gateway/store_follower.cpp
@@ -7,6 +7,7 @@
 StoreFollower::StoreFollower(Options aOptions, StoreFollowerHooks aHooks)
   : mOptions(std::move(aOptions))
   , mHooks(std::move(aHooks))
+  , mRandom(mOptions.mSeed)
 {
 }
 
@@ -36,16 +37,20 @@
 
 void StoreFollower::ContinueFollow(TimePoint aNow)
 {
-  if (mIsFollowCallPending || aNow < mNextFollowCall) {
+  const bool isWanted = mState == FollowState::Listing ||
+                        mFollowing != StoreFollowing::Off || mReadsOnce;
+  if (!isWanted || mIsFollowCallPending || aNow < mNextFollowCall) {
     return;
   }
   mIsFollowCallPending = true;
+  mFollowCallState = mState;
   if (mState == FollowState::Listing) {
     Call(StoreChannel::Follow, store_call::ListPage{ mAfterKey });
   } else {
     // During an outage a watch only serves to detect that the store is back.
-    const Milliseconds wait =
-      mIsReachable ? mOptions.mWatchWait : Milliseconds(1);
+    const bool mayWait = mIsReachable && !mReadsOnce;
+    const Milliseconds wait = mayWait ? mOptions.mWatchWait : Milliseconds(1);
+    mReadsOnce = false;
     Call(StoreChannel::Follow, store_call::Watch{ mRevision, wait });
   }
 }
@@ -76,7 +81,12 @@
 {
   if (aChannel == StoreChannel::Follow) {
     mIsFollowCallPending = false;
-    OnFollowReply(aReply, aNow);
+    if (mFollowCallState == mState) {
+      OnFollowReply(aReply, aNow);
+    } else {
+      // Another VM's copy completed the listing meanwhile.
+      mNextFollowCall = aNow;
+    }
     ContinueFollow(aNow);
   } else {
     mIsLeaseCallPending = false;
@@ -85,11 +95,52 @@
   }
 }
 
+Duration StoreFollower::AddJitter(Duration aDelay)
+{
+  return aDelay + Duration(std::uniform_int_distribution<Duration::rep>(
+                    0, aDelay.count() / 2)(mRandom));
+}
+
 Duration StoreFollower::NextRetryDelay()
 {
+  if (mState == FollowState::Watching && mFollowing != StoreFollowing::Eager) {
+    return AddJitter(mOptions.mPatientRetryDelay);
+  }
   const Duration retry = std::max(mRetryDelay, mOptions.mRetryDelay);
   mRetryDelay = std::min(2 * retry, mOptions.mMaxRetryDelay);
-  return retry;
+  return AddJitter(retry);
+}
+
+void StoreFollower::SetFollowing(StoreFollowing aFollowing, TimePoint aNow)
+{
+  if (aFollowing == mFollowing) {
+    return;
+  }
+  const bool wasOff = mFollowing == StoreFollowing::Off;
+  mFollowing = aFollowing;
+  if (mFollowing == StoreFollowing::Eager || wasOff) {
+    mNextFollowCall = std::min(mNextFollowCall, aNow);
+    mRetryDelay = Duration::zero();
+    if (mNextLeaseCall > aNow + mOptions.mFollowingRenewInterval) {
+      mNextLeaseCall = aNow + mOptions.mFollowingRenewInterval;
+    }
+  }
+  ContinueFollow(aNow);
+}
+
+void StoreFollower::ReadOnce(TimePoint aNow)
+{
+  mReadsOnce = mFollowing == StoreFollowing::Off;
+  mNextFollowCall = aNow;
+  ContinueFollow(aNow);
+}
+
+std::optional<TimePoint> StoreFollower::ConfirmedAt() const
+{
+  const bool isFollowing =
+    mState == FollowState::Watching && mFollowing != StoreFollowing::Off;
+  return isFollowing && mIsReachable ? std::optional(mAnsweredAt)
+                                     : std::nullopt;
 }
 
 void StoreFollower::SetReachable(bool aIsReached, TimePoint aNow)
@@ -120,21 +171,14 @@
     return;
   }
   SetReachable(true, aNow);
+  HastenLeaseCall(aNow);
+  mAnsweredAt = aNow;
   mRetryDelay = Duration::zero();
   mNextFollowCall = aNow;
   if (mState == FollowState::Watching) {
-    std::vector<std::string> removed;
-    for (const StoreChange& change : aReply.mChanges) {
-      if (change.mIsRemoved) {
-        removed.push_back(change.mItem.mKey);
-      }
-    }
-    const bool isMassLoss = IsMassLoss(removed);
-    for (const StoreChange& change : aReply.mChanges) {
-      Apply(change, isMassLoss, aNow);
-      mRevision = std::max(mRevision, change.mItem.mRevision);
-    }
+    ApplyChanges(aReply.mChanges, aNow);
     mRevision = std::max(mRevision, aReply.mRevision);
+    mMirror.SetRevision(mRevision);
     if (!aReply.mChanges.empty()) {
       mNextFollowCall = aNow + mOptions.mBatchDelay;
     }
@@ -150,15 +194,32 @@
     mAfterKey = item.mKey;
   }
   if (!aReply.mHasMore || aReply.mItems.empty()) {
-    FinishListing(aNow);
+    ApplyListing(mListRevision, aNow);
+  }
+}
+
+void StoreFollower::ApplyChanges(const std::vector<StoreChange>& aChanges,
+                                 TimePoint aNow)
+{
+  std::vector<std::string> removed;
+  for (const StoreChange& change : aChanges) {
+    if (change.mIsRemoved) {
+      removed.push_back(change.mItem.mKey);
+    }
+  }
+  const bool isMassLoss = IsMassLoss(removed);
+  for (const StoreChange& change : aChanges) {
+    Apply(change, isMassLoss, aNow);
+    mRevision = std::max(mRevision, change.mItem.mRevision);
   }
 }
 
-void StoreFollower::FinishListing(TimePoint aNow)
+void StoreFollower::ApplyListing(std::int64_t aRevision, TimePoint aNow)
 {
   std::vector<std::string> removed;
   for (const auto& [key, revision] : mDeliveredRevisions) {
-    if (!mListedItems.contains(key)) {
+    // An item that is newer than the listing may have been added after it.
+    if (!mListedItems.contains(key) && revision < aRevision) {
       removed.push_back(key);
     }
   }
@@ -167,15 +228,42 @@
     Apply({ .mItem = item }, false, aNow);
   }
   for (const std::string& key : removed) {
-    ApplyRemoval(key, isMassLoss, aNow);
+    Apply(
+      { .mItem = { .mKey = key, .mRevision = aRevision }, .mIsRemoved = true },
+      isMassLoss,
+      aNow);
   }
-  mRevision = mListRevision;
+  mRevision = std::max(mRevision, aRevision);
+  mMirror.SetRevision(mRevision);
   mListedItems.clear();
   mAfterKey.clear();
   mState = FollowState::Watching;
   mHooks.mOnListingComplete();
 }
 
+void StoreFollower::OnDelta(const StoreDelta& aDelta, TimePoint aNow)
+{
+  const bool isFullCopy = aDelta.mAfterRevision == 0;
+  if (aDelta.mRevision < mRevision || aDelta.mRevision <= 0 ||
+      (!isFullCopy &&
+       (mState == FollowState::Listing || aDelta.mAfterRevision > mRevision))) {
+    return;
+  }
+  if (!isFullCopy) {
+    ApplyChanges(aDelta.mChanges, aNow);
+    mRevision = std::max(mRevision, aDelta.mRevision);
+    mMirror.SetRevision(mRevision);
+    return;
+  }
+  mListedItems.clear();
+  for (const StoreChange& change : aDelta.mChanges) {
+    if (!change.mIsRemoved) {
+      mListedItems[change.mItem.mKey] = change.mItem;
+    }
+  }
+  ApplyListing(aDelta.mRevision, aNow);
+}
+
 bool StoreFollower::IsMassLoss(const std::vector<std::string>& aRemoved) const
 {
   const auto leaseBound = static_cast<double>(std::count_if(
@@ -194,16 +282,17 @@
                           TimePoint aNow)
 {
   const StoreItem& item = aChange.mItem;
+  // Changes from the store and from other VMs may overlap.
+  if (!mMirror.Apply(aChange)) {
+    return;
+  }
   if (aChange.mIsRemoved) {
     ApplyRemoval(item.mKey, aIsMassLoss, aNow);
     return;
   }
   mPendingRemovals.erase(item.mKey);
-  std::int64_t& known = mDeliveredRevisions[item.mKey];
-  if (item.mRevision > known) {
-    known = item.mRevision;
-    mHooks.mOnChange(aChange);
-  }
+  mDeliveredRevisions[item.mKey] = item.mRevision;
+  mHooks.mOnChange(aChange);
 }
 
 void StoreFollower::ApplyRemoval(const std::string& aKey,
@@ -252,8 +341,12 @@
     mIsOwnWritten = false;
     return;
   }
-  if (aReply.mStatus != StoreStatus::Ok) {
-    mNextLeaseCall = aNow + mOptions.mRetryDelay;
+  mHasLeaseCallFailed = aReply.mStatus != StoreStatus::Ok;
+  if (mHasLeaseCallFailed) {
+    mNextLeaseCall =
+      aNow + AddJitter(mIsReachable && mFollowing == StoreFollowing::Eager
+                         ? mOptions.mRetryDelay
+                         : mOptions.mPatientRetryDelay);
     if (aReply.mStatus == StoreStatus::NoAnswer && mIsReachable) {
       // Replace the watch in progress: it would not detect the outage for
       // seconds, and would not be answered after the outage either.
@@ -264,6 +357,13 @@
     }
     return;
   }
+  mAnsweredAt = aNow;
+  if (mFollowing == StoreFollowing::Off) {
+    SetReachable(true, aNow);
+  }
+  const Duration renewInterval = mFollowing == StoreFollowing::Off
+                                   ? mOptions.mRenewInterval
+                                   : mOptions.mFollowingRenewInterval;
   if (std::holds_alternative<store_call::GrantLease>(mLeaseCall)) {
     mLease = aReply.mLease;
     mIsOwnWritten = false;
@@ -272,9 +372,17 @@
     mIsRosterWritten = true;
   } else if (put) {
     mIsOwnWritten = put->mValue == mOptions.mOwnValue;
-    mNextLeaseCall = mIsOwnWritten ? aNow + mOptions.mRenewInterval : aNow;
+    mNextLeaseCall = mIsOwnWritten ? aNow + renewInterval : aNow;
   } else {
-    mNextLeaseCall = aNow + mOptions.mRenewInterval;
+    mNextLeaseCall = aNow + renewInterval;
+  }
+}
+
+void StoreFollower::HastenLeaseCall(TimePoint aNow)
+{
+  if (mHasLeaseCallFailed && !mIsLeaseCallPending) {
+    mNextLeaseCall =
+      std::min(mNextLeaseCall, aNow + AddJitter(mOptions.mRetryDelay));
   }
 }
 
--- a/src/libcranberrywing/gateway/store_follower_test.cpp
+++ b/src/libcranberrywing/gateway/store_follower_test.cpp
@@ -196,3 +196,94 @@
   CHECK(std::get<store_call::Watch>(*follower.mFollow).mWait ==
         std::chrono::milliseconds(1));
 }
+
+TEST_CASE("Changes that another VM read are applied once")
+{
+  Follower follower;
+  follower.ReadServers(3);
+  follower.mFollower.OnDelta(
+    { .mAfterRevision = 10,
+      .mRevision = 12,
+      .mChanges = { { { "servers/7", "new", 11 } },
+                    { { .mKey = "servers/0", .mRevision = 12 }, true } } },
+    follower.mNow);
+  CHECK(follower.mChanges.size() == 2);
+  CHECK(follower.mFollower.KnownRevision() == 12);
+  // The watch in progress reports the same changes and an older one.
+  follower.Reply({ .mStatus = StoreStatus::Ok,
+                   .mRevision = 11,
+                   .mChanges = { { { "servers/7", "new", 11 } } } });
+  CHECK(follower.mChanges.size() == 2);
+  CHECK(follower.mFollower.KnownRevision() == 12);
+}
+
+// Guards against a server in use again after it has left: the answer of the
+// store was on its way while another VM reported a later state.
+TEST_CASE("A late answer of the store does not undo a later change")
+{
+  Follower follower;
+  follower.ReadServers(3);
+  follower.mFollower.OnDelta(
+    { .mAfterRevision = 10,
+      .mRevision = 15,
+      .mChanges = { { { .mKey = "servers/0", .mRevision = 15 }, true } } },
+    follower.mNow);
+  CHECK(follower.Removals() == 1);
+  follower.Reply({ .mStatus = StoreStatus::Ok,
+                   .mRevision = 12,
+                   .mChanges = { { { "servers/0", "draining", 12 } } } });
+  CHECK(follower.mChanges.size() == 1);
+}
+
+TEST_CASE("Deltas that do not follow the known revision are ignored")
+{
+  Follower follower;
+  follower.ReadServers(3);
+  const StoreChange change{ { "servers/7", "new", 11 } };
+  follower.mFollower.OnDelta(
+    { .mAfterRevision = 11, .mRevision = 12, .mChanges = { change } },
+    follower.mNow);
+  follower.mFollower.OnDelta(
+    { .mAfterRevision = 0, .mRevision = 9, .mChanges = { change } },
+    follower.mNow);
+  CHECK(follower.mChanges.empty());
+  CHECK(follower.mFollower.KnownRevision() == 10);
+}
+
+// Pattern: a VM restarts while the store turns it away.
+TEST_CASE("A full copy of another VM completes the initial listing")
+{
+  Follower follower;
+  CHECK(std::get<store_call::ListPage>(*follower.mFollow).mAfterKey.empty());
+  follower.mFollower.OnDelta(
+    { .mRevision = 20, .mChanges = { { { "servers/1", "x", 3 } } } },
+    follower.mNow);
+  CHECK(follower.mCompleted == 1);
+  CHECK(follower.mChanges.size() == 1);
+  // The answer to the page that was being read belongs to the past.
+  follower.Reply({ .mStatus = StoreStatus::Ok,
+                   .mRevision = 30,
+                   .mItems = { { "servers/2", "y", 25 } } });
+  CHECK(follower.mFollower.KnownRevision() == 20);
+  CHECK(std::get<store_call::Watch>(*follower.mFollow).mAfterRevision == 20);
+}
+
+TEST_CASE("A VM that does not follow the store makes no calls for changes")
+{
+  Follower follower;
+  follower.ReadServers(3);
+  CHECK(follower.mFollower.ConfirmedAt() == follower.mNow);
+  follower.mFollower.SetFollowing(StoreFollowing::Off, follower.mNow);
+  CHECK_FALSE(follower.mFollower.ConfirmedAt());
+  follower.Reply({ .mStatus = StoreStatus::Ok, .mRevision = 10 });
+  follower.Advance(std::chrono::seconds(10));
+  CHECK_FALSE(follower.mFollow);
+  follower.mFollower.ReadOnce(follower.mNow);
+  CHECK(std::get<store_call::Watch>(*follower.mFollow).mWait ==
+        Milliseconds(1));
+  follower.Reply({ .mStatus = StoreStatus::Refused });
+  follower.Advance(std::chrono::seconds(10));
+  CHECK_FALSE(follower.mFollow);
+  follower.mFollower.SetFollowing(StoreFollowing::Patient, follower.mNow);
+  CHECK(follower.mFollow);
+}
--- /dev/null
+++ b/src/libcranberrywing/gateway/store_relay_test.cpp
@@ -0,0 +1,352 @@
+#include "cranberrywing/gateway/store_relay.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace cranberrywing;
+using namespace cranberrywing::gateway;
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(25);
+/// Time until a pull or a call of the store has an answer.
+constexpr Duration kRoundTrip = std::chrono::milliseconds(50);
+constexpr Duration kRenewInterval = std::chrono::milliseconds(600);
+/// Bound within which each VM has to know a change: the shortest drain bound of
+/// the deployments served.
+constexpr Duration kBound = std::chrono::milliseconds(2500);
+
+/// One VM: its relay, and a model of its store follower.
+struct Vm
+{
+  VmRecord mRecord;
+  FleetView mFleet;
+  StoreRelay mRelay;
+  std::int64_t mRevision = 0;
+  std::optional<TimePoint> mConfirmedAt;
+  StoreFollowing mFollowing = StoreFollowing::Patient;
+  TimePoint mNextStoreCall{};
+  std::optional<std::pair<TimePoint, StorePull>> mPull;
+  bool mIsRunning = true;
+  bool mReachesStore = true;
+  std::uint64_t mStoreCalls = 0;
+};
+
+/// VMs of one region in failure domains, with a store whose revision the test
+/// sets. Messages arrive in the next tick.
+class RelayFleet
+{
+public:
+  RelayFleet(int aDomains, int aVmsPerDomain)
+  {
+    for (int domain = 0; domain < aDomains; ++domain) {
+      for (int n = 0; n < aVmsPerDomain; ++n) {
+        const std::string name =
+          "vm-" + std::to_string(domain) + "-" + std::to_string(n);
+        const VmRecord record{ .mVm = VmId(name),
+                               .mIncarnation = { 1 },
+                               .mRegion = RegionId("north"),
+                               .mFailureDomain = FailureDomainId(
+                                 "north-" + std::to_string(domain)),
+                               .mAddress = name,
+                               .mPeerPort = 7000 };
+        mVms.push_back({ .mRecord = record,
+                         .mFleet = FleetView({ .mSelf = record }),
+                         .mRelay = StoreRelay({ .mSelf = record }) });
+      }
+    }
+    for (Vm& vm : mVms) {
+      vm.mRevision = mStoreRevision;
+      for (const Vm& other : mVms) {
+        vm.mFleet.Register(other.mRecord, mNow);
+      }
+    }
+    Run(std::chrono::seconds(3));
+  }
+
+  Vm& Find(const VmId& aVm)
+  {
+    return *std::find_if(mVms.begin(), mVms.end(), [&](const Vm& aEach) {
+      return aEach.mRecord.mVm == aVm;
+    });
+  }
+
+  void Run(Duration aTime)
+  {
+    const TimePoint end = mNow + aTime;
+    while (mNow < end) {
+      Tick();
+    }
+  }
+
+  /// Runs until all running VMs know the store's revision, and returns the time
+  /// that it took.
+  Duration RunUntilKnown()
+  {
+    const TimePoint start = mNow;
+    const auto isKnown = [&](const Vm& aVm) {
+      return !aVm.mIsRunning || aVm.mRevision >= mStoreRevision;
+    };
+    while (!std::all_of(mVms.begin(), mVms.end(), isKnown) &&
+           mNow - start < std::chrono::seconds(60)) {
+      Tick();
+    }
+    return mNow - start;
+  }
+
+  std::size_t FollowerCount() const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(mVms.begin(), mVms.end(), [](const Vm& aVm) {
+        return aVm.mIsRunning && aVm.mFollowing != StoreFollowing::Off;
+      }));
+  }
+
+  std::uint64_t StoreCalls() const
+  {
+    std::uint64_t calls = 0;
+    for (const Vm& vm : mVms) {
+      calls += vm.mStoreCalls;
+    }
+    return calls;
+  }
+
+  /// The VMs that follow the store.
+  std::vector<Vm*> Followers()
+  {
+    std::vector<Vm*> followers;
+    for (Vm& vm : mVms) {
+      if (vm.mIsRunning && vm.mFollowing != StoreFollowing::Off) {
+        followers.push_back(&vm);
+      }
+    }
+    return followers;
+  }
+
+  std::int64_t mStoreRevision = 1;
+  std::vector<Vm> mVms;
+  TimePoint mNow{ std::chrono::seconds(1000) };
+
+private:
+  void Tick()
+  {
+    mNow += kTick;
+    auto beacons = std::exchange(mBeacons, {});
+    for (const auto& [to, from, beacon] : beacons) {
+      Vm& vm = Find(to);
+      if (vm.mIsRunning) {
+        vm.mRelay.OnBeacon(from, beacon, mNow);
+      }
+    }
+    for (Vm& vm : mVms) {
+      if (vm.mIsRunning) {
+        Step(vm);
+      }
+    }
+  }
+
+  void Step(Vm& aVm)
+  {
+    // Status messages keep the VMs usable to each other.
+    for (Vm& other : mVms) {
+      if (other.mIsRunning) {
+        aVm.mFleet.OnStatus({ other.mRecord.mVm, { 1 } }, {}, mNow);
+      }
+    }
+    CallStore(aVm);
+    FinishPull(aVm);
+    aVm.mRelay.SetProgress({ aVm.mRevision, aVm.mConfirmedAt });
+    aVm.mRelay.Tick(aVm.mFleet, mNow);
+    aVm.mFollowing = aVm.mRelay.Following(mNow);
+    if (aVm.mFollowing == StoreFollowing::Off) {
+      aVm.mConfirmedAt.reset();
+    }
+    if (const auto pull = aVm.mRelay.TakePull(mNow)) {
+      aVm.mPull = { mNow + kRoundTrip, *pull };
+    }
+    const VmIncarnation self{ aVm.mRecord.mVm, { 1 } };
+    for (const RelayEndpoint& receiver : aVm.mRelay.TakeReceivers(mNow)) {
+      mBeacons.push_back({ receiver.mVm, self, aVm.mRelay.Beacon(mNow) });
+    }
+  }
+
+  void CallStore(Vm& aVm)
+  {
+    if (aVm.mFollowing == StoreFollowing::Off) {
+      return;
+    }
+    if (aVm.mReachesStore) {
+      // A watch reports changes at once; renewals confirm it in between.
+      const bool isRenewed = mNow >= aVm.mNextStoreCall;
+      if (isRenewed || aVm.mRevision < mStoreRevision) {
+        ++aVm.mStoreCalls;
+        aVm.mConfirmedAt = mNow;
+        aVm.mRevision = std::max(aVm.mRevision, mStoreRevision);
+        aVm.mNextStoreCall = mNow + kRenewInterval;
+      }
+      return;
+    }
+    aVm.mConfirmedAt.reset();
+    if (mNow >= aVm.mNextStoreCall) {
+      ++aVm.mStoreCalls;
+      aVm.mNextStoreCall = mNow + (aVm.mFollowing == StoreFollowing::Eager
+                                     ? std::chrono::milliseconds(300)
+                                     : std::chrono::milliseconds(1000));
+    }
+  }
+
+  void FinishPull(Vm& aVm)
+  {
+    if (!aVm.mPull || mNow < aVm.mPull->first) {
+      return;
+    }
+    const Vm& source = Find(aVm.mPull->second.mFrom.mVm);
+    aVm.mPull.reset();
+    if (source.mIsRunning) {
+      aVm.mRevision = std::max(aVm.mRevision, source.mRevision);
+    }
+    aVm.mRelay.OnPullEnded(
+      source.mIsRunning ? PullResult::Applied : PullResult::Failed, mNow);
+  }
+
+  struct SentBeacon
+  {
+    VmId mTo;
+    VmIncarnation mFrom;
+    message::StoreBeacon mBeacon;
+  };
+  std::vector<SentBeacon> mBeacons;
+};
+
+} // namespace
+
+TEST_CASE("In calm one VM of each group follows the store")
+{
+  RelayFleet large(3, 10);
+  CHECK(large.FollowerCount() == 3);
+  std::set<FailureDomainId> domains;
+  for (const Vm* vm : large.Followers()) {
+    domains.insert(vm->mRecord.mFailureDomain);
+  }
+  CHECK(domains.size() == 3);
+  CHECK(RelayFleet(2, 3).FollowerCount() == 1);
+  CHECK(RelayFleet(1, 1).FollowerCount() == 1);
+}
+
+TEST_CASE("A change reaches all VMs of a group within two beacons")
+{
+  RelayFleet fleet(3, 10);
+  ++fleet.mStoreRevision;
+  CHECK(fleet.RunUntilKnown() <= std::chrono::milliseconds(600));
+}
+
+// Pattern: a VM that others rely on dies, is paused or loses power, and a
+// server is drained at the same moment.
+TEST_CASE("Changes arrive in time although the elected VM has failed")
+{
+  RelayFleet fleet(3, 10);
+  for (Vm* const vm : fleet.Followers()) {
+    vm->mIsRunning = false;
+  }
+  ++fleet.mStoreRevision;
+  CHECK(fleet.RunUntilKnown() < kBound);
+  fleet.Run(std::chrono::seconds(5));
+  CHECK(fleet.FollowerCount() == 3);
+}
+
+// Pattern: the store turns some VMs away and serves the others.
+TEST_CASE("VMs that the store turns away learn changes from the others")
+{
+  RelayFleet fleet(3, 10);
+  for (Vm& vm : fleet.mVms) {
+    vm.mReachesStore = vm.mRecord.mVm == fleet.mVms.back().mRecord.mVm;
+  }
+  fleet.Run(std::chrono::seconds(3));
+  ++fleet.mStoreRevision;
+  CHECK(fleet.RunUntilKnown() < kBound);
+  // Only elected VMs keep asking the store for themselves.
+  const std::uint64_t calls = fleet.StoreCalls();
+  fleet.Run(std::chrono::seconds(10));
+  CHECK(fleet.StoreCalls() - calls < 10 * 30);
+}
+
+TEST_CASE("The elected VMs are cut off from the store at a change")
+{
+  RelayFleet fleet(3, 10);
+  for (Vm* const vm : fleet.Followers()) {
+    vm->mReachesStore = false;
+  }
+  ++fleet.mStoreRevision;
+  CHECK(fleet.RunUntilKnown() < kBound);
+}
+
+// Pattern: the store is down for all. Each VM once asked it several times a
+// second.
+TEST_CASE("In an outage few calls are made, and the return is noticed soon")
+{
+  RelayFleet fleet(3, 10);
+  for (Vm& vm : fleet.mVms) {
+    vm.mReachesStore = false;
+  }
+  fleet.Run(std::chrono::seconds(5));
+  const std::uint64_t calls = fleet.StoreCalls();
+  fleet.Run(std::chrono::seconds(10));
+  CHECK(fleet.StoreCalls() - calls <= 10 * (30 + 3 * 4));
+  for (Vm& vm : fleet.mVms) {
+    vm.mReachesStore = true;
+  }
+  ++fleet.mStoreRevision;
+  CHECK(fleet.RunUntilKnown() <= std::chrono::seconds(1));
+}
+
+// VMs that hear each other must not take old information for current.
+TEST_CASE("Beacons cannot keep a confirmation alive without the store")
+{
+  RelayFleet fleet(3, 10);
+  for (Vm& vm : fleet.mVms) {
+    vm.mReachesStore = false;
+  }
+  fleet.Run(std::chrono::seconds(10));
+  for (const Vm& vm : fleet.mVms) {
+    const auto age = vm.mRelay.Age(fleet.mNow);
+    REQUIRE(age);
+    CHECK(*age >= std::chrono::seconds(9));
+  }
+}
+
+TEST_CASE("A confirmation of a later revision does not cover this VM's copy")
+{
+  const VmRecord self{ .mVm = VmId("b"), .mRegion = RegionId("r") };
+  StoreRelay relay({ .mSelf = self });
+  const TimePoint now{ std::chrono::seconds(100) };
+  relay.SetProgress({ 5, std::nullopt });
+  relay.OnBeacon(
+    { VmId("a"), { 1 } }, { .mRevision = 9, .mAddress = "a", .mPort = 1 }, now);
+  CHECK_FALSE(relay.Age(now));
+  const auto pull = relay.TakePull(now);
+  REQUIRE(pull);
+  CHECK(pull->mAfterRevision == 5);
+  CHECK(pull->mFrom.mVm == VmId("a"));
+  CHECK_FALSE(relay.TakePull(now));
+  relay.OnPullEnded(PullResult::Applied, now);
+  relay.SetProgress({ 9, std::nullopt });
+  CHECK(relay.Age(now) == Duration::zero());
+}
+
+// Large changes go over the store's fast link, not over that of a small VM.
+TEST_CASE("Large changes are pulled from a VM only if the store fails")
+{
+  StoreRelay relay({ .mSelf = { .mVm = VmId("b"), .mRegion = RegionId("r") } });
+  TimePoint now{ std::chrono::seconds(100) };
+  relay.SetProgress({ 5, std::nullopt });
+  const message::StoreBeacon beacon{ .mRevision = 9, .mAddress = "a" };
+  relay.OnBeacon({ VmId("a"), { 1 } }, beacon, now);
+  REQUIRE(relay.TakePull(now));
+  relay.OnPullEnded(PullResult::TooLarge, now);
+  CHECK_FALSE(relay.TakePull(now));
+  now += std::chrono::seconds(1);
+  relay.OnBeacon({ VmId("a"), { 1 } }, beacon, now);
+  const auto pull = relay.TakePull(now);
+  REQUIRE(pull);
+  CHECK(pull->mMayBeLarge);
+}
