--- a/src/cranberrywingd/gateway_daemon.cpp
+++ b/src/cranberrywingd/gateway_daemon.cpp
@@ -21,6 +21,9 @@
 /// File descriptors that the platform reserves for files.
 constexpr std::size_t kReservedDescriptors = 200;
 constexpr std::size_t kMaxStoreAnswerBytes = 8 * 1024 * 1024;
+/// Time without a further part of an answer after which the store, or another
+/// VM that passes changes on, counts as unresponsive.
+constexpr Milliseconds kAnswerProgressTime{ 800 };
 
 /// Half of the descriptors available for sockets; the rest is for connections
 /// to backend servers, the store and other VMs.
@@ -45,6 +48,7 @@
   netutil::HttpClientPool::Options options;
   options.mClient.mConnectTimeout = kConnectTimeout;
   options.mClient.mMaxBodyBytes = kMaxStoreAnswerBytes;
+  options.mClient.mProgressTime = kAnswerProgressTime;
   options.mIdleTimeout = std::chrono::seconds(20);
   return options;
 }
@@ -53,6 +57,7 @@
 {
   netutil::HttpClientPool::Options options;
   options.mClient.mMaxBodyBytes = kMaxStoreAnswerBytes;
+  options.mClient.mProgressTime = kAnswerProgressTime;
   options.mClient.mEnableTcpKeepAlive = true;
   options.mIdleTimeout = std::chrono::seconds(20);
   return options;
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -162,8 +162,10 @@
   // gateway_upkeep.cpp
   /// Sends status messages that are due, to the own region and to others.
   void SendStatus();
-  /// Sends beacons, starts pulls and sets how this VM follows the store.
+  /// Sends queries and beacons, starts pulls and sets how this VM follows the
+  /// store.
   void RelayStoreChanges();
+  void SendTo(const RelayEndpoint& aReceiver, Message aMessage);
   void UpdatePlan();
   RegionalLoad ComputeRegionalLoad(const ServiceId& aService) const;
   /// Logs the service's region shares if they changed noticeably.
--- a/src/include/cranberrywing/gateway/store_follower.h
+++ b/src/include/cranberrywing/gateway/store_follower.h
@@ -156,7 +156,7 @@
     Duration mRenewInterval = std::chrono::milliseconds(1300);
     /// Replaces mRenewInterval while this VM reads the store for others, which
     /// need to know that it is reachable.
-    Duration mFollowingRenewInterval = std::chrono::milliseconds(600);
+    Duration mFollowingRenewInterval = std::chrono::milliseconds(500);
     /// Time after an outage within which servers have restored their expired
     /// entries.
     Duration mRestoreTime = std::chrono::milliseconds(2100);
--- a/src/include/cranberrywing/gateway/store_relay.h
+++ b/src/include/cranberrywing/gateway/store_relay.h
@@ -3,13 +3,16 @@
 /// other VMs.
 ///
 /// The VMs of a group, a failure domain or a small region, elect one of them to
-/// follow the store. Beacons tell the others its store revision and how long
-/// ago the store confirmed it. A VM whose revision is lower pulls the
-/// difference from the sender. A VM that hears no beacon of recent age reads
-/// the store itself, so that a VM that dies, is paused or is turned away by the
-/// store delays others only by the age limit. Ages count from the contact with
-/// the store, through all VMs on the way, so that VMs cannot confirm old
-/// information to each other.
+/// follow the store. The others ask it for its store revision and for how long
+/// ago the store confirmed it, and are told unasked when the revision changes.
+/// A VM whose revision is lower pulls the difference. A VM without a recent
+/// confirmation reads the store itself, so that a VM that dies, is paused or is
+/// turned away by the store delays others only by the age limit.
+///
+/// Ages count from the contact with the store, through all VMs on the way, so
+/// that VMs cannot confirm old information to each other. A receiver counts
+/// from the time of its question, so that a slow network cannot make an answer
+/// look more recent than it is.
 #pragma once
 
 #include <cstdint>
@@ -30,16 +33,20 @@
   {
     VmRecord mSelf;
     /// Age of the last confirmation above which a VM reads the store itself.
-    Duration mAgeLimit = std::chrono::milliseconds(1200);
+    Duration mAgeLimit = std::chrono::milliseconds(1500);
     /// Added to mAgeLimit for each VM that precedes this one in its group, up
     /// to mMaxSteps, so that not all start at once.
     Duration mAgeStep = std::chrono::milliseconds(60);
     std::size_t mMaxSteps = 6;
-    /// Interval of beacons. Beacons are also sent when the revision changes.
-    Duration mBeaconInterval = std::chrono::milliseconds(300);
-    /// Lower bound of the interval per receiver, which applies to large groups.
-    Duration mIntervalPerReceiver = std::chrono::milliseconds(15);
-    Duration mMaxBeaconInterval = std::chrono::milliseconds(500);
+    /// Interval of queries. It grows with a group of more than mUsualGroup VMs,
+    /// up to mMaxQueryInterval, to limit the load of the elected VM.
+    Duration mQueryInterval = std::chrono::milliseconds(250);
+    Duration mMaxQueryInterval = std::chrono::milliseconds(500);
+    std::size_t mUsualGroup = 25;
+    /// Age above which further VMs are asked besides the elected one.
+    Duration mDoubtAge = std::chrono::milliseconds(900);
+    /// Number of further VMs that are asked at a time.
+    std::size_t mFurtherQueries = 2;
     /// Regions with at most this many VMs form one group.
     std::size_t mSmallRegion = 8;
     /// Interval at which the groups are computed again.
@@ -51,6 +58,10 @@
     /// Time for reading large changes from the store before they are pulled
     /// from another VM after all.
     Duration mLargeReadTime = std::chrono::milliseconds(900);
+    /// Time after a beacon in which changes are pulled from its sender.
+    Duration mSourceValidity = std::chrono::milliseconds(1200);
+    /// Difference of two confirmations that is ignored.
+    Duration mAgeTolerance = std::chrono::milliseconds(300);
     /// Time after which the beacon of a VM is forgotten.
     Duration mSourceRetention = std::chrono::seconds(10);
   };
@@ -59,7 +70,8 @@
 
   /// Sets the state of this VM's own follower.
   void SetProgress(const StoreProgress& aProgress);
-  /// Stores the beacon of another VM.
+  /// Stores the beacon of another VM. An answer to a query confirms this VM's
+  /// copy as of the time of the query.
   void OnBeacon(const VmIncarnation& aFrom,
                 const message::StoreBeacon& aBeacon,
                 TimePoint aNow);
@@ -70,10 +82,18 @@
   /// Returns the pull to start now, if any. OnPullEnded has to follow.
   std::optional<StorePull> TakePull(TimePoint aNow);
   void OnPullEnded(PullResult aResult, TimePoint aNow);
-  /// Receivers of a beacon that is due now; empty if none is due.
-  std::vector<RelayEndpoint> TakeReceivers(TimePoint aNow);
-  /// Precondition: Age returns a value.
-  message::StoreBeacon Beacon(TimePoint aNow) const;
+  /// VMs to which a query has to be sent now.
+  std::vector<RelayEndpoint> TakeQueries(TimePoint aNow);
+  /// Content of a query that is sent now.
+  message::StoreQuery Query(TimePoint aNow) const;
+  /// VMs to which a beacon has to be sent unasked, because the revision has
+  /// changed.
+  std::vector<RelayEndpoint> TakeReceivers();
+  /// Content of a beacon that is sent unasked. It confirms nothing.
+  message::StoreBeacon News() const;
+  /// Answer to a query; nullopt if this VM has no confirmed copy.
+  std::optional<message::StoreBeacon> Answer(const message::StoreQuery& aQuery,
+                                             TimePoint aNow) const;
 
   /// Age of the newest confirmation that this VM knows of, its own included;
   /// nullopt if it knows none.
@@ -95,14 +115,16 @@
     RelayEndpoint mEndpoint;
     std::int64_t mRevision = 0;
     TimePoint mHeardAt{};
-    Confirmation mConfirmation;
+    /// nullopt if the last beacon was sent unasked.
+    std::optional<Confirmation> mConfirmation;
   };
 
   /// This VM's view of the groups.
   struct Groups
   {
-    /// Other VMs of this VM's group, including those whose entries have
-    /// expired: they may have restarted without reaching the store.
+    /// Other VMs of this VM's group in the group's order, the elected one
+    /// first. Those whose entries have expired come last: they may have
+    /// restarted without reaching the store.
     std::vector<RelayEndpoint> mMates;
     /// The elected VMs of the other groups.
     std::vector<RelayEndpoint> mOtherElected;
@@ -113,7 +135,10 @@
   Groups FindGroups(const FleetView& aFleet, TimePoint aNow) const;
   /// Takes over the latest confirmation of a revision that this VM has.
   void UpdateConfirmation();
-  /// Whether this VM's own confirmation is newer than all others.
+  /// The latest confirmation of this VM's copy, by itself or by another VM.
+  std::optional<Confirmation> Latest() const;
+  /// Whether the latest confirmation is this VM's own and it still follows the
+  /// store.
   bool IsOrigin() const;
   bool IsElected() const { return mGroups.mRank == 0; }
 
@@ -123,6 +148,8 @@
   Groups mGroups;
   TimePoint mNextGroups{};
   std::map<VmId, Source> mSources;
+  /// Last time at which the store confirmed this VM's copy to this VM itself.
+  std::optional<TimePoint> mOwnConfirmedAt;
   /// Latest confirmation by another VM that covers this VM's copy.
   std::optional<Confirmation> mConfirmation;
 
@@ -134,8 +161,11 @@
   /// Since when large changes are being read from the store.
   std::optional<TimePoint> mLargeSince;
 
-  TimePoint mNextBeacon{};
-  std::int64_t mBeaconRevision = 0;
+  TimePoint mNextQuery{};
+  /// Position in the list of further VMs to ask.
+  std::size_t mNextFurther = 0;
+  /// Revision of the last beacon that was sent unasked.
+  std::int64_t mSentRevision = 0;
 };
 
 } // namespace cranberrywing::gateway
--- a/src/include/cranberrywing/message.h
+++ b/src/include/cranberrywing/message.h
@@ -42,6 +42,7 @@
                              message::RequestBlock,
                              message::ShiftProgress,
                              message::GatewayStatus,
+                             message::StoreQuery,
                              message::StoreBeacon,
                              message::StoreChanges>;
 
--- a/src/include/cranberrywing/messages/gateway.h
+++ b/src/include/cranberrywing/messages/gateway.h
@@ -94,12 +94,32 @@
 
 namespace message {
 
-/// Tells other VMs how current the sender's copy of the store is, and where the
-/// copy can be read.
+/// Asks another VM for a StoreBeacon.
+struct StoreQuery
+{
+  /// Time at which the query was sent, by the sender's clock.
+  std::int64_t mSentAt = 0;
+  /// Endpoint of the sender, which the receiver may not know.
+  std::string mAddress;
+  std::uint16_t mPort = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mSentAt, mAddress, mPort);
+  }
+};
+
+/// Tells another VM how current the sender's copy of the store is, and where
+/// the copy can be read.
 struct StoreBeacon
 {
   /// Store revision up to which the sender's copy is complete.
   std::int64_t mRevision = 0;
+  /// StoreQuery::mSentAt of the query that this answers; zero if the beacon was
+  /// sent unasked, because the revision has changed. The receiver counts mAgeMs
+  /// from there, so that a beacon that was long under way does not look recent.
+  std::int64_t mQuerySentAt = 0;
   /// Time since a VM confirmed with the store itself that there were no later
   /// changes. It grows on the way from that VM.
   std::uint32_t mAgeMs = 0;
@@ -114,7 +134,13 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mRevision, mAgeMs, mOrigin, mIsOriginElected, mAddress, mPort);
+    aArchive(mRevision,
+             mQuerySentAt,
+             mAgeMs,
+             mOrigin,
+             mIsOriginElected,
+             mAddress,
+             mPort);
   }
 };
 
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -268,6 +268,13 @@
     mStoreRelay.OnBeacon(aEvent.mFrom, *beacon, mNow);
     return;
   }
+  if (const auto* const query =
+        std::get_if<message::StoreQuery>(&aEvent.mMessage)) {
+    if (const auto beacon = mStoreRelay.Answer(*query, mNow)) {
+      SendTo({ aEvent.mFrom.mVm, query->mAddress, query->mPort }, *beacon);
+    }
+    return;
+  }
   cranberrywing::EffectList effects;
   if (const auto* const tokenRequest =
         std::get_if<message::TokenRequest>(&aEvent.mMessage)) {
--- a/src/libcranberrywing/gateway/gateway_upkeep.cpp
+++ b/src/libcranberrywing/gateway/gateway_upkeep.cpp
@@ -81,19 +81,22 @@
   if (const auto pull = mStoreRelay.TakePull(mNow)) {
     mEffects.push_back(effect::PullStoreChanges{ *pull });
   }
-  const std::vector<RelayEndpoint> receivers = mStoreRelay.TakeReceivers(mNow);
-  if (receivers.empty()) {
-    return;
+  for (const RelayEndpoint& receiver : mStoreRelay.TakeQueries(mNow)) {
+    SendTo(receiver, mStoreRelay.Query(mNow));
   }
-  const message::StoreBeacon beacon = mStoreRelay.Beacon(mNow);
-  for (const RelayEndpoint& receiver : receivers) {
-    mEffects.push_back(effect::SendMessage{ .mTo = receiver.mVm,
-                                            .mAddress = receiver.mAddress,
-                                            .mPort = receiver.mPort,
-                                            .mMessage = beacon });
+  for (const RelayEndpoint& receiver : mStoreRelay.TakeReceivers()) {
+    SendTo(receiver, mStoreRelay.News());
   }
 }
 
+void Gateway::SendTo(const RelayEndpoint& aReceiver, Message aMessage)
+{
+  mEffects.push_back(effect::SendMessage{ .mTo = aReceiver.mVm,
+                                          .mAddress = aReceiver.mAddress,
+                                          .mPort = aReceiver.mPort,
+                                          .mMessage = std::move(aMessage) });
+}
+
 double Gateway::ArrivalRate(const ServiceId& aService) const
 {
   const auto it = mArrivals.find(aService);
--- a/src/libcranberrywing/gateway/store_relay.cpp
+++ b/src/libcranberrywing/gateway/store_relay.cpp
@@ -35,6 +35,9 @@
 {
   const bool isAdvanced = aProgress.mRevision > mProgress.mRevision;
   mProgress = aProgress;
+  if (mProgress.mConfirmedAt) {
+    mOwnConfirmedAt = mProgress.mConfirmedAt;
+  }
   if (isAdvanced) {
     UpdateConfirmation();
   }
@@ -47,14 +50,17 @@
   if (aFrom.mVm == mOptions.mSelf.mVm) {
     return;
   }
-  mSources[aFrom.mVm] = {
-    .mEndpoint = { aFrom.mVm, aBeacon.mAddress, aBeacon.mPort },
-    .mRevision = aBeacon.mRevision,
-    .mHeardAt = aNow,
-    .mConfirmation = { .mAt = aNow - Milliseconds(aBeacon.mAgeMs),
-                       .mOrigin = aBeacon.mOrigin,
-                       .mIsOriginElected = aBeacon.mIsOriginElected },
-  };
+  Source& source = mSources[aFrom.mVm];
+  source.mEndpoint = { aFrom.mVm, aBeacon.mAddress, aBeacon.mPort };
+  source.mRevision = aBeacon.mRevision;
+  source.mHeardAt = aNow;
+  source.mConfirmation.reset();
+  const TimePoint askedAt{ Duration(aBeacon.mQuerySentAt) };
+  if (aBeacon.mQuerySentAt > 0 && askedAt <= aNow) {
+    source.mConfirmation = { .mAt = askedAt - Milliseconds(aBeacon.mAgeMs),
+                             .mOrigin = aBeacon.mOrigin,
+                             .mIsOriginElected = aBeacon.mIsOriginElected };
+  }
   UpdateConfirmation();
 }
 
@@ -62,9 +68,9 @@
 {
   for (const auto& [id, source] : mSources) {
     // A confirmation of a later revision says nothing about this VM's copy.
-    if (source.mRevision <= mProgress.mRevision &&
-        source.mConfirmation.mOrigin != mSelfHash &&
-        (!mConfirmation || source.mConfirmation.mAt > mConfirmation->mAt)) {
+    if (source.mConfirmation && source.mRevision <= mProgress.mRevision &&
+        source.mConfirmation->mOrigin != mSelfHash &&
+        (!mConfirmation || source.mConfirmation->mAt > mConfirmation->mAt)) {
       mConfirmation = source.mConfirmation;
     }
   }
@@ -97,13 +103,18 @@
   };
   const auto ownGroup = groupOf(mOptions.mSelf);
   Groups groups;
+  std::vector<std::pair<std::uint64_t, RelayEndpoint>> mates;
+  std::vector<RelayEndpoint> expired;
   std::map<decltype(groupOf(mOptions.mSelf)), const Peer*> elected;
   for (const auto& [id, peer] : aFleet.Peers()) {
     const auto group = groupOf(peer.mRecord);
     const bool isUsable = aFleet.IsUsable(peer, aNow);
     if (group == ownGroup) {
-      groups.mMates.push_back(EndpointOf(peer.mRecord));
-      groups.mRank += isUsable && OrderOf(id) < mSelfHash ? 1 : 0;
+      if (isUsable) {
+        mates.emplace_back(OrderOf(id), EndpointOf(peer.mRecord));
+      } else {
+        expired.push_back(EndpointOf(peer.mRecord));
+      }
     } else if (isUsable) {
       const Peer*& first = elected[group];
       if (!first || OrderOf(id) < OrderOf(first->mRecord.mVm)) {
@@ -111,28 +122,45 @@
       }
     }
   }
+  std::sort(
+    mates.begin(), mates.end(), [](const auto& aOne, const auto& aOther) {
+      return aOne.first < aOther.first;
+    });
+  for (auto& [order, mate] : mates) {
+    groups.mRank += order < mSelfHash ? 1 : 0;
+    groups.mMates.push_back(std::move(mate));
+  }
+  groups.mMates.insert(groups.mMates.end(), expired.begin(), expired.end());
   for (const auto& [group, peer] : elected) {
     groups.mOtherElected.push_back(EndpointOf(peer->mRecord));
   }
   return groups;
 }
 
-bool StoreRelay::IsOrigin() const
+std::optional<StoreRelay::Confirmation> StoreRelay::Latest() const
 {
   // A slightly newer confirmation by another VM makes no difference to the
   // receivers, and naming this VM keeps the origin stable.
-  return mProgress.mConfirmedAt &&
-         (!mConfirmation || mConfirmation->mAt - *mProgress.mConfirmedAt <=
-                              mOptions.mBeaconInterval);
+  if (mOwnConfirmedAt &&
+      (!mConfirmation ||
+       mConfirmation->mAt - *mOwnConfirmedAt <= mOptions.mAgeTolerance)) {
+    return Confirmation{ .mAt = *mOwnConfirmedAt,
+                         .mOrigin = mSelfHash,
+                         .mIsOriginElected = IsElected() };
+  }
+  return mConfirmation;
+}
+
+bool StoreRelay::IsOrigin() const
+{
+  const auto latest = Latest();
+  return mProgress.mConfirmedAt && latest && latest->mOrigin == mSelfHash;
 }
 
 std::optional<Duration> StoreRelay::Age(TimePoint aNow) const
 {
-  if (IsOrigin()) {
-    return aNow - *mProgress.mConfirmedAt;
-  }
-  return mConfirmation ? std::optional(aNow - mConfirmation->mAt)
-                       : std::nullopt;
+  const auto latest = Latest();
+  return latest ? std::optional(aNow - latest->mAt) : std::nullopt;
 }
 
 StoreFollowing StoreRelay::Following(TimePoint aNow) const
@@ -173,7 +201,7 @@
   };
   for (const auto& [id, source] : mSources) {
     const bool isNews = source.mRevision > mProgress.mRevision &&
-                        aNow - source.mHeardAt <= mOptions.mAgeLimit;
+                        aNow - source.mHeardAt <= mOptions.mSourceValidity;
     if (isNews && (!newest || isPreferred(source, *newest))) {
       newest = &source;
     }
@@ -209,42 +237,80 @@
   }
 }
 
-std::vector<RelayEndpoint> StoreRelay::TakeReceivers(TimePoint aNow)
+std::vector<RelayEndpoint> StoreRelay::TakeQueries(TimePoint aNow)
+{
+  const bool readsStore = mProgress.mConfirmedAt &&
+                          aNow - *mProgress.mConfirmedAt <= mOptions.mDoubtAge;
+  if (aNow < mNextQuery || (IsElected() && readsStore)) {
+    return {};
+  }
+  const auto growth = static_cast<Duration::rep>(
+    mGroups.mMates.size() / std::max<std::size_t>(1, mOptions.mUsualGroup));
+  mNextQuery = aNow + std::min((1 + growth) * mOptions.mQueryInterval,
+                               mOptions.mMaxQueryInterval);
+  std::vector<RelayEndpoint> receivers;
+  std::vector<RelayEndpoint> further = mGroups.mOtherElected;
+  further.insert(further.end(), mGroups.mMates.begin(), mGroups.mMates.end());
+  if (!IsElected()) {
+    receivers.push_back(mGroups.mMates.front());
+  }
+  const auto age = Age(aNow);
+  const bool isInDoubt = IsElected() || !age || *age > mOptions.mDoubtAge;
+  const std::size_t count =
+    isInDoubt ? std::min(mOptions.mFurtherQueries, further.size()) : 0;
+  for (std::size_t n = 0; n < count; ++n) {
+    receivers.push_back(further[mNextFurther++ % further.size()]);
+  }
+  return receivers;
+}
+
+message::StoreQuery StoreRelay::Query(TimePoint aNow) const
+{
+  return { .mSentAt = aNow.time_since_epoch().count(),
+           .mAddress = mOptions.mSelf.mAddress,
+           .mPort = mOptions.mSelf.mPeerPort };
+}
+
+std::vector<RelayEndpoint> StoreRelay::TakeReceivers()
 {
-  const bool isChanged = mProgress.mRevision > mBeaconRevision;
-  if (mProgress.mRevision == 0 || !Age(aNow) ||
-      (!isChanged && aNow < mNextBeacon)) {
+  if (mProgress.mRevision <= mSentRevision) {
     return {};
   }
-  const bool speaksForStore = IsOrigin();
-  if (!IsElected() && !speaksForStore) {
+  const bool isFirst = mSentRevision == 0;
+  mSentRevision = mProgress.mRevision;
+  if (isFirst || (!IsElected() && !IsOrigin())) {
     return {};
   }
-  mBeaconRevision = mProgress.mRevision;
   std::vector<RelayEndpoint> receivers = mGroups.mMates;
-  if (speaksForStore) {
+  if (IsOrigin()) {
     receivers.insert(receivers.end(),
                      mGroups.mOtherElected.begin(),
                      mGroups.mOtherElected.end());
   }
-  const Duration interval = static_cast<Duration::rep>(receivers.size()) *
-                            mOptions.mIntervalPerReceiver;
-  mNextBeacon =
-    aNow +
-    std::clamp(interval, mOptions.mBeaconInterval, mOptions.mMaxBeaconInterval);
   return receivers;
 }
 
-message::StoreBeacon StoreRelay::Beacon(TimePoint aNow) const
+message::StoreBeacon StoreRelay::News() const
 {
-  const bool isOwn = IsOrigin() || !mConfirmation;
   return { .mRevision = mProgress.mRevision,
-           .mAgeMs = ToAgeMs(Age(aNow).value_or(Duration::zero())),
-           .mOrigin = isOwn ? mSelfHash : mConfirmation->mOrigin,
-           .mIsOriginElected =
-             isOwn ? IsElected() : mConfirmation->mIsOriginElected,
            .mAddress = mOptions.mSelf.mAddress,
            .mPort = mOptions.mSelf.mPeerPort };
 }
 
+std::optional<message::StoreBeacon> StoreRelay::Answer(
+  const message::StoreQuery& aQuery,
+  TimePoint aNow) const
+{
+  const auto latest = Latest();
+  if (!latest || mProgress.mRevision == 0) {
+    return std::nullopt;
+  }
+  message::StoreBeacon beacon = News();
+  beacon.mQuerySentAt = aQuery.mSentAt;
+  beacon.mAgeMs = ToAgeMs(aNow - latest->mAt);
+  beacon.mOrigin = latest->mOrigin;
+  beacon.mIsOriginElected = latest->mIsOriginElected;
+  return beacon;
+}
+
 } // namespace cranberrywing::gateway
--- a/src/libcranberrywing/gateway/store_relay_test.cpp
+++ b/src/libcranberrywing/gateway/store_relay_test.cpp
@@ -11,7 +11,7 @@
 constexpr Duration kTick = std::chrono::milliseconds(25);
 /// Time until a pull or a call of the store has an answer.
 constexpr Duration kRoundTrip = std::chrono::milliseconds(50);
-constexpr Duration kRenewInterval = std::chrono::milliseconds(600);
+constexpr Duration kRenewInterval = std::chrono::milliseconds(500);
 /// Bound within which each VM has to know a change: the shortest drain bound of
 /// the deployments served.
 constexpr Duration kBound = std::chrono::milliseconds(2500);
@@ -29,6 +29,8 @@
   std::optional<std::pair<TimePoint, StorePull>> mPull;
   bool mIsRunning = true;
   bool mReachesStore = true;
+  /// Delay of the messages that the VM sends.
+  Duration mDelay{};
   std::uint64_t mStoreCalls = 0;
 };
 
@@ -131,11 +133,12 @@
   void Tick()
   {
     mNow += kTick;
-    auto beacons = std::exchange(mBeacons, {});
-    for (const auto& [to, from, beacon] : beacons) {
-      Vm& vm = Find(to);
-      if (vm.mIsRunning) {
-        vm.mRelay.OnBeacon(from, beacon, mNow);
+    auto arrived = std::exchange(mMessages, {});
+    for (const SentMessage& message : arrived) {
+      if (message.mArrivesAt > mNow) {
+        mMessages.push_back(message);
+      } else if (Find(message.mTo).mIsRunning) {
+        Receive(Find(message.mTo), message);
       }
     }
     for (Vm& vm : mVms) {
@@ -164,9 +167,38 @@
     if (const auto pull = aVm.mRelay.TakePull(mNow)) {
       aVm.mPull = { mNow + kRoundTrip, *pull };
     }
-    const VmIncarnation self{ aVm.mRecord.mVm, { 1 } };
-    for (const RelayEndpoint& receiver : aVm.mRelay.TakeReceivers(mNow)) {
-      mBeacons.push_back({ receiver.mVm, self, aVm.mRelay.Beacon(mNow) });
+    for (const RelayEndpoint& receiver : aVm.mRelay.TakeQueries(mNow)) {
+      Send(aVm, receiver.mVm, aVm.mRelay.Query(mNow));
+    }
+    for (const RelayEndpoint& receiver : aVm.mRelay.TakeReceivers()) {
+      Send(aVm, receiver.mVm, aVm.mRelay.News());
+    }
+  }
+
+  void Send(const Vm& aFrom, const VmId& aTo, Message aMessage)
+  {
+    mMessages.push_back(
+      { aTo, aFrom.mRecord.mVm, mNow + aFrom.mDelay, std::move(aMessage) });
+  }
+
+  struct SentMessage
+  {
+    VmId mTo;
+    VmId mFrom;
+    TimePoint mArrivesAt{};
+    Message mMessage;
+  };
+
+  void Receive(Vm& aVm, const SentMessage& aMessage)
+  {
+    if (const auto* const beacon =
+          std::get_if<message::StoreBeacon>(&aMessage.mMessage)) {
+      aVm.mRelay.OnBeacon({ aMessage.mFrom, { 1 } }, *beacon, mNow);
+    } else if (const auto* const query =
+                 std::get_if<message::StoreQuery>(&aMessage.mMessage)) {
+      if (const auto answer = aVm.mRelay.Answer(*query, mNow)) {
+        Send(aVm, aMessage.mFrom, *answer);
+      }
     }
   }
 
@@ -209,13 +241,7 @@
       source.mIsRunning ? PullResult::Applied : PullResult::Failed, mNow);
   }
 
-  struct SentBeacon
-  {
-    VmId mTo;
-    VmIncarnation mFrom;
-    message::StoreBeacon mBeacon;
-  };
-  std::vector<SentBeacon> mBeacons;
+  std::vector<SentMessage> mMessages;
 };
 
 } // namespace
@@ -233,7 +259,7 @@
   CHECK(RelayFleet(1, 1).FollowerCount() == 1);
 }
 
-TEST_CASE("A change reaches all VMs of a group within two beacons")
+TEST_CASE("A change reaches all VMs at once")
 {
   RelayFleet fleet(3, 10);
   ++fleet.mStoreRevision;
@@ -299,6 +325,18 @@
   CHECK(fleet.RunUntilKnown() <= std::chrono::seconds(1));
 }
 
+// Pattern: the link of an elected VM is congested, so that its messages arrive
+// seconds late. They say that nothing had changed when they were sent.
+TEST_CASE("Late messages do not pass for recent ones")
+{
+  RelayFleet fleet(3, 10);
+  for (Vm* const vm : fleet.Followers()) {
+    vm->mDelay = std::chrono::seconds(3);
+  }
+  ++fleet.mStoreRevision;
+  CHECK(fleet.RunUntilKnown() < kBound);
+}
+
 // VMs that hear each other must not take old information for current.
 TEST_CASE("Beacons cannot keep a confirmation alive without the store")
 {
@@ -320,8 +358,12 @@
   StoreRelay relay({ .mSelf = self });
   const TimePoint now{ std::chrono::seconds(100) };
   relay.SetProgress({ 5, std::nullopt });
-  relay.OnBeacon(
-    { VmId("a"), { 1 } }, { .mRevision = 9, .mAddress = "a", .mPort = 1 }, now);
+  relay.OnBeacon({ VmId("a"), { 1 } },
+                 { .mRevision = 9,
+                   .mQuerySentAt = relay.Query(now).mSentAt,
+                   .mAddress = "a",
+                   .mPort = 1 },
+                 now);
   CHECK_FALSE(relay.Age(now));
   const auto pull = relay.TakePull(now);
   REQUIRE(pull);
--- a/src/libcranberrywing/reducer_delivery.h
+++ b/src/libcranberrywing/reducer_delivery.h
@@ -223,6 +223,7 @@
   /// Ignored: gateways are a separate composition of the components, and their
   /// fleet's messages do not concern this one.
   void OnMessage(const VmIncarnation&, const message::GatewayStatus&) {}
+  void OnMessage(const VmIncarnation&, const message::StoreQuery&) {}
   void OnMessage(const VmIncarnation&, const message::StoreBeacon&) {}
   void OnMessage(const VmIncarnation&, const message::StoreChanges&) {}
 
--- a/src/netutil/http_client.cpp
+++ b/src/netutil/http_client.cpp
@@ -85,6 +85,7 @@
   mHandler = std::move(aHandler);
   mFilter = std::move(aFilter);
   mTimeout = aTimeout;
+  mStartedAt = std::chrono::steady_clock::now();
   if (mIsConnected) {
     StartTimer(aTimeout);
     Send();
@@ -109,6 +110,19 @@
   });
 }
 
+void HttpClientConnection::ExtendTimer()
+{
+  if (mOptions.mProgressTime <= Duration::zero()) {
+    return;
+  }
+  const auto now = std::chrono::steady_clock::now();
+  const auto expiry =
+    std::min(now + mOptions.mProgressTime, mStartedAt + mOptions.mMaxDuration);
+  if (expiry > mTimer.expiry()) {
+    StartTimer(expiry - now);
+  }
+}
+
 void HttpClientConnection::Connect()
 {
   boost::system::error_code ec;
@@ -240,6 +254,7 @@
     return;
   }
   mBuffer.commit(aBytes);
+  ExtendTimer();
   if (Parse()) {
     Read();
   }
--- a/src/netutil/http_client.h
+++ b/src/netutil/http_client.h
@@ -59,6 +59,11 @@
   /// Time limit for connecting. If zero, only the time limit of the exchange
   /// applies.
   Duration mConnectTimeout{};
+  /// If positive, each part of a response extends the time limit of the
+  /// exchange to at least this time from then, up to mMaxDuration. A large
+  /// response over a slow link is then not taken for an unresponsive server.
+  Duration mProgressTime{};
+  Duration mMaxDuration = std::chrono::seconds(10);
   /// Whether to accept a close-delimited response: one without a length, which
   /// ends when the connection is closed. The caller must be able to verify by
   /// other means that it is complete.
@@ -135,6 +140,8 @@
   bool OnResponseRead();
   void UpdateKeepAlive(const AnswerContent& aResponse);
   void StartTimer(Duration aTimeout);
+  /// Extends the time limit as HttpClientOptions::mProgressTime tells.
+  void ExtendTimer();
   void Fail(ExchangeFailureKind aKind, std::string aDetail);
   void Finish(ExchangeResult aResult);
 
@@ -149,6 +156,7 @@
   ExchangeHandler mHandler;
   ResponseFilter mFilter;
   Duration mTimeout{};
+  std::chrono::steady_clock::time_point mStartedAt{};
   /// Idle timeout from the server's Keep-Alive header; zero if it sent none.
   Duration mKeepAliveTimeout{};
   std::chrono::steady_clock::time_point mIdleSince;
