Bound endless answers; keep VMs in use that the store has dropped but peers hear

Causes: a server that sends a head, body or unrelated answers without end could fill a VM's memory or hold its exchange to the deadline; answers of backend servers now share a quarter of the process's memory, and few answers to other requests are skipped. A VM that the store turned away lost its lease, and with it its callers and its share of limits, though status messages arrived.

--- a/src/cranberrywingd/gateway_daemon.cpp
+++ b/src/cranberrywingd/gateway_daemon.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t kMaxQueryBodyBytes = 8 * 1024;
 /// File descriptors that the platform reserves for files.
 constexpr std::size_t kReservedDescriptors = 200;
+/// Fraction of the process's memory for answers of backend servers that are
+/// being read: 1 / kAnswerMemoryDivisor.
+constexpr std::size_t kAnswerMemoryDivisor = 4;
 constexpr std::size_t kMaxStoreAnswerBytes = 8 * 1024 * 1024;
 /// Time without a further part of an answer after which the store, or another
 /// VM that passes changes on, counts as unresponsive.
@@ -33,9 +36,12 @@
     64, (aFileLimit - std::min(aFileLimit, kReservedDescriptors)) / 2);
 }
 
-netutil::HttpClientPool::Options BackendPoolOptions()
+netutil::HttpClientPool::Options BackendPoolOptions(std::size_t aMemoryLimit)
 {
   netutil::HttpClientPool::Options options;
+  options.mClient.mBudget = std::make_shared<netutil::ResponseBudget>();
+  options.mClient.mBudget->mMaxBytes = aMemoryLimit / kAnswerMemoryDivisor;
+  options.mClient.mMaxBodyBytes = options.mClient.mBudget->mMaxBytes;
   options.mClient.mConnectTimeout = kConnectTimeout;
   options.mClient.mAcceptsCloseDelimitedBody = true;
   options.mIdleTimeout = kBackendIdleTime;
@@ -170,7 +176,7 @@
                      },
                    .mOnAborted = [](const netutil::ExchangeId&) {},
                  })
-  , mBackends(aContext, BackendPoolOptions())
+  , mBackends(aContext, BackendPoolOptions(mOptions.mSettings.mMemoryLimit))
   , mStoreConnections(aContext, StorePoolOptions())
   , mRelayConnections(aContext, RelayPoolOptions())
   , mPeers(
--- a/src/cranberrywingd/gateway_settings.cpp
+++ b/src/cranberrywingd/gateway_settings.cpp
@@ -120,6 +120,8 @@
   std::optional<Error> mError;
 };
 
+constexpr std::size_t kMegabyte = 1024UL * 1024;
+
 } // namespace
 
 Result<Duration> ParseDuration(std::string_view aText)
@@ -173,6 +175,9 @@
   reader.Read("cold_overshoot", settings.mColdOvershoot, false);
   reader.Read("cold_slack", settings.mColdSlack, false);
   reader.Read("file_limit", settings.mFileLimit, false);
+  std::size_t memoryMegabytes = settings.mMemoryLimit / kMegabyte;
+  reader.Read("memory_limit_mb", memoryMegabytes, false);
+  settings.mMemoryLimit = memoryMegabytes * kMegabyte;
   if (reader.FirstError()) {
     return tl::unexpected(*reader.FirstError());
   }
--- a/src/cranberrywingd/gateway_settings.h
+++ b/src/cranberrywingd/gateway_settings.h
@@ -41,6 +41,8 @@
   double mColdSlack = 0;
   /// Maximum number of file descriptors of the process.
   std::size_t mFileLimit = 4096;
+  /// Memory limit of the process in bytes.
+  std::size_t mMemoryLimit = 256UL * 1024 * 1024;
 };
 
 /// Parses a duration such as "1500ms" or "2.5s". Errors: InvalidSettings.
--- a/src/include/cranberrywing/gateway/fleet_view.h
+++ b/src/include/cranberrywing/gateway/fleet_view.h
@@ -18,6 +18,8 @@
   VmRecord mRecord;
   /// Time of the last status message, or of the registration.
   TimePoint mLastHeardAt{};
+  /// Whether a status message of this incarnation has arrived.
+  bool mHasStatus = false;
   bool mIsLeaving = false;
   /// Whether the VM's leased store entry has expired or was removed.
   bool mIsExpired = false;
@@ -62,9 +64,14 @@
   void OnStatus(const VmIncarnation& aFrom,
                 const message::GatewayStatus& aStatus,
                 TimePoint aNow);
-  /// Erases VMs whose entries expired longer ago than the retention time.
+  /// Erases VMs that are not heard and whose entries expired longer ago than
+  /// the retention time.
   void Tick(TimePoint aNow);
 
+  /// Whether a status message of the peer arrived within the silence limit. A
+  /// VM that is heard runs, even if the store has dropped its entry because it
+  /// turns the VM away.
+  bool IsHeard(const Peer& aPeer, TimePoint aNow) const;
   /// Whether callers may be directed to the peer.
   bool IsUsable(const Peer& aPeer, TimePoint aNow) const;
   /// VMs among which fleet-wide limits are divided, including this VM and VMs
--- a/src/include/cranberrywing/gateway/store_follower.h
+++ b/src/include/cranberrywing/gateway/store_follower.h
@@ -152,6 +152,9 @@
     Duration mMaxRetryDelay = std::chrono::milliseconds(300);
     /// Replaces both unless the follower is eager. Jitter is added.
     Duration mPatientRetryDelay = std::chrono::milliseconds(1000);
+    /// The same for the own entry. While other VMs hear this one, its entry is
+    /// not needed soon.
+    Duration mLeaseRetryDelay = std::chrono::milliseconds(1600);
     Milliseconds mLeaseTtl{ 4000 };
     Duration mRenewInterval = std::chrono::milliseconds(1300);
     /// Replaces mRenewInterval while this VM reads the store for others, which
--- a/src/libcranberrywing/gateway/fleet_view.cpp
+++ b/src/libcranberrywing/gateway/fleet_view.cpp
@@ -70,6 +70,7 @@
   }
   Peer& peer = it->second;
   peer.mLastHeardAt = aNow;
+  peer.mHasStatus = true;
   peer.mIsLeaving = peer.mIsLeaving || aStatus.mIsLeaving;
   peer.mStatus = aStatus;
 }
@@ -87,7 +88,8 @@
     areFew ? mOptions.mFewExpiredRetention : mOptions.mExpiredRetention;
   const std::size_t erased = std::erase_if(mPeers, [&](const auto& aEntry) {
     const Peer& peer = aEntry.second;
-    return peer.mIsExpired && aNow - peer.mExpiredAt > limit;
+    return peer.mIsExpired && !IsHeard(peer, aNow) &&
+           aNow - peer.mExpiredAt > limit;
   });
   mVersion += erased > 0 ? 1 : 0;
 }
@@ -103,19 +105,28 @@
 
 bool FleetView::IsUsable(const Peer& aPeer, TimePoint aNow) const
 {
-  if (aPeer.mIsLeaving || aPeer.mIsExpired) {
+  if (aPeer.mIsLeaving) {
     return false;
   }
-  if (aNow - aPeer.mLastHeardAt <= mOptions.mSilenceLimit) {
+  if (IsHeard(aPeer, aNow)) {
     return true;
   }
+  if (aPeer.mIsExpired) {
+    return false;
+  }
   // If no VM's messages arrive, this VM itself is probably disconnected, and
   // the missing messages say nothing about the others.
   return std::none_of(mPeers.begin(), mPeers.end(), [&](const auto& aEntry) {
-    return aNow - aEntry.second.mLastHeardAt <= mOptions.mSilenceLimit;
+    return IsHeard(aEntry.second, aNow);
   });
 }
 
+bool FleetView::IsHeard(const Peer& aPeer, TimePoint aNow) const
+{
+  return aPeer.mHasStatus &&
+         aNow - aPeer.mLastHeardAt <= mOptions.mSilenceLimit;
+}
+
 std::size_t FleetView::SharingVmCount() const
 {
   return mPeers.size() + 1;
--- /dev/null
+++ b/src/libcranberrywing/gateway/fleet_view_test.cpp
@@ -0,0 +1,97 @@
+#include "cranberrywing/gateway/fleet_view.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cranberrywing;
+using namespace cranberrywing::gateway;
+
+namespace {
+
+VmRecord Record(const std::string& aName)
+{
+  return { .mVm = VmId(aName),
+           .mIncarnation = { 1 },
+           .mRegion = RegionId("north"),
+           .mAddress = aName };
+}
+
+/// A view of vm-0 on vm-1 and vm-2, whose status messages have arrived.
+struct Fixture
+{
+  Fixture()
+  {
+    mView.Register(Record("vm-1"), mNow);
+    mView.Register(Record("vm-2"), mNow);
+    Hear("vm-1");
+    Hear("vm-2");
+  }
+
+  void Hear(const std::string& aName, std::uint64_t aIncarnation = 1)
+  {
+    mView.OnStatus({ VmId(aName), { aIncarnation } }, {}, mNow);
+  }
+
+  void Advance(Duration aTime)
+  {
+    mNow += aTime;
+    mView.Tick(mNow);
+  }
+
+  std::size_t TargetCount() const
+  {
+    return mView.CallerTargets(RegionId("north"), true, mNow).size();
+  }
+
+  TimePoint mNow{ std::chrono::seconds(100) };
+  FleetView mView{ { .mSelf = Record("vm-0") } };
+};
+
+} // namespace
+
+// Pattern: the store turns a VM away, so that its entry expires; its callers
+// must not be moved, nor its share of the limits given to others.
+TEST_CASE("A VM without a store entry is used while it is heard")
+{
+  Fixture fixture;
+  fixture.mView.Remove(VmId("vm-1"), fixture.mNow);
+  for (int n = 0; n < 20; ++n) {
+    fixture.Advance(std::chrono::seconds(1));
+    fixture.Hear("vm-1");
+    fixture.Hear("vm-2");
+  }
+  CHECK(fixture.TargetCount() == 3);
+  CHECK(fixture.mView.SharingVmCount() == 3);
+}
+
+TEST_CASE("A VM without a store entry that falls silent is dropped")
+{
+  Fixture fixture;
+  fixture.mView.Remove(VmId("vm-1"), fixture.mNow);
+  fixture.Advance(std::chrono::seconds(3));
+  fixture.Hear("vm-2");
+  CHECK(fixture.TargetCount() == 2);
+  CHECK(fixture.mView.SharingVmCount() == 3);
+  fixture.Advance(std::chrono::seconds(20));
+  CHECK(fixture.mView.SharingVmCount() == 2);
+}
+
+// Guards against callers that are sent to a VM which has restarted, or which
+// has never been heard.
+TEST_CASE("Messages of an earlier incarnation do not keep a VM in use")
+{
+  Fixture fixture;
+  VmRecord restarted = Record("vm-1");
+  restarted.mIncarnation = { 2 };
+  fixture.mView.Register(restarted, fixture.mNow);
+  fixture.mView.Remove(VmId("vm-1"), fixture.mNow);
+  fixture.Hear("vm-1", 1);
+  CHECK(fixture.TargetCount() == 2);
+}
+
+TEST_CASE("A leaving VM gets no callers although it is heard")
+{
+  Fixture fixture;
+  fixture.mView.OnStatus(
+    { VmId("vm-1"), { 1 } }, { .mIsLeaving = true }, fixture.mNow);
+  CHECK(fixture.TargetCount() == 2);
+}
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -45,8 +45,8 @@
   std::vector<VmId> otherRegions;
   for (const VmId& holder : mAccountShares.Holders(aAccount)) {
     const auto it = mFleet.Peers().find(holder);
-    if (it == mFleet.Peers().end() || it->second.mIsExpired ||
-        it->second.mIsLeaving) {
+    if (it == mFleet.Peers().end() || it->second.mIsLeaving ||
+        (it->second.mIsExpired && !mFleet.IsHeard(it->second, mNow))) {
       continue;
     }
     const bool isSameRegion =
--- a/src/libcranberrywing/gateway/gateway_upkeep.cpp
+++ b/src/libcranberrywing/gateway/gateway_upkeep.cpp
@@ -137,7 +137,7 @@
   for (const auto& [id, peer] : mFleet.Peers()) {
     const bool isSameRegion = peer.mRecord.mRegion == mOptions.mSelf.mRegion;
     ++(isSameRegion ? sameRegionPeers : crossRegionPeers);
-    if (peer.mIsExpired ||
+    if ((peer.mIsExpired && !mFleet.IsHeard(peer, mNow)) ||
         !(isSameRegion ? isSameRegionDue : isCrossRegionDue)) {
       continue;
     }
--- a/src/libcranberrywing/gateway/store_follower.cpp
+++ b/src/libcranberrywing/gateway/store_follower.cpp
@@ -346,7 +346,7 @@
     mNextLeaseCall =
       aNow + AddJitter(mIsReachable && mFollowing == StoreFollowing::Eager
                          ? mOptions.mRetryDelay
-                         : mOptions.mPatientRetryDelay);
+                         : mOptions.mLeaseRetryDelay);
     if (aReply.mStatus == StoreStatus::NoAnswer && mIsReachable) {
       // Replace the watch in progress: it would not detect the outage for
       // seconds, and would not be answered after the outage either.
--- a/src/netutil/http_client.cpp
+++ b/src/netutil/http_client.cpp
@@ -86,6 +86,7 @@
   mFilter = std::move(aFilter);
   mTimeout = aTimeout;
   mStartedAt = std::chrono::steady_clock::now();
+  mSkippedResponses = 0;
   if (mIsConnected) {
     StartTimer(aTimeout);
     Send();
@@ -110,6 +111,28 @@
   });
 }
 
+bool HttpClientConnection::ChargeBudget(std::size_t aBytes)
+{
+  if (!mOptions.mBudget) {
+    return true;
+  }
+  ResponseBudget& budget = *mOptions.mBudget;
+  mChargedBytes += aBytes;
+  budget.mUsedBytes += aBytes;
+  const auto reserved =
+    budget.mReservedFraction * static_cast<double>(budget.mMaxBytes);
+  return budget.mUsedBytes <= budget.mMaxBytes ||
+         static_cast<double>(mChargedBytes) <= reserved;
+}
+
+void HttpClientConnection::ReleaseBudget()
+{
+  if (mOptions.mBudget) {
+    mOptions.mBudget->mUsedBytes -= mChargedBytes;
+  }
+  mChargedBytes = 0;
+}
+
 void HttpClientConnection::ExtendTimer()
 {
   if (mOptions.mProgressTime <= Duration::zero()) {
@@ -254,6 +277,10 @@
     return;
   }
   mBuffer.commit(aBytes);
+  if (!ChargeBudget(aBytes)) {
+    Fail(ExchangeFailureKind::Malformed, "memory for responses is exhausted");
+    return;
+  }
   ExtendTimer();
   if (Parse()) {
     Read();
@@ -290,6 +317,11 @@
     if (status >= 200 && OnResponseRead()) {
       return false;
     }
+    if (++mSkippedResponses > mOptions.mMaxSkippedResponses) {
+      Fail(ExchangeFailureKind::Malformed,
+           "too many responses that do not belong to the request");
+      return false;
+    }
     PrepareParser();
   }
   // A close-delimited body is rejected: the connection also ends when the
@@ -355,6 +387,7 @@
 {
   mIsActive = false;
   mTimer.cancel();
+  ReleaseBudget();
   mParser.reset();
   mRequest.reset();
   const ExchangeHandler handler = std::move(mHandler);
@@ -374,6 +407,7 @@
   mIsKeepAlive = false;
   mHandler = nullptr;
   mTimer.cancel();
+  ReleaseBudget();
   boost::system::error_code ec;
   mSocket.close(ec);
 }
--- a/src/netutil/http_client.h
+++ b/src/netutil/http_client.h
@@ -50,12 +50,29 @@
 using ExchangeResult = tl::expected<AnswerContent, ExchangeFailure>;
 using ExchangeHandler = std::function<void(ExchangeResult)>;
 
+/// Memory for the unfinished responses of several connections. Not
+/// thread-safe.
+struct ResponseBudget
+{
+  std::size_t mMaxBytes = 64 * 1024 * 1024;
+  /// Fraction of mMaxBytes that a response may use even if the budget is
+  /// exhausted, so that one endless response does not end the others.
+  double mReservedFraction = 1.0 / 16;
+  std::size_t mUsedBytes = 0;
+};
+
 /// Limits and options of a connection.
 struct HttpClientOptions
 {
   /// Size limits of a response.
   std::uint32_t mMaxHeaderBytes = 64 * 1024;
   std::uint64_t mMaxBodyBytes = 64 * 1024 * 1024;
+  /// Shared by connections whose responses are limited together; null for no
+  /// such limit.
+  std::shared_ptr<ResponseBudget> mBudget;
+  /// Maximum number of responses that are skipped in one exchange: interim
+  /// ones (1xx), and those that the exchange's ResponseFilter rejects.
+  std::size_t mMaxSkippedResponses = 4;
   /// Time limit for connecting. If zero, only the time limit of the exchange
   /// applies.
   Duration mConnectTimeout{};
@@ -140,6 +157,10 @@
   bool OnResponseRead();
   void UpdateKeepAlive(const AnswerContent& aResponse);
   void StartTimer(Duration aTimeout);
+  /// Charges the bytes of the response that is being read to the budget.
+  /// Returns false if the response has to be given up.
+  bool ChargeBudget(std::size_t aBytes);
+  void ReleaseBudget();
   /// Extends the time limit as HttpClientOptions::mProgressTime tells.
   void ExtendTimer();
   void Fail(ExchangeFailureKind aKind, std::string aDetail);
@@ -157,6 +178,8 @@
   ResponseFilter mFilter;
   Duration mTimeout{};
   std::chrono::steady_clock::time_point mStartedAt{};
+  std::size_t mChargedBytes = 0;
+  std::size_t mSkippedResponses = 0;
   /// Idle timeout from the server's Keep-Alive header; zero if it sent none.
   Duration mKeepAliveTimeout{};
   std::chrono::steady_clock::time_point mIdleSince;
