Know the demand of other regions in large fleets, and shift sooner

With 95 VMs a VM heard each VM of another region every 6 s, and reports counted for 4 s, so busy regions seemed idle (kumasi 0 busy, tamale 0 busy). A message to another region now tells the whole region's demand, to 12 VMs in turn, and status messages in the region come at least every 1.2 s. The first shares assumed half-used servers, while no server has the first objects cached; an evacuated failure domain of a region counts as an urgent loss from a fifth of its slots; the change of shares follows the setting max_shift and the number of requests. Tests: fleet_view and region_plan, by pattern.

--- a/src/cranberrywingd/gateway_settings.cpp
+++ b/src/cranberrywingd/gateway_settings.cpp
@@ -174,6 +174,7 @@
   reader.Read("retry_window", settings.mRetryWindow, false);
   reader.Read("cold_overshoot", settings.mColdOvershoot, false);
   reader.Read("cold_slack", settings.mColdSlack, false);
+  reader.Read("max_shift", settings.mMaxShift, false);
   reader.Read("file_limit", settings.mFileLimit, false);
   std::size_t memoryMegabytes = settings.mMemoryLimit / kMegabyte;
   reader.Read("memory_limit_mb", memoryMegabytes, false);
--- a/src/cranberrywingd/gateway_settings.h
+++ b/src/cranberrywingd/gateway_settings.h
@@ -39,6 +39,9 @@
   Duration mRetryWindow = std::chrono::seconds(10);
   double mColdOvershoot = 1;
   double mColdSlack = 0;
+  /// Maximum fraction of a region's requests that may change their region
+  /// within two seconds.
+  double mMaxShift = 0.15;
   /// Maximum number of file descriptors of the process.
   std::size_t mFileLimit = 4096;
   /// Memory limit of the process in bytes.
--- a/src/include/cranberrywing/gateway/fleet_view.h
+++ b/src/include/cranberrywing/gateway/fleet_view.h
@@ -25,6 +25,9 @@
   bool mIsExpired = false;
   TimePoint mExpiredAt{};
   message::GatewayStatus mStatus;
+  /// Demand of the peer's whole region, and the time at which it was told.
+  message::RegionDemand mRegionDemand;
+  TimePoint mRegionDemandAt{};
 };
 
 /// Set of all other known VMs. Not thread-safe; owned by the gateway.
@@ -64,6 +67,10 @@
   void OnStatus(const VmIncarnation& aFrom,
                 const message::GatewayStatus& aStatus,
                 TimePoint aNow);
+  /// Stores the demand of the sender's region, under the same conditions.
+  void OnRegionDemand(const VmIncarnation& aFrom,
+                      const message::RegionDemand& aDemand,
+                      TimePoint aNow);
   /// Erases VMs that are not heard and whose entries expired longer ago than
   /// the retention time.
   void Tick(TimePoint aNow);
@@ -87,13 +94,24 @@
   std::vector<VmRecord> CallerTargets(const RegionId& aRegion,
                                       bool aSelfIsReady,
                                       TimePoint aNow) const;
-  /// Demand of the region's callers for a service, in busy server slots, as
-  /// reported by the region's VMs except this one.
+  /// Demand of the region's callers for a service, in busy server slots. For
+  /// the own region, the sum of what its VMs except this one report; for
+  /// another, the median of what its VMs tell about the whole region.
   double Demand(const RegionId& aRegion,
                 const ServiceId& aService,
                 TimePoint aNow) const;
+  /// Requests per second of the own region's callers for a service, as reported
+  /// by its VMs except this one.
+  double OwnRegionRate(const ServiceId& aService, TimePoint aNow) const;
 
 private:
+  /// Returns the peer if the incarnation is that of its store entry, or null.
+  Peer* FindSender(const VmIncarnation& aFrom);
+  /// Sum of a field over the status messages of the own region's VMs.
+  double SumOwnRegion(const ServiceId& aService,
+                      float ServiceDemand::*aField,
+                      TimePoint aNow) const;
+
   Options mOptions;
   std::map<VmId, Peer> mPeers;
   std::uint64_t mVersion = 1;
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -55,6 +55,8 @@
     std::uint64_t mSeed = 1;
     RetryBudget::Options mRetries;
     ColdStartLimits mColdStart;
+    /// RegionPlan::Options::mMaxShift.
+    double mMaxShift = 0.15;
     /// Time for which callers may cache a lookup answer.
     Duration mLookupLifetime = std::chrono::milliseconds(1300);
     /// Time from the stop request until the process is killed.
@@ -160,8 +162,14 @@
   std::vector<VmId> TokenPeers(const AccountId& aAccount);
 
   // gateway_upkeep.cpp
-  /// Sends status messages that are due, to the own region and to others.
+  /// Sends the messages to the own region and to others that are due.
   void SendStatus();
+  void SendSameRegionStatus();
+  void SendRegionDemand();
+  /// Whether status messages are sent to the peer.
+  bool IsReceiver(const Peer& aPeer) const;
+  /// Demand of this VM's callers, by service.
+  std::vector<ServiceDemand> OwnDemand() const;
   /// Sends queries and beacons, starts pulls and sets how this VM follows the
   /// store.
   void RelayStoreChanges();
@@ -269,6 +277,8 @@
   TimePoint mNextPlan{};
   TimePoint mNextSameRegionStatus{};
   TimePoint mNextCrossRegionStatus{};
+  /// Position in the list of VMs of other regions.
+  std::size_t mNextDemandReceiver = 0;
 };
 
 } // namespace cranberrywing::gateway
--- a/src/include/cranberrywing/gateway/region_plan.h
+++ b/src/include/cranberrywing/gateway/region_plan.h
@@ -27,6 +27,8 @@
   std::map<RegionId, double> mEligibleCapacity;
   /// Slots that requests from a region's callers keep busy, in any region.
   std::map<RegionId, double> mDemand;
+  /// Requests per second of the own region's callers.
+  double mRequestsPerSecond = 0;
   /// Whether the own region has almost no requests. A change of shares then
   /// moves none, and mDemand is an estimate.
   bool mIsIdle = false;
@@ -60,13 +62,20 @@
     RegionId mOwnRegion;
     /// Utilization of a region's slots above which its queues grow fast.
     double mUtilization = 0.7;
-    /// Maximum fraction of the requests that change their region per second.
-    double mMaxChangePerSecond = 0.035;
+    /// Maximum fraction of the own region's requests whose region may change
+    /// from one mShiftWindow to the next. Shares change slower than that,
+    /// because the fraction that is observed also varies at random.
+    double mMaxShift = 0.15;
+    Duration mShiftWindow = std::chrono::seconds(2);
+    /// Standard deviations of that random variation that are kept free, and the
+    /// smallest fraction of mMaxShift that is used in any case.
+    double mShiftDeviations = 2;
+    double mMinShiftUse = 0.47;
     /// The same after an urgent loss of servers, when a slow change would make
     /// requests fail.
     double mUrgentMaxChangePerSecond = 0.5;
     /// Fraction of a region's eligible capacity whose loss is urgent.
-    double mUrgentLossFraction = 0.35;
+    double mUrgentLossFraction = 0.2;
     /// Time after an urgent loss in which the urgent limit applies.
     Duration mUrgentTime = std::chrono::seconds(4);
   };
@@ -88,6 +97,10 @@
   /// Returns null if the service is unknown.
   const RegionShares* Shares(const ServiceId& aService) const;
 
+  /// Fraction of the requests whose region may change per second, at a given
+  /// rate of requests and without an urgent loss.
+  double MaxChangePerSecond(double aRequestsPerSecond) const;
+
 private:
   struct Service
   {
--- a/src/include/cranberrywing/message.h
+++ b/src/include/cranberrywing/message.h
@@ -44,7 +44,8 @@
                              message::GatewayStatus,
                              message::StoreQuery,
                              message::StoreBeacon,
-                             message::StoreChanges>;
+                             message::StoreChanges,
+                             message::RegionDemand>;
 
 /// A message with its sender, as sent over the network.
 struct Envelope
--- a/src/include/cranberrywing/messages/gateway.h
+++ b/src/include/cranberrywing/messages/gateway.h
@@ -94,6 +94,21 @@
 
 namespace message {
 
+/// Demand of all callers of the sender's region, as the sender knows it. Sent
+/// to some VMs of other regions in turn: any VM's message tells the whole, so
+/// that the number of messages does not grow with the square of the fleet.
+struct RegionDemand
+{
+  bool mIsLeaving = false;
+  std::vector<ServiceDemand> mDemand;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mIsLeaving, mDemand);
+  }
+};
+
 /// Asks another VM for a StoreBeacon.
 struct StoreQuery
 {
@@ -156,8 +171,7 @@
   }
 };
 
-/// Sent several times per second to the VMs of the own region, and less often
-/// and without mInFlight to all others.
+/// Sent several times per second to the VMs of the own region.
 struct GatewayStatus
 {
   /// Revision of the configuration that the sender applies.
--- a/src/libcranberrywing/gateway/fleet_view.cpp
+++ b/src/libcranberrywing/gateway/fleet_view.cpp
@@ -59,20 +59,37 @@
   }
 }
 
+Peer* FleetView::FindSender(const VmIncarnation& aFrom)
+{
+  const auto it = mPeers.find(aFrom.mVm);
+  const bool isKnown =
+    it != mPeers.end() && it->second.mRecord.mIncarnation == aFrom.mIncarnation;
+  return isKnown ? &it->second : nullptr;
+}
+
 void FleetView::OnStatus(const VmIncarnation& aFrom,
                          const message::GatewayStatus& aStatus,
                          TimePoint aNow)
 {
-  const auto it = mPeers.find(aFrom.mVm);
-  if (it == mPeers.end() ||
-      it->second.mRecord.mIncarnation != aFrom.mIncarnation) {
-    return;
+  if (Peer* const peer = FindSender(aFrom)) {
+    peer->mLastHeardAt = aNow;
+    peer->mHasStatus = true;
+    peer->mIsLeaving = peer->mIsLeaving || aStatus.mIsLeaving;
+    peer->mStatus = aStatus;
+  }
+}
+
+void FleetView::OnRegionDemand(const VmIncarnation& aFrom,
+                               const message::RegionDemand& aDemand,
+                               TimePoint aNow)
+{
+  if (Peer* const peer = FindSender(aFrom)) {
+    peer->mLastHeardAt = aNow;
+    peer->mHasStatus = true;
+    peer->mIsLeaving = peer->mIsLeaving || aDemand.mIsLeaving;
+    peer->mRegionDemand = aDemand;
+    peer->mRegionDemandAt = aNow;
   }
-  Peer& peer = it->second;
-  peer.mLastHeardAt = aNow;
-  peer.mHasStatus = true;
-  peer.mIsLeaving = peer.mIsLeaving || aStatus.mIsLeaving;
-  peer.mStatus = aStatus;
 }
 
 void FleetView::Tick(TimePoint aNow)
@@ -165,21 +182,56 @@
   return sameRegion.empty() ? all : sameRegion;
 }
 
-double FleetView::Demand(const RegionId& aRegion,
-                         const ServiceId& aService,
-                         TimePoint aNow) const
+double FleetView::SumOwnRegion(const ServiceId& aService,
+                               float ServiceDemand::*aField,
+                               TimePoint aNow) const
 {
   double sum = 0;
   for (const auto& [id, peer] : mPeers) {
-    if (peer.mRecord.mRegion != aRegion ||
+    if (peer.mRecord.mRegion != mOptions.mSelf.mRegion ||
         aNow - peer.mLastHeardAt > kDemandValidity) {
       continue;
     }
     for (const ServiceDemand& demand : peer.mStatus.mDemand) {
-      sum += demand.mService == aService ? demand.mSlots : 0;
+      sum += demand.mService == aService ? demand.*aField : 0;
     }
   }
   return sum;
 }
 
+double FleetView::OwnRegionRate(const ServiceId& aService, TimePoint aNow) const
+{
+  return SumOwnRegion(aService, &ServiceDemand::mRequestsPerSecond, aNow);
+}
+
+double FleetView::Demand(const RegionId& aRegion,
+                         const ServiceId& aService,
+                         TimePoint aNow) const
+{
+  if (aRegion == mOptions.mSelf.mRegion) {
+    return SumOwnRegion(aService, &ServiceDemand::mSlots, aNow);
+  }
+  std::vector<double> reports;
+  for (const auto& [id, peer] : mPeers) {
+    if (peer.mRecord.mRegion != aRegion ||
+        peer.mRegionDemandAt == TimePoint{} ||
+        aNow - peer.mRegionDemandAt > kDemandValidity) {
+      continue;
+    }
+    double slots = 0;
+    for (const ServiceDemand& demand : peer.mRegionDemand.mDemand) {
+      slots += demand.mService == aService ? demand.mSlots : 0;
+    }
+    reports.push_back(slots);
+  }
+  if (reports.empty()) {
+    return 0;
+  }
+  // A VM that has just started knows only part of its region's demand.
+  const auto middle =
+    reports.begin() + static_cast<std::ptrdiff_t>(reports.size() / 2);
+  std::nth_element(reports.begin(), middle, reports.end());
+  return *middle;
+}
+
 } // namespace cranberrywing::gateway
--- a/src/libcranberrywing/gateway/fleet_view_test.cpp
+++ b/src/libcranberrywing/gateway/fleet_view_test.cpp
@@ -95,3 +95,48 @@
     { VmId("vm-1"), { 1 } }, { .mIsLeaving = true }, fixture.mNow);
   CHECK(fixture.TargetCount() == 2);
 }
+
+// Pattern: 95 VMs, each of which hears a VM of another region only every few
+// seconds. Their demand was once the sum of what had arrived in time, so that
+// busy regions seemed idle.
+TEST_CASE("The demand of another region is known from any of its VMs")
+{
+  Fixture fixture;
+  const ServiceId service("ordering");
+  const auto tell = [&](int aVm, float aSlots) {
+    VmRecord record = Record("far-" + std::to_string(aVm));
+    record.mRegion = RegionId("south");
+    fixture.mView.Register(record, fixture.mNow);
+    fixture.mView.OnRegionDemand(
+      { record.mVm, record.mIncarnation },
+      { .mDemand = { { .mService = service, .mSlots = aSlots } } },
+      fixture.mNow);
+  };
+  const auto demand = [&] {
+    return fixture.mView.Demand(RegionId("south"), service, fixture.mNow);
+  };
+  CHECK(demand() == 0);
+  for (int n = 0; n < 31; ++n) {
+    tell(n, 200);
+    CHECK(demand() == Approx(200));
+    fixture.Advance(std::chrono::milliseconds(500));
+  }
+  // A VM that has just started knows little of its region.
+  tell(31, 5);
+  CHECK(demand() == Approx(200));
+  fixture.Advance(std::chrono::seconds(10));
+  CHECK(demand() == 0);
+}
+
+TEST_CASE("The demand of the own region is the sum of its VMs")
+{
+  Fixture fixture;
+  const ServiceId service("ordering");
+  for (const char* name : { "vm-1", "vm-2" }) {
+    fixture.mView.OnStatus({ VmId(name), { 1 } },
+                           { .mDemand = { { service, 10, 4 } } },
+                           fixture.mNow);
+  }
+  CHECK(fixture.mView.Demand(RegionId("north"), service, fixture.mNow) == 8);
+  CHECK(fixture.mView.OwnRegionRate(service, fixture.mNow) == 20);
+}
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -18,7 +18,8 @@
   , mPool(BackendPool::Options{})
   , mFleet(FleetView::Options{ .mSelf = mOptions.mSelf })
   , mStoreRelay(StoreRelay::Options{ .mSelf = mOptions.mSelf })
-  , mRegionPlan(RegionPlan::Options{ .mOwnRegion = mOptions.mSelf.mRegion })
+  , mRegionPlan(RegionPlan::Options{ .mOwnRegion = mOptions.mSelf.mRegion,
+                                     .mMaxShift = mOptions.mMaxShift })
   , mSelector(ObjectSelector::Options{})
   , mColdStart(mOptions.mColdStart)
   , mRetries(mOptions.mRetries)
@@ -263,6 +264,11 @@
     mFleet.OnStatus(aEvent.mFrom, *status, mNow);
     return;
   }
+  if (const auto* const demand =
+        std::get_if<message::RegionDemand>(&aEvent.mMessage)) {
+    mFleet.OnRegionDemand(aEvent.mFrom, *demand, mNow);
+    return;
+  }
   if (const auto* const beacon =
         std::get_if<message::StoreBeacon>(&aEvent.mMessage)) {
     mStoreRelay.OnBeacon(aEvent.mFrom, *beacon, mNow);
--- a/src/libcranberrywing/gateway/gateway_upkeep.cpp
+++ b/src/libcranberrywing/gateway/gateway_upkeep.cpp
@@ -18,7 +18,11 @@
 /// per second that a VM sends.
 constexpr Duration kSameRegionInterval = std::chrono::milliseconds(200);
 constexpr std::size_t kSameRegionPeers = 6;
-/// The same for VMs of other regions.
+/// Upper bound of that interval: a VM that is silent for longer than
+/// FleetView::Options::mSilenceLimit is no longer named to callers.
+constexpr Duration kMaxSameRegionInterval = std::chrono::milliseconds(1200);
+/// Interval of messages to VMs of other regions, and the number of VMs that get
+/// one at a time.
 constexpr Duration kCrossRegionInterval = std::chrono::milliseconds(1000);
 constexpr std::size_t kCrossRegionPeers = 12;
 /// The process exits at the latest this long before it would be killed.
@@ -27,8 +31,9 @@
 /// Demand of the own region, in server slots, below which its shares are set
 /// without a limit on the rate of change.
 constexpr double kIdleSlots = 0.05;
-/// Utilization of the servers that is assumed before there are requests.
-constexpr double kInitialUtilization = 0.5;
+/// Utilization of the servers that is assumed before there are requests. The
+/// first requests are slow, because no server has their objects cached.
+constexpr double kInitialUtilization = 0.8;
 /// Minimum change of a region's share that is logged.
 constexpr double kLoggedShareChange = 0.1;
 
@@ -47,13 +52,13 @@
   return differs(aLeft, aRight) || differs(aRight, aLeft);
 }
 
-Duration ScaleInterval(Duration aInterval,
-                       std::size_t aPeers,
-                       std::size_t aBasePeers)
+/// Interval of status messages to the given number of VMs of the own region.
+Duration SameRegionInterval(std::size_t aPeers)
 {
   const auto factor = static_cast<Duration::rep>(
-    (std::max(aPeers, aBasePeers) + aBasePeers - 1) / aBasePeers);
-  return aInterval * factor;
+    (std::max(aPeers, kSameRegionPeers) + kSameRegionPeers - 1) /
+    kSameRegionPeers);
+  return std::min(kSameRegionInterval * factor, kMaxSameRegionInterval);
 }
 
 } // namespace
@@ -107,55 +112,81 @@
                                           kArrivalTimeConstantSeconds);
 }
 
+bool Gateway::IsReceiver(const Peer& aPeer) const
+{
+  return !aPeer.mIsExpired || mFleet.IsHeard(aPeer, mNow);
+}
+
+std::vector<ServiceDemand> Gateway::OwnDemand() const
+{
+  std::vector<ServiceDemand> demands;
+  for (const auto& [service, arrivals] : mArrivals) {
+    const double rate = ArrivalRate(service);
+    const double seconds =
+      ToSeconds(mServiceTimes.Mean(service).value_or(Duration::zero()));
+    demands.push_back({ service,
+                        static_cast<float>(rate),
+                        static_cast<float>(rate * seconds) });
+  }
+  return demands;
+}
+
 void Gateway::SendStatus()
 {
-  const bool isSameRegionDue = mNow >= mNextSameRegionStatus;
-  const bool isCrossRegionDue = mNow >= mNextCrossRegionStatus;
-  if (!isSameRegionDue && !isCrossRegionDue) {
+  SendSameRegionStatus();
+  SendRegionDemand();
+}
+
+void Gateway::SendSameRegionStatus()
+{
+  if (mNow < mNextSameRegionStatus) {
     return;
   }
   message::GatewayStatus status;
   status.mPolicy = mPolicy ? mPolicy->GetRevision() : Revision{};
   status.mIsLeaving = mStoppingSince.has_value();
-  for (const auto& [service, arrivals] : mArrivals) {
-    const double rate = ArrivalRate(service);
-    const double seconds =
-      ToSeconds(mServiceTimes.Mean(service).value_or(Duration::zero()));
-    status.mDemand.push_back({ service,
-                               static_cast<float>(rate),
-                               static_cast<float>(rate * seconds) });
-  }
-  message::GatewayStatus crossRegionStatus = status;
+  status.mDemand = OwnDemand();
   for (const auto& [id, backend] : mPool.All()) {
     if (backend->mInFlight > 0) {
       status.mInFlight.push_back(
         { backend->mHash, static_cast<std::uint16_t>(backend->mInFlight) });
     }
   }
-  std::size_t sameRegionPeers = 0;
-  std::size_t crossRegionPeers = 0;
+  std::size_t peers = 0;
   for (const auto& [id, peer] : mFleet.Peers()) {
-    const bool isSameRegion = peer.mRecord.mRegion == mOptions.mSelf.mRegion;
-    ++(isSameRegion ? sameRegionPeers : crossRegionPeers);
-    if ((peer.mIsExpired && !mFleet.IsHeard(peer, mNow)) ||
-        !(isSameRegion ? isSameRegionDue : isCrossRegionDue)) {
-      continue;
+    if (peer.mRecord.mRegion == mOptions.mSelf.mRegion && IsReceiver(peer)) {
+      ++peers;
+      SendTo({ id, peer.mRecord.mAddress, peer.mRecord.mPeerPort }, status);
+    }
+  }
+  mNextSameRegionStatus = mNow + SameRegionInterval(peers);
+}
+
+void Gateway::SendRegionDemand()
+{
+  if (mNow < mNextCrossRegionStatus) {
+    return;
+  }
+  mNextCrossRegionStatus = mNow + kCrossRegionInterval;
+  std::vector<const Peer*> receivers;
+  for (const auto& [id, peer] : mFleet.Peers()) {
+    if (peer.mRecord.mRegion != mOptions.mSelf.mRegion && IsReceiver(peer)) {
+      receivers.push_back(&peer);
     }
-    mEffects.push_back(effect::SendMessage{
-      .mTo = id,
-      .mAddress = peer.mRecord.mAddress,
-      .mPort = peer.mRecord.mPeerPort,
-      .mMessage = isSameRegion ? status : crossRegionStatus });
   }
-  if (isSameRegionDue) {
-    mNextSameRegionStatus =
-      mNow +
-      ScaleInterval(kSameRegionInterval, sameRegionPeers, kSameRegionPeers);
+  message::RegionDemand message{ .mIsLeaving = mStoppingSince.has_value(),
+                                 .mDemand = OwnDemand() };
+  for (ServiceDemand& demand : message.mDemand) {
+    demand.mSlots += static_cast<float>(
+      mFleet.Demand(mOptions.mSelf.mRegion, demand.mService, mNow));
+    demand.mRequestsPerSecond +=
+      static_cast<float>(mFleet.OwnRegionRate(demand.mService, mNow));
   }
-  if (isCrossRegionDue) {
-    mNextCrossRegionStatus =
-      mNow +
-      ScaleInterval(kCrossRegionInterval, crossRegionPeers, kCrossRegionPeers);
+  const std::size_t count = std::min(kCrossRegionPeers, receivers.size());
+  for (std::size_t n = 0; n < count; ++n) {
+    const Peer& peer = *receivers[mNextDemandReceiver++ % receivers.size()];
+    SendTo({ peer.mRecord.mVm, peer.mRecord.mAddress, peer.mRecord.mPeerPort },
+           message);
   }
 }
 
@@ -184,6 +215,8 @@
   }
   load.mDemand[own] =
     mFleet.Demand(own, aService, mNow) + ArrivalRate(aService) * seconds;
+  load.mRequestsPerSecond =
+    mFleet.OwnRegionRate(aService, mNow) + ArrivalRate(aService);
   if (load.mDemand[own] < kIdleSlots) {
     load.mIsIdle = true;
     std::map<RegionId, std::size_t> vms;
--- a/src/libcranberrywing/gateway/region_plan.cpp
+++ b/src/libcranberrywing/gateway/region_plan.cpp
@@ -112,6 +112,19 @@
     });
 }
 
+double RegionPlan::MaxChangePerSecond(double aRequestsPerSecond) const
+{
+  const double seconds = ToSeconds(mOptions.mShiftWindow);
+  const double requests = std::max(1.0, aRequestsPerSecond * seconds);
+  // Difference of the fractions of two windows, each with a variance of at most
+  // 1 / (4 * requests).
+  const double deviation = std::sqrt(0.5 / requests);
+  const double change =
+    std::max(mOptions.mMaxShift - mOptions.mShiftDeviations * deviation,
+             mOptions.mMinShiftUse * mOptions.mMaxShift);
+  return change / seconds;
+}
+
 void RegionPlan::Update(const ServiceId& aService,
                         const RegionalLoad& aLoad,
                         TimePoint aNow)
@@ -142,7 +155,7 @@
   }
   const double rate = aNow < service.mUrgentUntil
                         ? mOptions.mUrgentMaxChangePerSecond
-                        : mOptions.mMaxChangePerSecond;
+                        : MaxChangePerSecond(aLoad.mRequestsPerSecond);
   const double step = rate * ToSeconds(aNow - service.mUpdatedAt);
   const double part = distance <= step ? 1.0 : step / distance;
   RegionShares next;
--- a/src/libcranberrywing/gateway/region_plan_test.cpp
+++ b/src/libcranberrywing/gateway/region_plan_test.cpp
@@ -70,6 +70,30 @@
   CHECK(before < 0.3);
 }
 
+// The fraction that is observed in a window varies more if it has few requests.
+TEST_CASE("Shares change faster the more requests there are")
+{
+  const RegionPlan plan({ .mOwnRegion = kNear, .mMaxShift = 0.15 });
+  CHECK(plan.MaxChangePerSecond(10) < plan.MaxChangePerSecond(300));
+  CHECK(plan.MaxChangePerSecond(300) < plan.MaxChangePerSecond(3000));
+  CHECK(2 * plan.MaxChangePerSecond(1e9) <= 0.15);
+  CHECK(plan.MaxChangePerSecond(0) > 0.03);
+}
+
+// Pattern: one of the four failure domains of a region is evacuated.
+TEST_CASE("The loss of a quarter of a region's servers moves requests at once")
+{
+  RegionPlan plan({ .mOwnRegion = kNear });
+  TimePoint now{ std::chrono::seconds(1) };
+  plan.Update(kService, Load(48, 32), now);
+  CHECK(ShareOf(plan, kNear) == Approx(1));
+  for (int n = 0; n < 8; ++n) {
+    now += std::chrono::milliseconds(250);
+    plan.Update(kService, Load(36, 32), now);
+  }
+  CHECK(ShareOf(plan, kNear) == Approx(0.7 * 36 / 32));
+}
+
 // Guards against shares that persist from the first registrations: all requests
 // were sent to the region whose servers had registered first.
 TEST_CASE("Without requests the shares follow the registrations at once")
--- a/src/libcranberrywing/gateway/store_relay.cpp
+++ b/src/libcranberrywing/gateway/store_relay.cpp
@@ -115,7 +115,8 @@
       } else {
         expired.push_back(EndpointOf(peer.mRecord));
       }
-    } else if (isUsable) {
+    } else if (!peer.mIsExpired && !peer.mIsLeaving) {
+      // VMs of other regions are heard too seldom to judge by that.
       const Peer*& first = elected[group];
       if (!first || OrderOf(id) < OrderOf(first->mRecord.mVm)) {
         first = &peer;
--- a/src/libcranberrywing/reducer_delivery.h
+++ b/src/libcranberrywing/reducer_delivery.h
@@ -226,6 +226,7 @@
   void OnMessage(const VmIncarnation&, const message::StoreQuery&) {}
   void OnMessage(const VmIncarnation&, const message::StoreBeacon&) {}
   void OnMessage(const VmIncarnation&, const message::StoreChanges&) {}
+  void OnMessage(const VmIncarnation&, const message::RegionDemand&) {}
 
   VmId mFrom{};
 };
