Give a restarted VM a copy of the store although the store turns it away

A VM that restarts while the store rejects it knew no other VM and served nothing. The elected VM of its group now sends it an unasked beacon twice a second, from which it pulls a full copy once the store has had a second to answer. Tests: store_relay.

--- a/src/include/cranberrywing/gateway/store_relay.h
+++ b/src/include/cranberrywing/gateway/store_relay.h
@@ -49,6 +49,13 @@
     std::size_t mFurtherQueries = 2;
     /// Regions with at most this many VMs form one group.
     std::size_t mSmallRegion = 8;
+    /// Interval of unasked beacons to VMs of the group that are silent: they
+    /// may have restarted without reaching the store, and then know no other
+    /// VM.
+    Duration mNewsInterval = std::chrono::milliseconds(500);
+    /// Time for which a VM that has just started leaves it to the store to tell
+    /// the first copy.
+    Duration mFirstCopyDelay = std::chrono::milliseconds(1000);
     /// Interval at which the groups are computed again.
     Duration mGroupInterval = std::chrono::milliseconds(200);
     /// Minimum time between the starts of pulls.
@@ -86,9 +93,9 @@
   std::vector<RelayEndpoint> TakeQueries(TimePoint aNow);
   /// Content of a query that is sent now.
   message::StoreQuery Query(TimePoint aNow) const;
-  /// VMs to which a beacon has to be sent unasked, because the revision has
-  /// changed.
-  std::vector<RelayEndpoint> TakeReceivers();
+  /// VMs to which a beacon has to be sent unasked: because the revision has
+  /// changed, or because they are silent.
+  std::vector<RelayEndpoint> TakeReceivers(TimePoint aNow);
   /// Content of a beacon that is sent unasked. It confirms nothing.
   message::StoreBeacon News() const;
   /// Answer to a query; nullopt if this VM has no confirmed copy.
@@ -122,10 +129,10 @@
   /// This VM's view of the groups.
   struct Groups
   {
-    /// Other VMs of this VM's group in the group's order, the elected one
-    /// first. Those whose entries have expired come last: they may have
-    /// restarted without reaching the store.
+    /// Usable other VMs of this VM's group, in the group's order.
     std::vector<RelayEndpoint> mMates;
+    /// Other VMs of the group, which are silent, leaving or have no entry.
+    std::vector<RelayEndpoint> mSilentMates;
     /// The elected VMs of the other groups.
     std::vector<RelayEndpoint> mOtherElected;
     /// Number of usable VMs that precede this VM in its group.
@@ -166,6 +173,8 @@
   std::size_t mNextFurther = 0;
   /// Revision of the last beacon that was sent unasked.
   std::int64_t mSentRevision = 0;
+  TimePoint mNextNews{};
+  std::optional<TimePoint> mStartedAt;
 };
 
 } // namespace cranberrywing::gateway
--- a/src/libcranberrywing/gateway/gateway_upkeep.cpp
+++ b/src/libcranberrywing/gateway/gateway_upkeep.cpp
@@ -25,8 +25,9 @@
 /// one at a time.
 constexpr Duration kCrossRegionInterval = std::chrono::milliseconds(1000);
 constexpr std::size_t kCrossRegionPeers = 12;
-/// The process exits at the latest this long before it would be killed.
-constexpr Duration kStopMargin = std::chrono::milliseconds(300);
+/// The process exits at the latest this fraction of the stop limit before it
+/// would be killed, which would cut answers that are being sent.
+constexpr int kStopMarginDivisor = 8;
 
 /// Demand of the own region, in server slots, below which its shares are set
 /// without a limit on the rate of change.
@@ -89,7 +90,7 @@
   for (const RelayEndpoint& receiver : mStoreRelay.TakeQueries(mNow)) {
     SendTo(receiver, mStoreRelay.Query(mNow));
   }
-  for (const RelayEndpoint& receiver : mStoreRelay.TakeReceivers()) {
+  for (const RelayEndpoint& receiver : mStoreRelay.TakeReceivers(mNow)) {
     SendTo(receiver, mStoreRelay.News());
   }
 }
@@ -313,7 +314,8 @@
     mHasClosedCallerConnections = true;
     mEffects.push_back(effect::CloseCallerConnections{});
   }
-  if (isQuiet || age >= mOptions.mStopLimit - kStopMargin) {
+  if (isQuiet ||
+      age >= mOptions.mStopLimit - mOptions.mStopLimit / kStopMarginDivisor) {
     mHasExited = true;
     Record("stopped", { { "in_flight", std::to_string(mRequests.size()) } });
     mEffects.push_back(effect::Exit{});
--- a/src/libcranberrywing/gateway/store_relay.cpp
+++ b/src/libcranberrywing/gateway/store_relay.cpp
@@ -78,6 +78,7 @@
 
 void StoreRelay::Tick(const FleetView& aFleet, TimePoint aNow)
 {
+  mStartedAt = mStartedAt.value_or(aNow);
   if (aNow < mNextGroups) {
     return;
   }
@@ -104,7 +105,6 @@
   const auto ownGroup = groupOf(mOptions.mSelf);
   Groups groups;
   std::vector<std::pair<std::uint64_t, RelayEndpoint>> mates;
-  std::vector<RelayEndpoint> expired;
   std::map<decltype(groupOf(mOptions.mSelf)), const Peer*> elected;
   for (const auto& [id, peer] : aFleet.Peers()) {
     const auto group = groupOf(peer.mRecord);
@@ -113,7 +113,7 @@
       if (isUsable) {
         mates.emplace_back(OrderOf(id), EndpointOf(peer.mRecord));
       } else {
-        expired.push_back(EndpointOf(peer.mRecord));
+        groups.mSilentMates.push_back(EndpointOf(peer.mRecord));
       }
     } else if (!peer.mIsExpired && !peer.mIsLeaving) {
       // VMs of other regions are heard too seldom to judge by that.
@@ -131,7 +131,6 @@
     groups.mRank += order < mSelfHash ? 1 : 0;
     groups.mMates.push_back(std::move(mate));
   }
-  groups.mMates.insert(groups.mMates.end(), expired.begin(), expired.end());
   for (const auto& [group, peer] : elected) {
     groups.mOtherElected.push_back(EndpointOf(peer->mRecord));
   }
@@ -188,7 +187,10 @@
 
 std::optional<StorePull> StoreRelay::TakePull(TimePoint aNow)
 {
-  if (mIsPulling || aNow < mNextPull) {
+  const bool awaitsStore =
+    mProgress.mRevision == 0 &&
+    (!mStartedAt || aNow - *mStartedAt < mOptions.mFirstCopyDelay);
+  if (mIsPulling || aNow < mNextPull || awaitsStore) {
     return std::nullopt;
   }
   const Source* newest = nullptr;
@@ -272,22 +274,29 @@
            .mPort = mOptions.mSelf.mPeerPort };
 }
 
-std::vector<RelayEndpoint> StoreRelay::TakeReceivers()
+std::vector<RelayEndpoint> StoreRelay::TakeReceivers(TimePoint aNow)
 {
-  if (mProgress.mRevision <= mSentRevision) {
-    return {};
-  }
+  std::vector<RelayEndpoint> receivers;
+  const bool isChanged = mProgress.mRevision > mSentRevision;
   const bool isFirst = mSentRevision == 0;
   mSentRevision = mProgress.mRevision;
   if (isFirst || (!IsElected() && !IsOrigin())) {
-    return {};
+    return receivers;
   }
-  std::vector<RelayEndpoint> receivers = mGroups.mMates;
-  if (IsOrigin()) {
+  if (isChanged) {
+    receivers = mGroups.mMates;
+  }
+  if (isChanged && IsOrigin()) {
     receivers.insert(receivers.end(),
                      mGroups.mOtherElected.begin(),
                      mGroups.mOtherElected.end());
   }
+  if (IsElected() && aNow >= mNextNews) {
+    mNextNews = aNow + mOptions.mNewsInterval;
+    receivers.insert(receivers.end(),
+                     mGroups.mSilentMates.begin(),
+                     mGroups.mSilentMates.end());
+  }
   return receivers;
 }
 
--- a/src/libcranberrywing/gateway/store_relay_test.cpp
+++ b/src/libcranberrywing/gateway/store_relay_test.cpp
@@ -152,7 +152,7 @@
   {
     // Status messages keep the VMs usable to each other.
     for (Vm& other : mVms) {
-      if (other.mIsRunning) {
+      if (other.mIsRunning && other.mFleet.Peers().contains(aVm.mRecord.mVm)) {
         aVm.mFleet.OnStatus({ other.mRecord.mVm, { 1 } }, {}, mNow);
       }
     }
@@ -170,7 +170,7 @@
     for (const RelayEndpoint& receiver : aVm.mRelay.TakeQueries(mNow)) {
       Send(aVm, receiver.mVm, aVm.mRelay.Query(mNow));
     }
-    for (const RelayEndpoint& receiver : aVm.mRelay.TakeReceivers()) {
+    for (const RelayEndpoint& receiver : aVm.mRelay.TakeReceivers(mNow)) {
       Send(aVm, receiver.mVm, aVm.mRelay.News());
     }
   }
@@ -337,6 +337,21 @@
   CHECK(fleet.RunUntilKnown() < kBound);
 }
 
+// Pattern: a VM restarts while the store turns it away. It knows no other VM.
+TEST_CASE("A restarted VM that the store turns away gets a copy from its group")
+{
+  RelayFleet fleet(3, 10);
+  Vm& vm = fleet.mVms[4];
+  vm.mIsRunning = false;
+  fleet.Run(std::chrono::seconds(5));
+  vm.mRelay = StoreRelay({ .mSelf = vm.mRecord });
+  vm.mFleet = FleetView({ .mSelf = vm.mRecord });
+  vm.mRevision = 0;
+  vm.mReachesStore = false;
+  vm.mIsRunning = true;
+  CHECK(fleet.RunUntilKnown() < std::chrono::seconds(3));
+}
+
 // VMs that hear each other must not take old information for current.
 TEST_CASE("Beacons cannot keep a confirmation alive without the store")
 {
