--- a/src/libcranberrywing/gateway/gateway_test_fleet.h
+++ b/src/libcranberrywing/gateway/gateway_test_fleet.h
@@ -104,7 +104,9 @@
 
   /// Delivers a caller's request and returns its identifier; the effects are in
   /// mLastEffects.
-  RequestId Request(const std::string& aPath, const std::string& aKey = kKey)
+  RequestId Request(const std::string& aPath,
+                    const std::string& aKey = kKey,
+                    Duration aTimeBudget = std::chrono::seconds(3))
   {
     const RequestId id{ mNextRequest++ };
     Deliver(event::RequestArrived{
@@ -114,7 +116,7 @@
       .mHost = kHost,
       .mKey = aKey,
       .mObject = "o",
-      .mTimeBudget = std::chrono::seconds(3) });
+      .mTimeBudget = aTimeBudget });
     return id;
   }
 
