Revert the advance of returning callers

A returning caller is late whatever happens; admitting it to a longer queue made new callers late too and more requests missed their deadline. Fewer were refused, fewer were served.

--- a/src/include/cranberrywing/gateway/admission.h
+++ b/src/include/cranberrywing/gateway/admission.h
@@ -6,9 +6,6 @@
 /// time that is lower for less urgent priorities, so that queues stay short
 /// enough for urgent requests to meet their deadlines. Longer queues would not
 /// raise the throughput, only the latency.
-///
-/// A caller that returns after a refusal goes before new ones of its priority:
-/// it has waited as it was told, and a second refusal is its last.
 #pragma once
 
 #include "cranberrywing/types.h"
@@ -19,8 +16,6 @@
 {
   /// 0 is the most urgent; larger values are shed earlier.
   int mPriority = 0;
-  /// Whether the caller probably was refused before.
-  bool mIsReturning = false;
   /// Time since the request arrived.
   Duration mElapsed{};
   /// Time until the final answer is due.
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -122,8 +122,6 @@
     std::size_t mRank = 0;
     bool mWasWarm = false;
     bool mWaitsForTokens = false;
-    /// Whether the caller probably was refused before (IsReturning).
-    bool mIsReturning = false;
     /// Whether any server may have run the request.
     bool mMayHaveRun = false;
   };
@@ -195,9 +193,6 @@
   void On(const event::BackendFailed& aEvent);
   /// Sets the request's policy, route and account, or returns why not.
   std::optional<Refusal> ResolveRouteAndAccount(Request& aRequest);
-  /// Whether the caller has clearly less time than others of its route. It then
-  /// has probably been refused, waited, and returned. Updates the longest time.
-  bool IsReturning(const RouteId& aRoute, Duration aTimeBudget);
   /// Applies the account's rate limit: the request is dispatched, refused, or
   /// held until tokens arrive.
   void AdmitByRate(Request& aRequest);
@@ -274,8 +269,6 @@
   RateLimiter mRateLimiter;
   CrashGuard mCrashGuard;
   std::unordered_map<ServiceId, Arrivals> mArrivals;
-  /// Longest time that callers of each route had, over recent requests.
-  std::unordered_map<RouteId, Duration> mLongestBudget;
   std::unordered_map<RequestId, Request> mRequests;
   GatewayCounters mCounters;
 
--- a/src/libcranberrywing/gateway/admission.cpp
+++ b/src/libcranberrywing/gateway/admission.cpp
@@ -14,8 +14,6 @@
 /// requests of normal and of low priority.
 constexpr double kNormalWaitFraction = 0.8;
 constexpr double kLowWaitFraction = 0.5;
-/// Number of priority levels by which a returning caller is advanced.
-constexpr int kReturningAdvance = 1;
 /// Network time, which the expected service time does not include.
 constexpr Duration kNetworkMargin = std::chrono::milliseconds(30);
 
@@ -25,11 +23,9 @@
 {
   const Duration serviceTime = aRequest.mTotal - aRequest.mWait;
   Duration limit = aRequest.mTimeLeft - kNetworkMargin - serviceTime;
-  const int priority =
-    aRequest.mPriority - (aRequest.mIsReturning ? kReturningAdvance : 0);
-  if (priority > 0) {
+  if (aRequest.mPriority > 0) {
     const double fraction =
-      priority == 1 ? kNormalWaitFraction : kLowWaitFraction;
+      aRequest.mPriority == 1 ? kNormalWaitFraction : kLowWaitFraction;
     limit = std::min(limit, Scale(aRequest.mTargetLatency, fraction));
   }
   if (aRequest.mWait <= limit) {
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -126,9 +126,6 @@
   mRateLimiter.Apply(accounts, mNow);
   mAccountShares.SetAccounts(std::move(accounts));
   mServiceSplit.RetainRoutes(*mPolicy);
-  if (mLongestBudget.size() > 2 * mPolicy->Content().mRoutes.size()) {
-    mLongestBudget.clear();
-  }
   mEffects.push_back(effect::ApplyCallerLimits{ mPolicy->Content().mLimits });
   Record(
     "policy_in_force",
--- a/src/libcranberrywing/gateway/gateway_requests.cpp
+++ b/src/libcranberrywing/gateway/gateway_requests.cpp
@@ -10,7 +10,6 @@
 using detail::kAnswerMargin;
 using detail::kArrivalTimeConstantSeconds;
 using detail::kDefaultRetryDelay;
-using detail::Scale;
 using detail::ToMs;
 
 namespace {
@@ -18,13 +17,6 @@
 /// Minimum time before the deadline for a retry to be worthwhile.
 constexpr Duration kMinTimeForRetry = std::chrono::milliseconds(60);
 
-/// Part of the longest time below which a caller counts as returning. Callers
-/// send their deadline with their first attempt, so that only the network
-/// shortens it.
-constexpr double kReturningFraction = 0.96;
-/// The longest time decreases by 1 / kLongestBudgetDecay with each request.
-constexpr int kLongestBudgetDecay = 20'000;
-
 std::string_view PathOf(std::string_view aTarget)
 {
   return aTarget.substr(0, aTarget.find('?'));
@@ -87,7 +79,6 @@
     timeBudget = std::min(timeBudget, aEvent.mTimeBudget);
   }
   request.mDeadline = mNow + timeBudget;
-  request.mIsReturning = IsReturning(route.mRoute, aEvent.mTimeBudget);
   request.mPriority = route.mPriority;
   if (request.mAccount && request.mAccount->mPriority) {
     request.mPriority = *request.mAccount->mPriority;
@@ -128,18 +119,6 @@
   AdmitByRate(request);
 }
 
-bool Gateway::IsReturning(const RouteId& aRoute, Duration aTimeBudget)
-{
-  if (aTimeBudget <= Duration::zero()) {
-    return false;
-  }
-  Duration& longest = mLongestBudget[aRoute];
-  // The longest time decreases slowly, so that it follows callers that change
-  // their deadlines.
-  longest = std::max(aTimeBudget, longest - longest / kLongestBudgetDecay);
-  return aTimeBudget < Scale(longest, kReturningFraction);
-}
-
 void Gateway::AdmitByRate(Request& aRequest)
 {
   if (!aRequest.mAccount || aRequest.mAccount->mRate <= 0) {
@@ -254,7 +233,6 @@
   const Duration timeLeft = aRequest.mDeadline - mNow;
   const AdmissionDecision decision = DecideAdmission({
     .mPriority = aRequest.mPriority,
-    .mIsReturning = aRequest.mIsReturning,
     .mElapsed = mNow - aRequest.mArrivedAt,
     .mTimeLeft = timeLeft,
     .mTargetLatency = aRequest.mRoute->mTargetLatency,
--- a/src/libcranberrywing/gateway/gateway_test_fleet.h
+++ b/src/libcranberrywing/gateway/gateway_test_fleet.h
@@ -104,9 +104,7 @@
 
   /// Delivers a caller's request and returns its identifier; the effects are in
   /// mLastEffects.
-  RequestId Request(const std::string& aPath,
-                    const std::string& aKey = kKey,
-                    Duration aTimeBudget = std::chrono::seconds(3))
+  RequestId Request(const std::string& aPath, const std::string& aKey = kKey)
   {
     const RequestId id{ mNextRequest++ };
     Deliver(event::RequestArrived{
@@ -116,7 +114,7 @@
       .mHost = kHost,
       .mKey = aKey,
       .mObject = "o",
-      .mTimeBudget = aTimeBudget });
+      .mTimeBudget = std::chrono::seconds(3) });
     return id;
   }
 
