--- a/src/include/cranberrywing/gateway/store_follower.h
+++ b/src/include/cranberrywing/gateway/store_follower.h
@@ -209,9 +209,7 @@
 
   void Call(StoreChannel aChannel, const StoreCall& aCall);
   void ContinueFollow(TimePoint aNow);
-  void ContinueLease(TimePoint aNow);
   void OnFollowReply(const StoreReply& aReply, TimePoint aNow);
-  void OnLeaseReply(const StoreReply& aReply, TimePoint aNow);
   void Apply(const StoreChange& aChange, bool aIsMassLoss, TimePoint aNow);
   void ApplyRemoval(const std::string& aKey, bool aIsMassLoss, TimePoint aNow);
   /// Whether so many lease-bound entries were removed at once that an outage of
@@ -228,6 +226,10 @@
   Duration NextRetryDelay();
   /// aDelay plus up to half of it at random.
   Duration AddJitter(Duration aDelay);
+
+  // store_follower_lease.cpp
+  void ContinueLease(TimePoint aNow);
+  void OnLeaseReply(const StoreReply& aReply, TimePoint aNow);
   /// Brings a lease call forward that waits to be repeated after a failure.
   void HastenLeaseCall(TimePoint aNow);
 
--- a/src/libcranberrywing/gateway/store_follower.cpp
+++ b/src/libcranberrywing/gateway/store_follower.cpp
@@ -55,26 +55,6 @@
   }
 }
 
-void StoreFollower::ContinueLease(TimePoint aNow)
-{
-  if (mIsLeaseCallPending || aNow < mNextLeaseCall ||
-      mOptions.mOwnKey.empty()) {
-    return;
-  }
-  if (!mIsRosterWritten) {
-    mLeaseCall = store_call::Put{ mOptions.mRosterKey, mOptions.mOwnValue, 0 };
-  } else if (mLease == 0) {
-    mLeaseCall = store_call::GrantLease{ mOptions.mLeaseTtl };
-  } else if (!mIsOwnWritten) {
-    mLeaseCall =
-      store_call::Put{ mOptions.mOwnKey, mOptions.mOwnValue, mLease };
-  } else {
-    mLeaseCall = store_call::RenewLease{ mLease };
-  }
-  mIsLeaseCallPending = true;
-  Call(StoreChannel::Lease, mLeaseCall);
-}
-
 void StoreFollower::OnReply(StoreChannel aChannel,
                             const StoreReply& aReply,
                             TimePoint aNow)
@@ -333,75 +313,4 @@
   }
 }
 
-void StoreFollower::OnLeaseReply(const StoreReply& aReply, TimePoint aNow)
-{
-  mNextLeaseCall = aNow;
-  if (aReply.mStatus == StoreStatus::NotFound) {
-    mLease = 0;
-    mIsOwnWritten = false;
-    return;
-  }
-  mHasLeaseCallFailed = aReply.mStatus != StoreStatus::Ok;
-  if (mHasLeaseCallFailed) {
-    mNextLeaseCall =
-      aNow + AddJitter(mIsReachable && mFollowing == StoreFollowing::Eager
-                         ? mOptions.mRetryDelay
-                         : mOptions.mLeaseRetryDelay);
-    if (aReply.mStatus == StoreStatus::NoAnswer && mIsReachable) {
-      // Replace the watch in progress: it would not detect the outage for
-      // seconds, and would not be answered after the outage either.
-      SetReachable(false, aNow);
-      mIsFollowCallPending = false;
-      mNextFollowCall = aNow;
-      ContinueFollow(aNow);
-    }
-    return;
-  }
-  mAnsweredAt = aNow;
-  if (mFollowing == StoreFollowing::Off) {
-    SetReachable(true, aNow);
-  }
-  const Duration renewInterval = mFollowing == StoreFollowing::Off
-                                   ? mOptions.mRenewInterval
-                                   : mOptions.mFollowingRenewInterval;
-  if (std::holds_alternative<store_call::GrantLease>(mLeaseCall)) {
-    mLease = aReply.mLease;
-    mIsOwnWritten = false;
-  } else if (const auto* const put = std::get_if<store_call::Put>(&mLeaseCall);
-             put && put->mLease == 0) {
-    mIsRosterWritten = true;
-  } else if (put) {
-    mIsOwnWritten = put->mValue == mOptions.mOwnValue;
-    mNextLeaseCall = mIsOwnWritten ? aNow + renewInterval : aNow;
-  } else {
-    mNextLeaseCall = aNow + renewInterval;
-  }
-}
-
-void StoreFollower::HastenLeaseCall(TimePoint aNow)
-{
-  if (mHasLeaseCallFailed && !mIsLeaseCallPending) {
-    mNextLeaseCall =
-      std::min(mNextLeaseCall, aNow + AddJitter(mOptions.mRetryDelay));
-  }
-}
-
-void StoreFollower::SetOwnValue(std::string aValue, TimePoint aNow)
-{
-  mOptions.mOwnValue = std::move(aValue);
-  mIsOwnWritten = false;
-  mNextLeaseCall = aNow;
-  ContinueLease(aNow);
-}
-
-void StoreFollower::RevokeLease()
-{
-  if (mLease != 0) {
-    mHooks.mCall(StoreChannel::Lease,
-                 store_call::RevokeLease{ mLease },
-                 mOptions.mCallTimeout);
-    mLease = 0;
-  }
-}
-
 } // namespace cranberrywing::gateway
--- /dev/null
+++ b/src/netutil/http_client_endless_test.cpp
@@ -0,0 +1,131 @@
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <optional>
+
+#include "netutil/exchange_for_tests.h"
+
+using namespace cranberrywing;
+using namespace cranberrywing::netutil;
+using boost::asio::ip::tcp;
+
+namespace {
+
+/// Sends a head and then one part again and again until the peer closes.
+class EndlessServer
+{
+public:
+  EndlessServer(boost::asio::io_context& aContext,
+                std::string aHead,
+                std::string aPart)
+    : mAcceptor(aContext, { boost::asio::ip::address_v4::loopback(), 0 })
+    , mHead(std::move(aHead))
+    , mPart(std::move(aPart))
+  {
+    mAcceptor.async_accept(
+      [this](boost::system::error_code aError, tcp::socket aSocket) {
+        if (!aError) {
+          mSocket.emplace(std::move(aSocket));
+          Write(mHead);
+        }
+      });
+  }
+
+  Endpoint Address() const
+  {
+    return { "127.0.0.1", mAcceptor.local_endpoint().port() };
+  }
+
+  std::size_t mSentBytes = 0;
+
+private:
+  void Write(const std::string& aBytes)
+  {
+    boost::asio::async_write(
+      *mSocket,
+      boost::asio::buffer(aBytes),
+      [this](boost::system::error_code aError, std::size_t aBytes) {
+        mSentBytes += aBytes;
+        if (!aError) {
+          Write(mPart);
+        }
+      });
+  }
+
+  tcp::acceptor mAcceptor;
+  std::optional<tcp::socket> mSocket;
+  std::string mHead;
+  std::string mPart;
+};
+
+/// Fails the exchange with the endless server and returns its error.
+ExchangeFailure FailEndless(const std::string& aHead,
+                            const std::string& aPart,
+                            HttpClientOptions aOptions,
+                            ResponseFilter aFilter = {})
+{
+  boost::asio::io_context context(1);
+  EndlessServer server(context, aHead, aPart);
+  HttpClientPool pool(context, { .mClient = std::move(aOptions) });
+  const auto result =
+    Exchange(context, pool, server.Address(), "GET", std::move(aFilter));
+  REQUIRE_FALSE(result.has_value());
+  // The kernel's socket buffers hold what the client has not read.
+  CHECK(server.mSentBytes < 16 * 1024 * 1024);
+  CHECK(pool.IdleCount(server.Address()) == 0);
+  return result.error();
+}
+
+const std::string kPart(16 * 1024, 'x');
+
+} // namespace
+
+// Guards against servers in trouble that send bytes without end until the
+// caller closes the connection.
+TEST_CASE("an endless head fails the exchange")
+{
+  const auto failure =
+    FailEndless("HTTP/1.1 200 OK\r\n", "Field: " + kPart + "\r\n", {});
+  CHECK(failure.mKind == ExchangeFailureKind::Malformed);
+  CHECK(failure.mWasSent);
+}
+
+TEST_CASE("bytes without end that are no answer fail the exchange")
+{
+  CHECK(FailEndless(kPart, kPart, {}).mKind == ExchangeFailureKind::Malformed);
+}
+
+TEST_CASE("an endless body fails the exchange at the size limit")
+{
+  HttpClientOptions options;
+  options.mMaxBodyBytes = 256 * 1024;
+  options.mAcceptsCloseDelimitedBody = true;
+  const std::string chunk = "4000\r\n" + kPart + "\r\n";
+  CHECK(FailEndless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                    chunk,
+                    options)
+          .mKind == ExchangeFailureKind::Malformed);
+  CHECK(FailEndless("HTTP/1.1 200 OK\r\n\r\n", kPart, options).mKind ==
+        ExchangeFailureKind::Malformed);
+}
+
+TEST_CASE("endless bodies fail when their common memory is exhausted")
+{
+  HttpClientOptions options;
+  options.mAcceptsCloseDelimitedBody = true;
+  options.mBudget = std::make_shared<ResponseBudget>();
+  options.mBudget->mMaxBytes = 128 * 1024;
+  CHECK(FailEndless("HTTP/1.1 200 OK\r\n\r\n", kPart, options).mKind ==
+        ExchangeFailureKind::Malformed);
+  CHECK(options.mBudget->mUsedBytes == 0);
+}
+
+TEST_CASE("responses without end to other requests fail the exchange")
+{
+  const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  CHECK(FailEndless(response, response, {}, [](const AnswerContent&) {
+          return false;
+        }).mKind == ExchangeFailureKind::Malformed);
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  CHECK(FailEndless(interim, interim, {}).mKind ==
+        ExchangeFailureKind::Malformed);
+}
