--- a/src/cranberrywingd/gateway_settings.cpp
+++ b/src/cranberrywingd/gateway_settings.cpp
@@ -102,10 +102,13 @@
 
   static Result<void> Convert(const std::string& aText, std::size_t& aValue)
   {
-    double number = 0;
-    const auto result = Convert(aText, number);
-    aValue = static_cast<std::size_t>(number);
-    return result;
+    const auto number = ParseNumber<std::uint64_t>(aText);
+    if (!number) {
+      return MakeError(ResultCode::InvalidSettings,
+                       "is not a whole number: " + aText);
+    }
+    aValue = *number;
+    return {};
   }
 
   void SetFirstError(const char* aName, const std::string& aReason)
--- /dev/null
+++ b/src/cranberrywingd/gateway_settings_test.cpp
@@ -0,0 +1,54 @@
+#include "cranberrywingd/gateway_settings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cranberrywing;
+using namespace cranberrywing::daemon;
+
+namespace {
+
+const std::string kSettings = R"(vm: vm-1
+region: north
+failure_domain: north-a
+callers: 10.0.0.1:8080
+readiness: 10.0.0.1:8081
+lookups: 10.0.0.1:8082
+peers: 10.0.0.1:7000
+store: 10.0.0.9:2379
+regions: {north-a: north}
+)";
+
+} // namespace
+
+TEST_CASE("Gateway settings have defaults and accept unknown fields")
+{
+  const auto settings = ReadGatewaySettings(kSettings + "colour: red\n");
+  REQUIRE(settings.has_value());
+  CHECK(settings->mVm == VmId("vm-1"));
+  CHECK(settings->mMaxShift == Approx(0.15));
+  CHECK(settings->mMemoryLimit == 256UL * 1024 * 1024);
+}
+
+TEST_CASE("Limits of the process are whole numbers")
+{
+  const auto settings =
+    ReadGatewaySettings(kSettings + "memory_limit_mb: 160\nfile_limit: 4100\n");
+  REQUIRE(settings.has_value());
+  CHECK(settings->mMemoryLimit == 160UL * 1024 * 1024);
+  CHECK(settings->mFileLimit == 4100);
+  for (const char* bad : { "-1", "1.5", "1e30", "many", "1e400" }) {
+    CAPTURE(bad);
+    CHECK_FALSE(
+      ReadGatewaySettings(kSettings + "file_limit: " + bad).has_value());
+  }
+}
+
+// A field that is empty in the platform's template keeps its default.
+TEST_CASE("Empty optional settings keep their defaults")
+{
+  const auto settings =
+    ReadGatewaySettings(kSettings + "memory_limit_mb: \"\"\nmax_shift: \"\"\n");
+  REQUIRE(settings.has_value());
+  CHECK(settings->mMaxShift == Approx(0.15));
+  CHECK_FALSE(ReadGatewaySettings(kSettings + "max_shift: -1").has_value());
+}
--- a/src/libcranberrywing/gateway/backend_pool.cpp
+++ b/src/libcranberrywing/gateway/backend_pool.cpp
@@ -25,7 +25,7 @@
   return aLeft.mService == aRight.mService &&
          aLeft.mAddress == aRight.mAddress && aLeft.mPort == aRight.mPort &&
          aLeft.mFailureDomain == aRight.mFailureDomain &&
-         aLeft.mSlots == aRight.mSlots &&
+         aLeft.mRegion == aRight.mRegion && aLeft.mSlots == aRight.mSlots &&
          aLeft.mIsDraining == aRight.mIsDraining &&
          aLeft.mColdTimeLeft == aRight.mColdTimeLeft &&
          aLeft.mStartedMs == aRight.mStartedMs;
--- a/src/libcranberrywing/gateway/backend_pool_test.cpp
+++ b/src/libcranberrywing/gateway/backend_pool_test.cpp
@@ -80,3 +80,16 @@
   pool.OnProbeResult(server, true, later);
   CHECK(pool.IsUsable(server, later));
 }
+
+// Guards against servers that stay in a region that their failure domain has
+// left in the settings.
+TEST_CASE("A registration with another region is a change")
+{
+  BackendPool pool({});
+  CHECK(pool.Upsert(Entry(), kNow));
+  CHECK_FALSE(pool.Upsert(Entry(), kNow));
+  BackendEntry moved = Entry();
+  moved.mRegion = RegionId("other");
+  CHECK(pool.Upsert(moved, kNow));
+  CHECK(pool.Find(BackendId("s"))->mEntry.mRegion == RegionId("other"));
+}
--- a/src/netutil/codecs_test.cpp
+++ b/src/netutil/codecs_test.cpp
@@ -73,7 +73,8 @@
 {
   CHECK(ParseEndpoint("127.0.0.1:80") == Endpoint{ "127.0.0.1", 80 });
   CHECK(ParseEndpoint("[::1]:80") == Endpoint{ "::1", 80 });
-  for (const char* text : { "host:80", "127.0.0.1", "1.2.3.4:65536", ":1" }) {
+  for (const char* text :
+       { "2001:db8::1:80", "host:80", "127.0.0.1", "1.2.3.4:65536", ":1" }) {
     CHECK_FALSE(ParseEndpoint(text).has_value());
   }
 }
--- a/src/netutil/endpoint.cpp
+++ b/src/netutil/endpoint.cpp
@@ -26,6 +26,10 @@
   std::string_view host = aText.substr(0, colon);
   if (host.starts_with('[') && host.ends_with(']')) {
     host = host.substr(1, host.size() - 2);
+  } else if (host.find(':') != std::string_view::npos) {
+    // Without brackets, the last group of an IPv6 address cannot be told from a
+    // port.
+    return InvalidEndpoint(aText);
   }
   boost::system::error_code ec;
   const auto address = boost::asio::ip::make_address(std::string(host), ec);
