Log the rate limits that backend servers name in their answers

The adapter decodes the limit from answers and health checks; a change is logged with its source. No decision heeds it yet.

--- a/src/include/cranberrywing/gateway/backend_pool.h
+++ b/src/include/cranberrywing/gateway/backend_pool.h
@@ -83,6 +83,9 @@
   /// if that is later.
   TimePoint mAwaitingSince{};
   TimePoint mColdUntil{};
+  /// Requests per second that the server accepts from all VMs together, as it
+  /// last stated; nullopt for no limit.
+  std::optional<double> mRateLimit;
   /// Times of recent dispatches during the cold start. Appended by BackendPool;
   /// ColdStartLimiter removes old entries.
   std::deque<TimePoint> mColdSends;
--- a/src/include/cranberrywing/gateway/event.h
+++ b/src/include/cranberrywing/gateway/event.h
@@ -119,6 +119,9 @@
   ReplyKind mKind = ReplyKind::Answer;
   AnswerContentPtr mAnswer;
   std::optional<LoadSample> mLoad;
+  /// Requests per second that the server accepts from all VMs together; nullopt
+  /// if the answer states no limit.
+  std::optional<double> mRateLimit;
   /// Time from the dispatch to the last byte of the answer.
   Duration mLatency{};
 };
@@ -129,6 +132,8 @@
   BackendId mBackend;
   bool mIsHealthy = false;
   std::optional<LoadSample> mLoad;
+  /// As BackendReplied::mRateLimit.
+  std::optional<double> mRateLimit;
   /// Remaining cold-start time that the server reports; nullopt if it reports
   /// none.
   std::optional<Duration> mColdTimeLeft;
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -227,6 +227,11 @@
   /// BackendPool::OnAttemptEnded. Returns the attempt's server, or null if it
   /// is no longer registered.
   Backend* EndAttempt(Request& aRequest, bool aHasAnswered);
+  /// Stores the rate limit that the server states, and logs a change. aSource
+  /// is the kind of answer, for the log.
+  void LearnRateLimit(Backend& aBackend,
+                      std::optional<double> aPerSecond,
+                      std::string_view aSource);
   /// Updates service times, server health and crash guard.
   void LearnFromSuccess(Request& aRequest,
                         Backend& aBackend,
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -248,6 +248,7 @@
     backend->mColdUntil =
       std::max(backend->mColdUntil, mNow + *aEvent.mColdTimeLeft);
   }
+  LearnRateLimit(*backend, aEvent.mRateLimit, "probe");
   mPool.OnProbeResult(*backend, aEvent.mIsHealthy, mNow);
   if (!aEvent.mIsHealthy) {
     OnBackendDown(aEvent.mBackend);
