Keep all VMs together within the rate limits that backend servers name

The VMs of the server's region divide the limit with the division that cold servers have, tell each other what servers state, and give the server as many objects as its limit serves. Health checks and retries take part.

--- a/src/include/cranberrywing/gateway/backend_pool.h
+++ b/src/include/cranberrywing/gateway/backend_pool.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "cranberrywing/gateway/backend_rate_limit.h"
 #include "cranberrywing/gateway/policy.h"
 #include "cranberrywing/types.h"
 
@@ -54,6 +55,8 @@
   BackendEntry mEntry;
   /// Hash of the server's identifier, for rendezvous hashing.
   std::uint64_t mHash = 0;
+  /// Hash of identifier and start time, which differs after a restart.
+  std::uint64_t mLifetimeHash = 0;
   /// Requests that this VM has in flight at the server.
   std::uint32_t mInFlight = 0;
   /// Requests of other VMs at the server, from the last load sample.
@@ -83,9 +86,18 @@
   /// if that is later.
   TimePoint mAwaitingSince{};
   TimePoint mColdUntil{};
-  /// Requests per second that the server accepts from all VMs together, as it
-  /// last stated; nullopt for no limit.
-  std::optional<double> mRateLimit;
+  BackendRateLimit mRateLimit;
+  /// This VM's part of mRateLimit, while that binds.
+  RateQuota mRateQuota;
+  /// Fraction of the slots that mRateLimit lets the fleet use; 1 without a
+  /// limit.
+  double mUsableFraction = 1;
+  /// Weight in the rendezvous order of objects; 1 without a limit.
+  double mRateWeight = 1;
+  /// Times of recent dispatches and health checks while mRateLimit was binding.
+  std::deque<TimePoint> mLimitedSends;
+  /// Time of the last own statement that other VMs were told.
+  TimePoint mRateLimitToldAt{};
   /// Times of recent dispatches during the cold start. Appended by BackendPool;
   /// ColdStartLimiter removes old entries.
   std::deque<TimePoint> mColdSends;
@@ -134,6 +146,8 @@
   void SetEvacuated(const FailureDomainId& aDomain, bool aIsEvacuated);
   bool IsEvacuated(const FailureDomainId& aDomain) const;
 
+  /// Server with the given Backend::mLifetimeHash, or null.
+  Backend* FindLifetime(std::uint64_t aLifetimeHash);
   Backend* Find(const BackendId& aBackend);
   const Backend* Find(const BackendId& aBackend) const;
   /// All servers of a service, ordered by identifier.
@@ -152,6 +166,11 @@
   /// evacuated, regardless of this VM's own failures with it.
   bool IsEligible(const Backend& aBackend) const;
   bool IsCold(const Backend& aBackend, TimePoint aNow) const;
+  /// Whether the server has stated a rate limit that still binds.
+  bool IsRateLimited(const Backend& aBackend, TimePoint aNow) const;
+  /// Whether this VM's part of a rate-limited server's rate permits another
+  /// request. Removes old entries from aBackend.mLimitedSends.
+  bool MaySendLimited(Backend& aBackend, TimePoint aNow) const;
   /// Estimated number of requests at the server: those of this VM in flight
   /// plus an estimate for the other VMs.
   double Load(const Backend& aBackend, TimePoint aNow) const;
@@ -173,6 +192,12 @@
   /// be taken as responsive.
   void OnAttemptEnded(Backend& aBackend, bool aHasAnswered, TimePoint aNow);
   void OnLoadSample(Backend& aBackend, const LoadSample& aLoad, TimePoint aNow);
+  /// Records a rate limit that the server stated at aStatedAt, or nullopt if it
+  /// stated none. Ignored if a later statement is known. Returns whether the
+  /// limit has changed.
+  bool OnRateLimitStated(Backend& aBackend,
+                         std::optional<double> aPerSecond,
+                         TimePoint aStatedAt);
   /// Records a successful answer. aRatio is observed over expected service
   /// time.
   void OnSuccess(Backend& aBackend, double aRatio, TimePoint aNow);
@@ -190,7 +215,8 @@
   void RequireProbe(Backend& aBackend, TimePoint aNow);
   void OnProbeResult(Backend& aBackend, bool aIsHealthy, TimePoint aNow);
   /// Returns eligible servers whose ejection has ended and that need a health
-  /// check, and marks them as being probed.
+  /// check, and marks them as being probed. Servers whose rate limit does not
+  /// permit a request of this VM are left for later.
   std::vector<Backend*> TakeProbesDue(TimePoint aNow);
 
 private:
@@ -200,6 +226,7 @@
   Options mOptions;
   std::map<BackendId, std::unique_ptr<Backend>> mBackends;
   std::unordered_map<ServiceId, std::vector<Backend*>> mByService;
+  std::unordered_map<std::uint64_t, Backend*> mByLifetime;
   std::set<FailureDomainId> mEvacuated;
 };
 
--- a/src/include/cranberrywing/gateway/cold_start.h
+++ b/src/include/cranberrywing/gateway/cold_start.h
@@ -1,9 +1,8 @@
 /// \file
 /// Limits the request rate that all VMs together send to a cold backend server.
 ///
-/// The permitted rate is divided among the VMs without coordination: each VM
-/// gets an equal whole number of requests per second, and the remainder goes to
-/// the first VMs in the server's rendezvous order.
+/// The permitted rate is divided among the VMs without coordination
+/// (FleetQuota).
 #pragma once
 
 #include <vector>
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -149,6 +149,7 @@
   void On(const event::StorePullEnded& aEvent);
   void On(const event::StopRequested& aEvent);
   void On(const event::BackendProbed& aEvent);
+  void OnMessage(const message::BackendRateLimits& aMessage);
   /// Moves the effects of modules that are shared with the daemon's reducer to
   /// mEffects; adds the peers' addresses to messages.
   void ForwardCoreEffects(cranberrywing::EffectList& aEffects);
@@ -166,6 +167,16 @@
   void SendStatus();
   void SendSameRegionStatus();
   void SendRegionDemand();
+  /// Rate limits that servers stated to this VM since the last call.
+  message::BackendRateLimits TakeStatedRateLimits();
+  /// All known rate limits of the own region's servers.
+  message::BackendRateLimits RegionRateLimits() const;
+  /// Computes the server's quota and usable fraction from its rate limit.
+  void UpdateRateQuota(Backend& aBackend);
+  /// Does so for all servers, and ends limits that have lapsed.
+  void UpdateRateQuotas();
+  /// Computes the weights of the own region's servers of a service.
+  void UpdateRateWeights(const ServiceId& aService);
   /// Whether status messages are sent to the peer.
   bool IsReceiver(const Peer& aPeer) const;
   /// Demand of this VM's callers, by service.
@@ -204,6 +215,9 @@
   /// Usable servers of the region that the request has not tried yet.
   std::vector<Backend*> Candidates(const Request& aRequest,
                                    const RegionId& aRegion);
+  /// Whether the server's cold start or stated rate limit, if any, permits
+  /// another request of this VM.
+  bool IsWithinQuotas(const Request& aRequest, Backend& aBackend) const;
   /// Whether this VM's quota for a cold server of its own region permits
   /// another request.
   bool MaySendCold(const Request& aRequest, Backend& aBackend) const;
@@ -212,6 +226,12 @@
   /// Selects a server from the first region, in order of preference, that has
   /// one; nullopt if no region has.
   std::optional<Selection> Select(const Request& aRequest);
+  /// Selects a rate-limited server of the own region whose limit still permits
+  /// requests, for a request that the servers of its object are too busy for.
+  std::optional<Selection> SelectSpareLimited(const Request& aRequest);
+  AdmissionDecision Admit(const Request& aRequest,
+                          const Selection& aSelection) const;
+  void Dispatch(Request& aRequest, const Selection& aSelection);
   /// Selects the server for another attempt and charges the retry budget.
   /// Returns nullopt if no retry is permitted.
   std::optional<Selection> SelectRetry(const Request& aRequest);
@@ -227,10 +247,13 @@
   /// BackendPool::OnAttemptEnded. Returns the attempt's server, or null if it
   /// is no longer registered.
   Backend* EndAttempt(Request& aRequest, bool aHasAnswered);
-  /// Stores the rate limit that the server states, and logs a change. aSource
-  /// is the kind of answer, for the log.
+  /// Learns the rate limit that a request's answer states.
+  void LearnRateLimit(Backend& aBackend, const event::BackendReplied& aEvent);
+  /// Learns a server's rate limit from a statement at aStatedAt, and logs a
+  /// change. aSource says where the statement was read.
   void LearnRateLimit(Backend& aBackend,
                       std::optional<double> aPerSecond,
+                      TimePoint aStatedAt,
                       std::string_view aSource);
   /// Updates service times, server health and crash guard.
   void LearnFromSuccess(Request& aRequest,
--- a/src/include/cranberrywing/gateway/object_selector.h
+++ b/src/include/cranberrywing/gateway/object_selector.h
@@ -4,7 +4,8 @@
 /// Servers cache the objects that they handled recently, so all VMs should
 /// send an object to the same few servers. Rendezvous hashing of (object,
 /// server) gives all VMs the same preference order without coordination, and
-/// adding or removing a server moves only that server's objects. Among the
+/// adding or removing a server moves only that server's objects. A server with
+/// a rate limit gets as many objects as its rate allows for. Among the
 /// first servers of the order, the one with the lowest expected completion
 /// time, including penalties for rank and cache misses, is selected.
 #pragma once
--- a/src/include/cranberrywing/message.h
+++ b/src/include/cranberrywing/message.h
@@ -45,7 +45,8 @@
                              message::StoreQuery,
                              message::StoreBeacon,
                              message::StoreChanges,
-                             message::RegionDemand>;
+                             message::RegionDemand,
+                             message::BackendRateLimits>;
 
 /// A message with its sender, as sent over the network.
 struct Envelope
--- a/src/include/cranberrywing/messages/gateway.h
+++ b/src/include/cranberrywing/messages/gateway.h
@@ -39,6 +39,24 @@
   }
 };
 
+/// A rate limit that a backend server stated to some VM.
+struct StatedRateLimit
+{
+  /// Hash of the server's identifier and start time.
+  std::uint64_t mBackend = 0;
+  /// Requests per second from all VMs together; negative if the server stated
+  /// that it has no limit.
+  double mPerSecond = -1;
+  /// Time since the statement.
+  std::uint32_t mAgeMs = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mBackend, mPerSecond, mAgeMs);
+  }
+};
+
 /// A key of the platform's store with its value.
 struct StoreItem
 {
@@ -171,6 +189,18 @@
   }
 };
 
+/// Rate limits that backend servers stated.
+struct BackendRateLimits
+{
+  std::vector<StatedRateLimit> mLimits;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mLimits);
+  }
+};
+
 /// Sent several times per second to the VMs of the own region.
 struct GatewayStatus
 {
--- a/src/libcranberrywing/gateway/backend_pool.cpp
+++ b/src/libcranberrywing/gateway/backend_pool.cpp
@@ -60,6 +60,8 @@
     }
     known->mInFlight = inFlight;
     known->mHash = HashBytes(aEntry.mBackend.mName);
+    known->mLifetimeHash =
+      HashBytes(std::to_string(aEntry.mStartedMs), known->mHash);
   }
   known->mEntry = aEntry;
   known->mColdUntil = std::max(known->mColdUntil, aNow + aEntry.mColdTimeLeft);
@@ -79,7 +81,9 @@
 void BackendPool::Reindex()
 {
   mByService.clear();
+  mByLifetime.clear();
   for (const auto& [id, backend] : mBackends) {
+    mByLifetime[backend->mLifetimeHash] = backend.get();
     mByService[backend->mEntry.mService].push_back(backend.get());
   }
 }
@@ -99,6 +103,12 @@
   return mEvacuated.contains(aDomain);
 }
 
+Backend* BackendPool::FindLifetime(std::uint64_t aLifetimeHash)
+{
+  const auto it = mByLifetime.find(aLifetimeHash);
+  return it == mByLifetime.end() ? nullptr : it->second;
+}
+
 Backend* BackendPool::Find(const BackendId& aBackend)
 {
   const auto it = mBackends.find(aBackend);
@@ -146,6 +156,38 @@
   return aNow < aBackend.mColdUntil;
 }
 
+bool BackendPool::IsRateLimited(const Backend& aBackend, TimePoint aNow) const
+{
+  return IsBinding(aBackend.mRateLimit, aNow);
+}
+
+bool BackendPool::MaySendLimited(Backend& aBackend, TimePoint aNow) const
+{
+  std::deque<TimePoint>& sends = aBackend.mLimitedSends;
+  while (!sends.empty() && aNow - sends.front() > aBackend.mRateQuota.mWindow) {
+    sends.pop_front();
+  }
+  return sends.size() < aBackend.mRateQuota.mRequests;
+}
+
+bool BackendPool::OnRateLimitStated(Backend& aBackend,
+                                    std::optional<double> aPerSecond,
+                                    TimePoint aStatedAt)
+{
+  BackendRateLimit& limit = aBackend.mRateLimit;
+  if (aStatedAt <= limit.mStatedAt) {
+    return false;
+  }
+  const bool isChanged = limit.mPerSecond != aPerSecond;
+  if (aPerSecond || limit.mPerSecond) {
+    limit = { .mPerSecond = aPerSecond, .mStatedAt = aStatedAt };
+  }
+  if (isChanged && !aPerSecond) {
+    aBackend.mLimitedSends.clear();
+  }
+  return isChanged;
+}
+
 double BackendPool::Load(const Backend& aBackend, TimePoint aNow) const
 {
   const Duration age = aNow - aBackend.mOtherVmLoadAt;
@@ -198,6 +240,9 @@
   if (IsCold(aBackend, aNow)) {
     aBackend.mColdSends.push_back(aNow);
   }
+  if (IsRateLimited(aBackend, aNow)) {
+    aBackend.mLimitedSends.push_back(aNow);
+  }
   if (aObject == 0) {
     return;
   }
@@ -313,8 +358,15 @@
 {
   std::vector<Backend*> due;
   for (const auto& [id, backend] : mBackends) {
-    if (backend->mNeedsProbe && !backend->mIsProbing &&
-        aNow >= backend->mEjectedUntil && IsEligible(*backend)) {
+    if (!backend->mNeedsProbe || backend->mIsProbing ||
+        aNow < backend->mEjectedUntil || !IsEligible(*backend)) {
+      continue;
+    }
+    const bool isLimited = IsRateLimited(*backend, aNow);
+    if (!isLimited || MaySendLimited(*backend, aNow)) {
+      if (isLimited) {
+        backend->mLimitedSends.push_back(aNow);
+      }
       backend->mIsProbing = true;
       due.push_back(backend.get());
     }
--- /dev/null
+++ b/src/libcranberrywing/gateway/backend_rate_limit.cpp
@@ -0,0 +1,89 @@
+#include "cranberrywing/gateway/backend_rate_limit.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+#include "cranberrywing/gateway/fleet_quota.h"
+#include "duration_math.h"
+
+namespace cranberrywing::gateway {
+
+namespace {
+
+/// Windows from which the shortest suitable one is chosen. A short window
+/// spreads the requests evenly; a long one lets a VM have a part of a low
+/// limit.
+constexpr std::array<double, 4> kWindowSeconds{ 1, 2, 4, 8 };
+/// Mean number of requests per window and VM from which a window is suitable.
+constexpr std::size_t kMinRequestsPerVm = 2;
+/// Number of requests of all VMs per window from which the longest but one
+/// window is suitable; with fewer, a few VMs share the limit.
+constexpr std::size_t kMinRequests = 1;
+/// Fraction of a limit that is planned; the rest covers that objects differ in
+/// their number of requests.
+constexpr double kPlannedFraction = 0.9;
+/// Demands are rounded to powers of two with exponents that are multiples of
+/// this, so that VMs with slightly different views agree.
+constexpr double kDemandStep = 0.5;
+/// Least part of a group's objects that stay at its servers without a limit.
+constexpr double kMinUnlimitedPart = 0.05;
+constexpr double kMinWeight = 1.0 / 64;
+
+} // namespace
+
+bool IsBinding(const BackendRateLimit& aLimit, TimePoint aNow)
+{
+  return aLimit.mPerSecond && aNow - aLimit.mStatedAt <= kRateLimitValidity;
+}
+
+RateQuota BackendRateQuota(double aPerSecond,
+                           std::uint64_t aBackendHash,
+                           const std::vector<VmId>& aVms,
+                           const VmId& aSelf)
+{
+  const auto requestsIn = [&](double aSeconds) {
+    // The rounding of the product must not lose a whole request.
+    constexpr double kRounding = 1e-6;
+    return static_cast<std::size_t>(
+      std::floor(aPerSecond * aSeconds + kRounding));
+  };
+  std::size_t n = 0;
+  while (n + 2 < kWindowSeconds.size() &&
+         requestsIn(kWindowSeconds[n]) < kMinRequestsPerVm * aVms.size()) {
+    ++n;
+  }
+  if (requestsIn(kWindowSeconds[n]) < kMinRequests) {
+    n = kWindowSeconds.size() - 1;
+  }
+  return {
+    .mRequests =
+      FleetQuota(requestsIn(kWindowSeconds[n]), aBackendHash, aVms, aSelf),
+    .mWindow = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(kWindowSeconds[n])),
+  };
+}
+
+double UsableFraction(double aPerSecond,
+                      Duration aMeanServiceTime,
+                      std::uint32_t aSlots)
+{
+  const double busySlots = aPerSecond * ToSeconds(aMeanServiceTime);
+  return std::min(1.0, busySlots / std::max(1U, aSlots));
+}
+
+double RateLimitWeight(double aPerSecond, const RateLimitedGroup& aGroup)
+{
+  const double logDemand = std::log2(std::max(1.0, aGroup.mDemand));
+  const double demand =
+    std::exp2(std::round(logDemand / kDemandStep) * kDemandStep);
+  const double limitedPart = kPlannedFraction * aGroup.mLimitSum / demand;
+  const double unlimitedPart = std::max(kMinUnlimitedPart, 1 - limitedPart);
+  const double perUnlimited =
+    unlimitedPart /
+    static_cast<double>(std::max<std::size_t>(1, aGroup.mUnlimited));
+  const double part = kPlannedFraction * aPerSecond / demand;
+  return std::clamp(part / perUnlimited, kMinWeight, 1 / kMinWeight);
+}
+
+} // namespace cranberrywing::gateway
--- a/src/libcranberrywing/gateway/cold_start.cpp
+++ b/src/libcranberrywing/gateway/cold_start.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
-#include <string>
+
+#include "cranberrywing/gateway/fleet_quota.h"
 
 namespace cranberrywing::gateway {
 
@@ -23,18 +24,7 @@
   const double bound =
     aLimits.mUtilization * (aRate * aLimits.mOvershoot + aLimits.mSlack);
   const auto total = static_cast<std::size_t>(std::max(0.0, std::floor(bound)));
-  if (total == 0 || aVms.empty()) {
-    return 0;
-  }
-  const std::string item = std::to_string(aBackendHash);
-  const std::uint64_t own = RendezvousWeight(item, aSelf.mName);
-  const auto before = static_cast<std::size_t>(
-    std::count_if(aVms.begin(), aVms.end(), [&](const VmId& aVm) {
-      return aVm != aSelf && RendezvousWeight(item, aVm.mName) > own;
-    }));
-  // The remainder of the even division goes to the first VMs of the order.
-  const std::size_t even = total / aVms.size();
-  return even + (before < total % aVms.size() ? 1 : 0);
+  return FleetQuota(total, aBackendHash, aVms, aSelf);
 }
 
 ColdStartLimiter::ColdStartLimiter(ColdStartLimits aLimits)
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -248,7 +248,9 @@
     backend->mColdUntil =
       std::max(backend->mColdUntil, mNow + *aEvent.mColdTimeLeft);
   }
-  LearnRateLimit(*backend, aEvent.mRateLimit, "probe");
+  if (aEvent.mRateLimit) {
+    LearnRateLimit(*backend, aEvent.mRateLimit, mNow, "probe");
+  }
   mPool.OnProbeResult(*backend, aEvent.mIsHealthy, mNow);
   if (!aEvent.mIsHealthy) {
     OnBackendDown(aEvent.mBackend);
@@ -282,6 +284,11 @@
     }
     return;
   }
+  if (const auto* const limits =
+        std::get_if<message::BackendRateLimits>(&aEvent.mMessage)) {
+    OnMessage(*limits);
+    return;
+  }
   cranberrywing::EffectList effects;
   if (const auto* const tokenRequest =
         std::get_if<message::TokenRequest>(&aEvent.mMessage)) {
--- a/src/libcranberrywing/gateway/gateway_outcomes.cpp
+++ b/src/libcranberrywing/gateway/gateway_outcomes.cpp
@@ -45,25 +45,6 @@
   return backend;
 }
 
-void Gateway::LearnRateLimit(Backend& aBackend,
-                             std::optional<double> aPerSecond,
-                             std::string_view aSource)
-{
-  if (aPerSecond == aBackend.mRateLimit) {
-    return;
-  }
-  const auto toText = [](const std::optional<double>& aLimit) {
-    return aLimit ? std::to_string(*aLimit) : std::string();
-  };
-  Record("backend_rate_limit",
-         { { "backend", aBackend.mEntry.mBackend.mName },
-           { "per_s", toText(aPerSecond) },
-           { "before", toText(aBackend.mRateLimit) },
-           { "source", std::string(aSource) },
-           { "in_flight", std::to_string(aBackend.mInFlight) } });
-  aBackend.mRateLimit = aPerSecond;
-}
-
 void Gateway::LearnFromSuccess(Request& aRequest,
                                Backend& aBackend,
                                const event::BackendReplied& aEvent)
@@ -95,13 +76,8 @@
   if (backend && aEvent.mLoad) {
     mPool.OnLoadSample(*backend, *aEvent.mLoad, mNow);
   }
-  const bool isFromServer = aEvent.mKind == event::ReplyKind::Answer ||
-                            aEvent.mKind == event::ReplyKind::NotRun;
-  if (backend && isFromServer) {
-    LearnRateLimit(*backend,
-                   aEvent.mRateLimit,
-                   aEvent.mKind == event::ReplyKind::NotRun ? "refusal"
-                                                            : "answer");
+  if (backend) {
+    LearnRateLimit(*backend, aEvent);
   }
   const std::uint32_t status = aEvent.mAnswer ? aEvent.mAnswer->mStatus : 0;
   switch (aEvent.mKind) {
--- a/src/libcranberrywing/gateway/gateway_requests.cpp
+++ b/src/libcranberrywing/gateway/gateway_requests.cpp
@@ -164,7 +164,6 @@
                                           const RegionId& aRegion)
 {
   std::vector<Backend*> candidates;
-  const bool isOwnRegion = aRegion == mOptions.mSelf.mRegion;
   for (Backend* const backend : mPool.BackendsOfService(aRequest.mService)) {
     if (backend->mEntry.mRegion != aRegion || !mPool.IsUsable(*backend, mNow) ||
         std::find(aRequest.mTriedBackends.begin(),
@@ -172,15 +171,26 @@
                   backend->mEntry.mBackend) != aRequest.mTriedBackends.end()) {
       continue;
     }
-    if (mPool.IsCold(*backend, mNow) &&
-        !(isOwnRegion && MaySendCold(aRequest, *backend))) {
-      continue;
+    if (IsWithinQuotas(aRequest, *backend)) {
+      candidates.push_back(backend);
     }
-    candidates.push_back(backend);
   }
   return candidates;
 }
 
+bool Gateway::IsWithinQuotas(const Request& aRequest, Backend& aBackend) const
+{
+  const bool isCold = mPool.IsCold(aBackend, mNow);
+  const bool isLimited = mPool.IsRateLimited(aBackend, mNow);
+  if (!isCold && !isLimited) {
+    return true;
+  }
+  // Both quotas are divided among the VMs of the server's region only.
+  return aBackend.mEntry.mRegion == mOptions.mSelf.mRegion &&
+         (!isCold || MaySendCold(aRequest, aBackend)) &&
+         (!isLimited || mPool.MaySendLimited(aBackend, mNow));
+}
+
 bool Gateway::MaySendCold(const Request& aRequest, Backend& aBackend) const
 {
   const ServicePolicy* const service =
@@ -192,6 +202,25 @@
                             mNow);
 }
 
+std::optional<Selection> Gateway::SelectSpareLimited(const Request& aRequest)
+{
+  const RegionId& own = mOptions.mSelf.mRegion;
+  if (!IsAllowed(aRequest, own)) {
+    return std::nullopt;
+  }
+  std::vector<Backend*> limited = Candidates(aRequest, own);
+  std::erase_if(limited, [this](const Backend* aBackend) {
+    return !mPool.IsRateLimited(*aBackend, mNow);
+  });
+  return mSelector.Choose(
+    mPool,
+    std::move(limited),
+    0,
+    mServiceTimes.Estimate(*aRequest.mRoute, aRequest.mService),
+    mNow,
+    HashBytes(aRequest.mArrival.mTrace));
+}
+
 std::optional<Selection> Gateway::Select(const Request& aRequest)
 {
   const ExpectedTimes times =
@@ -230,30 +259,46 @@
                     .mRetryAfter = JitterRetryDelay(2 * kDefaultRetryDelay) });
     return;
   }
-  const Duration timeLeft = aRequest.mDeadline - mNow;
-  const AdmissionDecision decision = DecideAdmission({
+  const AdmissionDecision decision = Admit(aRequest, *aSelection);
+  if (decision.mIsAdmitted || aRequest.mMayHaveRun) {
+    Dispatch(aRequest, *aSelection);
+    return;
+  }
+  const auto spare = SelectSpareLimited(aRequest);
+  if (spare && Admit(aRequest, *spare).mIsAdmitted) {
+    Dispatch(aRequest, *spare);
+    return;
+  }
+  RefuseRequest(aRequest,
+                { .mCode = ResultCode::Overloaded,
+                  .mDetail = "expected_ms=" + ToMs(aSelection->mTotal),
+                  .mRetryAfter = JitterRetryDelay(decision.mRetryAfter) });
+}
+
+AdmissionDecision Gateway::Admit(const Request& aRequest,
+                                 const Selection& aSelection) const
+{
+  return DecideAdmission({
     .mPriority = aRequest.mPriority,
     .mElapsed = mNow - aRequest.mArrivedAt,
-    .mTimeLeft = timeLeft,
+    .mTimeLeft = aRequest.mDeadline - mNow,
     .mTargetLatency = aRequest.mRoute->mTargetLatency,
-    .mWait = aSelection->mWait,
-    .mTotal = aSelection->mTotal,
+    .mWait = aSelection.mWait,
+    .mTotal = aSelection.mTotal,
   });
-  if (!decision.mIsAdmitted && !aRequest.mMayHaveRun) {
-    RefuseRequest(aRequest,
-                  { .mCode = ResultCode::Overloaded,
-                    .mDetail = "expected_ms=" + ToMs(aSelection->mTotal),
-                    .mRetryAfter = JitterRetryDelay(decision.mRetryAfter) });
-    return;
-  }
-  Backend& backend = *aSelection->mBackend;
+}
+
+void Gateway::Dispatch(Request& aRequest, const Selection& aSelection)
+{
+  const Duration timeLeft = aRequest.mDeadline - mNow;
+  Backend& backend = *aSelection.mBackend;
   ++aRequest.mAttempt;
   aRequest.mBackend = backend.mEntry.mBackend;
   aRequest.mTriedBackends.push_back(backend.mEntry.mBackend);
   aRequest.mSentAt = mNow;
-  aRequest.mExpectedTotal = aSelection->mTotal;
-  aRequest.mExpectedWait = aSelection->mWait;
-  aRequest.mRank = aSelection->mRank;
+  aRequest.mExpectedTotal = aSelection.mTotal;
+  aRequest.mExpectedWait = aSelection.mWait;
+  aRequest.mRank = aSelection.mRank;
   aRequest.mWasWarm = mPool.IsWarm(backend, aRequest.mObject, mNow);
   mPool.OnSent(backend, aRequest.mObject, mNow);
   ++mCounters.mDispatched;
--- a/src/libcranberrywing/gateway/gateway_upkeep.cpp
+++ b/src/libcranberrywing/gateway/gateway_upkeep.cpp
@@ -153,11 +153,18 @@
         { backend->mHash, static_cast<std::uint16_t>(backend->mInFlight) });
     }
   }
+  const message::BackendRateLimits limits = TakeStatedRateLimits();
   std::size_t peers = 0;
   for (const auto& [id, peer] : mFleet.Peers()) {
     if (peer.mRecord.mRegion == mOptions.mSelf.mRegion && IsReceiver(peer)) {
       ++peers;
-      SendTo({ id, peer.mRecord.mAddress, peer.mRecord.mPeerPort }, status);
+      const RelayEndpoint receiver{ id,
+                                    peer.mRecord.mAddress,
+                                    peer.mRecord.mPeerPort };
+      SendTo(receiver, status);
+      if (!limits.mLimits.empty()) {
+        SendTo(receiver, limits);
+      }
     }
   }
   mNextSameRegionStatus = mNow + SameRegionInterval(peers);
@@ -183,11 +190,17 @@
     demand.mRequestsPerSecond +=
       static_cast<float>(mFleet.OwnRegionRate(demand.mService, mNow));
   }
+  const message::BackendRateLimits limits = RegionRateLimits();
   const std::size_t count = std::min(kCrossRegionPeers, receivers.size());
   for (std::size_t n = 0; n < count; ++n) {
     const Peer& peer = *receivers[mNextDemandReceiver++ % receivers.size()];
-    SendTo({ peer.mRecord.mVm, peer.mRecord.mAddress, peer.mRecord.mPeerPort },
-           message);
+    const RelayEndpoint receiver{ peer.mRecord.mVm,
+                                  peer.mRecord.mAddress,
+                                  peer.mRecord.mPeerPort };
+    SendTo(receiver, message);
+    if (!limits.mLimits.empty()) {
+      SendTo(receiver, limits);
+    }
   }
 }
 
@@ -205,7 +218,8 @@
     // Servers that are slow or waiting for a health check count in full: these
     // states change faster than traffic can be shifted between regions.
     if (mNow >= backend->mEjectedUntil) {
-      load.mCapacity[region] += backend->mEntry.mSlots;
+      load.mCapacity[region] +=
+        backend->mUsableFraction * backend->mEntry.mSlots;
     }
   }
   const RegionId& own = mOptions.mSelf.mRegion;
@@ -236,6 +250,7 @@
     return;
   }
   mNextPlan = mNow + kPlanInterval;
+  UpdateRateQuotas();
   for (const ServiceId& service : mPool.Services()) {
     const RegionalLoad load = ComputeRegionalLoad(service);
     mRegionPlan.Update(service, load, mNow);
--- a/src/libcranberrywing/gateway/object_selector.cpp
+++ b/src/libcranberrywing/gateway/object_selector.cpp
@@ -1,6 +1,7 @@
 #include "cranberrywing/gateway/object_selector.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "duration_math.h"
 
@@ -10,6 +11,9 @@
 
 namespace {
 
+/// Number of different 64-bit hashes.
+constexpr double kHashRange = 18446744073709551616.0;
+
 /// Combines two 64-bit hashes with the finalizer of SplitMix64.
 std::uint64_t Mix(std::uint64_t aLeft, std::uint64_t aRight)
 {
@@ -19,6 +23,47 @@
   return n ^ (n >> 31U);
 }
 
+/// Position of a server in an object's weighted rendezvous order; the lowest is
+/// first. A server with half the weight of the others is first for half as many
+/// objects, and with equal weights the order is that of Mix, reversed.
+double OrderOf(std::uint64_t aKey, const Backend& aBackend)
+{
+  const double draw =
+    (static_cast<double>(Mix(aKey, aBackend.mHash)) + 1) / kHashRange;
+  return -std::log(draw) / aBackend.mRateWeight;
+}
+
+/// Moves the first aWidth servers of the object's order to the front, sorted.
+void MoveFirstOfOrder(std::vector<Backend*>& aCandidates,
+                      std::size_t aWidth,
+                      std::uint64_t aKey)
+{
+  const auto middle = static_cast<std::ptrdiff_t>(aWidth);
+  const bool hasWeights =
+    std::any_of(aCandidates.begin(),
+                aCandidates.end(),
+                [](const Backend* aEach) { return aEach->mRateWeight != 1; });
+  if (!hasWeights) {
+    std::partial_sort(aCandidates.begin(),
+                      aCandidates.begin() + middle,
+                      aCandidates.end(),
+                      [aKey](const Backend* aLeft, const Backend* aRight) {
+                        return Mix(aKey, aLeft->mHash) >
+                               Mix(aKey, aRight->mHash);
+                      });
+    return;
+  }
+  std::vector<std::pair<double, Backend*>> ordered;
+  ordered.reserve(aCandidates.size());
+  for (Backend* const each : aCandidates) {
+    ordered.emplace_back(OrderOf(aKey, *each), each);
+  }
+  std::partial_sort(ordered.begin(), ordered.begin() + middle, ordered.end());
+  for (std::size_t n = 0; n < aWidth; ++n) {
+    aCandidates[n] = ordered[n].second;
+  }
+}
+
 } // namespace
 
 ObjectHash HashObject(const ServiceId& aService, std::string_view aObject)
@@ -30,8 +75,7 @@
 
 double PositionOf(ObjectHash aObject)
 {
-  constexpr double kRange = 18446744073709551616.0;
-  return static_cast<double>(Mix(aObject, 1)) / kRange;
+  return static_cast<double>(Mix(aObject, 1)) / kHashRange;
 }
 
 ObjectSelector::ObjectSelector(Options aOptions)
@@ -91,12 +135,7 @@
   const std::size_t width =
     aObject == 0 ? aCandidates.size()
                  : std::min(mOptions.mMaxCandidates, aCandidates.size());
-  std::partial_sort(aCandidates.begin(),
-                    aCandidates.begin() + static_cast<std::ptrdiff_t>(width),
-                    aCandidates.end(),
-                    [key](const Backend* aLeft, const Backend* aRight) {
-                      return Mix(key, aLeft->mHash) > Mix(key, aRight->mHash);
-                    });
+  MoveFirstOfOrder(aCandidates, width, key);
   std::optional<Selection> best;
   Duration bestCost{};
   for (std::size_t n = 0; n < width; ++n) {
--- a/src/libcranberrywing/reducer_delivery.h
+++ b/src/libcranberrywing/reducer_delivery.h
@@ -227,6 +227,7 @@
   void OnMessage(const VmIncarnation&, const message::StoreBeacon&) {}
   void OnMessage(const VmIncarnation&, const message::StoreChanges&) {}
   void OnMessage(const VmIncarnation&, const message::RegionDemand&) {}
+  void OnMessage(const VmIncarnation&, const message::BackendRateLimits&) {}
 
   VmId mFrom{};
 };
