Log that the platform's store was restored from a copy

The adapter decodes the epoch in the store's answers; the first answer to a read in a new epoch is logged with both revisions.

--- a/src/cranberrywingd/gateway_daemon.h
+++ b/src/cranberrywingd/gateway_daemon.h
@@ -94,6 +94,8 @@
   void CallStore(gateway::StoreChannel aChannel,
                  const gateway::StoreCall& aCall,
                  Duration aTimeout);
+  /// Logs that the store was restored from a copy since the last answer.
+  void RecordStoreEpoch(const gateway::StoreReply& aReply);
   void OnStoreChange(const StoreChange& aChange);
   /// Tells the gateway the store follower's state if it has changed.
   void ReportStoreProgress();
@@ -135,6 +137,8 @@
 
   /// State of mStore as last delivered to mGateway.
   gateway::StoreProgress mStoreProgress;
+  /// Epoch of the store's last answer.
+  std::optional<std::int64_t> mStoreEpoch;
   std::uint64_t mStorePulls = 0;
   std::uint64_t mNextRequest = 1;
   std::unordered_map<RequestId, Exchange> mExchanges;
--- a/src/cranberrywingd/gateway_daemon_store.cpp
+++ b/src/cranberrywingd/gateway_daemon_store.cpp
@@ -53,6 +53,7 @@
       if (aResult) {
         mMetrics.mStoreLatency.Add(now - sentAt, now);
         reply = mOptions.mDialect.mReadStoreReply(aCall, *aResult);
+        RecordStoreEpoch(reply);
       }
       if (reply.mStatus == gateway::StoreStatus::Refused ||
           reply.mStatus == gateway::StoreStatus::NoAnswer) {
@@ -74,6 +75,24 @@
   }
 }
 
+void GatewayDaemon::RecordStoreEpoch(const gateway::StoreReply& aReply)
+{
+  // Only the answers to reads state a revision.
+  if (!aReply.mEpoch || aReply.mEpoch == mStoreEpoch || aReply.mRevision == 0) {
+    return;
+  }
+  if (mStoreEpoch) {
+    Record("store_restored",
+           { { "epoch", std::to_string(*aReply.mEpoch) },
+             { "before", std::to_string(*mStoreEpoch) },
+             { "store_revision", std::to_string(aReply.mRevision) },
+             { "known_revision", std::to_string(mStore.KnownRevision()) },
+           { "changes", std::to_string(aReply.mChanges.size()) },
+           { "items", std::to_string(aReply.mItems.size()) } });
+  }
+  mStoreEpoch = aReply.mEpoch;
+}
+
 void GatewayDaemon::OnStoreChange(const StoreChange& aChange)
 {
   auto event = mOptions.mDialect.mReadStoreChange(aChange);
--- a/src/include/cranberrywing/gateway/store_follower.h
+++ b/src/include/cranberrywing/gateway/store_follower.h
@@ -81,6 +81,9 @@
 struct StoreReply
 {
   StoreStatus mStatus = StoreStatus::NoAnswer;
+  /// Number of times that the store was restored from a copy; revisions of
+  /// different epochs cannot be compared. nullopt without an answer.
+  std::optional<std::int64_t> mEpoch;
   /// Revision of the store at the time of a read.
   std::int64_t mRevision = 0;
   std::vector<StoreItem> mItems;
