Follow the store from the revision that a copy is complete to

A VM that lists the store in pages holds items of later pages that are newer than its own revision, and passes them on. The receiver raised its revision to that of the newest item and never asked for what lies between: a configuration was missing until the next one. The revision now rises only to what the answer says it is complete to.

The new test "Items beyond a delta's revision do not hide the changes between" fails without the change (revision 20 instead of 12).

--- a/src/libcranberrywing/gateway/store_follower.cpp
+++ b/src/libcranberrywing/gateway/store_follower.cpp
@@ -190,7 +190,6 @@
   const bool isMassLoss = IsMassLoss(removed);
   for (const StoreChange& change : aChanges) {
     Apply(change, isMassLoss, aNow);
-    mRevision = std::max(mRevision, change.mItem.mRevision);
   }
 }
 
--- a/src/libcranberrywing/gateway/store_follower_test.cpp
+++ b/src/libcranberrywing/gateway/store_follower_test.cpp
@@ -217,6 +217,26 @@
   CHECK(follower.mFollower.KnownRevision() == 12);
 }
 
+// Guards against a change that a VM never learns: another VM that has listed
+// the store in pages passes on items of later pages, which are newer than the
+// revision up to which its copy is complete.
+TEST_CASE("Items beyond a delta's revision do not hide the changes between")
+{
+  Follower follower;
+  follower.ReadServers(3);
+  follower.mFollower.OnDelta({ .mAfterRevision = 10,
+                               .mRevision = 12,
+                               .mChanges = { { { "servers/7", "new", 20 } } } },
+                             follower.mNow);
+  CHECK(follower.mFollower.KnownRevision() == 12);
+  follower.mFollower.OnDelta({ .mAfterRevision = 12,
+                               .mRevision = 21,
+                               .mChanges = { { { "config", "c", 15 } },
+                                             { { "servers/7", "new", 20 } } } },
+                             follower.mNow);
+  CHECK(follower.mChanges.size() == 2);
+}
+
 // Guards against a server in use again after it has left: the answer of the
 // store was on its way while another VM reported a later state.
 TEST_CASE("A late answer of the store does not undo a later change")
