Tell states of the restored store apart from later ones

Revisions go back with the copy and are given out again, and VMs dropped what was not higher than they knew.

VMs now compare positions, pairs of the store's epoch and a revision, wherever they compared revisions: mirror, relay, watches, leases. What the copy does not hold stays in force, by the versions that writers give their values, until it is written again. Own entries are written again under a new lease. Messages and the path of pulls are new, so that builds without epochs are ignored and ignore.

--- a/src/cranberrywingd/gateway_daemon.cpp
+++ b/src/cranberrywingd/gateway_daemon.cpp
@@ -132,9 +132,23 @@
         .mOnReachabilityChange =
           [this](bool aIsReached) {
             Record(aIsReached ? "store_reached" : "store_lost",
-                   { { "revision", std::to_string(mStore.KnownRevision()) } });
+                   { { "revision",
+                       std::to_string(mStore.KnownPosition().mRevision) } });
+          },
+        .mOnRestored =
+          [this](const gateway::StoreRestore& aRestore) {
+            Record(
+              "store_copy_read",
+              { { "epoch", std::to_string(aRestore.mAfter.mEpoch) },
+                { "revision", std::to_string(aRestore.mAfter.mRevision) },
+                { "epoch_before", std::to_string(aRestore.mBefore.mEpoch) },
+                { "revision_before",
+                  std::to_string(aRestore.mBefore.mRevision) },
+                { "carried", std::to_string(aRestore.mCarried) } });
           },
         .mIsLeaseBound = mOptions.mDialect.mIsLeaseBound,
+        .mOutlivesRestore = mOptions.mDialect.mOutlivesRestore,
+        .mVersion = mOptions.mDialect.mReadWriterVersion,
       })
   , mCallers(aContext,
              { .mMaxConnections =
@@ -353,7 +367,13 @@
                static_cast<double>(mGateway.Fleet().SharingVmCount()));
   writer.Gauge("cranberrywing_store_revision",
                "Revision of this VM's copy of the store.",
-               static_cast<double>(mStore.KnownRevision()));
+               static_cast<double>(mStore.KnownPosition().mRevision));
+  writer.Gauge("cranberrywing_store_epoch",
+               "Number of times that the store was restored from a copy.",
+               static_cast<double>(mStore.KnownPosition().mEpoch));
+  writer.Gauge("cranberrywing_store_carried_entries",
+               "Entries that are kept although the restored store lacks them.",
+               static_cast<double>(mStore.Carried().size()));
   if (const auto age = mGateway.StoreAge(ReadClock())) {
     writer.Gauge("cranberrywing_store_age_seconds",
                  "Time since the store confirmed this VM's copy, directly or "
--- a/src/cranberrywingd/gateway_daemon_store.cpp
+++ b/src/cranberrywingd/gateway_daemon_store.cpp
@@ -8,9 +8,11 @@
 
 namespace {
 
-/// Target of requests for changes of the store, with the parameters after (a
-/// revision) and large (0 or 1).
-constexpr std::string_view kStorePullPath = "/v1/store-changes";
+/// Target of requests for changes of the store, with the parameters epoch and
+/// after (a position) and large (0 or 1). VMs that know no epochs use another
+/// version of it.
+constexpr std::string_view kStorePullPath = "/v2/store-changes";
+constexpr std::string_view kEpochParameter = "epoch";
 constexpr std::string_view kAfterParameter = "after";
 constexpr std::string_view kLargeParameter = "large";
 /// Changes above this size are read from the store, if possible. A VM's link
@@ -22,8 +24,10 @@
 
 std::string WritePullTarget(const gateway::StorePull& aPull)
 {
-  return std::string(kStorePullPath) + '?' + std::string(kAfterParameter) +
-         '=' + std::to_string(aPull.mAfterRevision) + '&' +
+  return std::string(kStorePullPath) + '?' + std::string(kEpochParameter) +
+         '=' + std::to_string(aPull.mAfter.mEpoch) + '&' +
+         std::string(kAfterParameter) + '=' +
+         std::to_string(aPull.mAfter.mRevision) + '&' +
          std::string(kLargeParameter) + '=' + (aPull.mMayBeLarge ? '1' : '0');
 }
 
@@ -82,13 +86,14 @@
     return;
   }
   if (mStoreEpoch) {
-    Record("store_restored",
-           { { "epoch", std::to_string(*aReply.mEpoch) },
-             { "before", std::to_string(*mStoreEpoch) },
-             { "store_revision", std::to_string(aReply.mRevision) },
-             { "known_revision", std::to_string(mStore.KnownRevision()) },
-           { "changes", std::to_string(aReply.mChanges.size()) },
-           { "items", std::to_string(aReply.mItems.size()) } });
+    Record(
+      "store_restored",
+      { { "epoch", std::to_string(*aReply.mEpoch) },
+        { "before", std::to_string(*mStoreEpoch) },
+        { "store_revision", std::to_string(aReply.mRevision) },
+        { "known_revision", std::to_string(mStore.KnownPosition().mRevision) },
+        { "changes", std::to_string(aReply.mChanges.size()) },
+        { "items", std::to_string(aReply.mItems.size()) } });
   }
   mStoreEpoch = aReply.mEpoch;
 }
@@ -112,8 +117,9 @@
 
 void GatewayDaemon::ReportStoreProgress()
 {
-  const gateway::StoreProgress progress{ mStore.KnownRevision(),
-                                         mStore.ConfirmedAt() };
+  const gateway::StoreProgress progress{ mStore.KnownPosition(),
+                                         mStore.ConfirmedAt(),
+                                         mStore.Carried().Digest() };
   if (progress != mStoreProgress) {
     mStoreProgress = progress;
     Deliver(gateway::event::StoreProgressed{ progress });
@@ -132,17 +138,18 @@
     const auto it = target->params().find(aName);
     return it == target->params().end() ? std::string() : (*it).value;
   };
-  const auto after =
-    ParseNumber<std::int64_t>(parameter(kAfterParameter)).value_or(0);
-  if (mStore.Mirror().GetRevision() == 0) {
+  const StorePosition after{
+    .mEpoch = ParseNumber<std::int64_t>(parameter(kEpochParameter)).value_or(0),
+    .mRevision =
+      ParseNumber<std::int64_t>(parameter(kAfterParameter)).value_or(0)
+  };
+  if (mStore.KnownPosition().mRevision == 0) {
     answer.mStatus = 503;
     return std::make_shared<const AnswerContent>(std::move(answer));
   }
-  answer.mBody =
-    EncodeEnvelope({ mSelf,
-                     message::StoreChanges{ mStore.Mirror().ChangesAfter(
-                       std::max<std::int64_t>(0, after)) } },
-                   mCodec);
+  answer.mBody = EncodeEnvelope(
+    { mSelf, message::StoreChanges{ mStore.ChangesAfter(after, ReadClock()) } },
+    mCodec);
   answer.mStatus = 200;
   if (answer.mBody.size() > kLargeAnswerBytes &&
       parameter(kLargeParameter) != "1") {
--- a/src/include/cranberrywing/gateway/event.h
+++ b/src/include/cranberrywing/gateway/event.h
@@ -44,9 +44,11 @@
 /// State of this VM's own store follower.
 struct StoreProgress
 {
-  std::int64_t mRevision = 0;
+  StorePosition mPosition;
   /// StoreFollower::ConfirmedAt.
   std::optional<TimePoint> mConfirmedAt;
+  /// StoreCarry::Digest.
+  std::uint64_t mCarriedDigest = 0;
 
   bool operator==(const StoreProgress&) const = default;
 };
@@ -55,7 +57,7 @@
 struct StorePull
 {
   RelayEndpoint mFrom;
-  std::int64_t mAfterRevision = 0;
+  StorePosition mAfter;
   /// Whether the answer may be of any size. VMs have slower links than the
   /// store, which therefore serves large changes unless it cannot be reached.
   bool mMayBeLarge = false;
--- a/src/include/cranberrywing/gateway/store_follower.h
+++ b/src/include/cranberrywing/gateway/store_follower.h
@@ -12,6 +12,7 @@
 #include <variant>
 #include <vector>
 
+#include "cranberrywing/gateway/store_carry.h"
 #include "cranberrywing/gateway/store_mirror.h"
 #include "cranberrywing/types.h"
 
@@ -113,6 +114,15 @@
   Lease,
 };
 
+/// The store came back from a copy and was read again.
+struct StoreRestore
+{
+  StorePosition mBefore;
+  StorePosition mAfter;
+  /// Number of entries that are kept although the copy does not hold them.
+  std::size_t mCarried = 0;
+};
+
 /// Callbacks, all called from within the follower's own methods.
 struct StoreFollowerHooks
 {
@@ -125,9 +135,14 @@
   std::function<void()> mOnListingComplete;
   /// The store became reachable or unreachable.
   std::function<void(bool)> mOnReachabilityChange;
+  std::function<void(const StoreRestore&)> mOnRestored;
   /// Whether a key's entry is bound to a lease: it may expire during an outage
   /// of the store and be written again soon after.
   std::function<bool(const std::string&)> mIsLeaseBound;
+  /// As in StoreCarryHooks.
+  std::function<bool(const std::string&)> mOutlivesRestore;
+  /// As in StoreCarryHooks.
+  std::function<std::optional<WriterVersion>(const StoreItem&)> mVersion;
 };
 
 /// Driven by Tick and OnReply; performs no I/O itself. Not thread-safe.
@@ -166,6 +181,10 @@
     /// Time after an outage within which servers have restored their expired
     /// entries.
     Duration mRestoreTime = std::chrono::milliseconds(2100);
+    /// After a restore of the store each VM writes its own entries again after
+    /// a random part of this time, so that not all write at once.
+    Duration mRewriteTime = std::chrono::milliseconds(600);
+    StoreCarry::Options mCarry{};
     /// Fraction of the lease-bound entries whose simultaneous removal is taken
     /// as a result of a store outage.
     double mMassLossFraction = 0.3;
@@ -181,8 +200,8 @@
   /// Handles the reply to the channel's call in progress.
   void OnReply(StoreChannel aChannel, const StoreReply& aReply, TimePoint aNow);
   /// Applies changes that another VM read from the store. Ignored if they do
-  /// not follow the known revision. A full copy also completes the initial
-  /// listing.
+  /// not follow the known position. A full copy also completes the initial
+  /// listing, and that after a restore of the store.
   void OnDelta(const StoreDelta& aDelta, TimePoint aNow);
   /// Reads the store itself, or leaves that to other VMs. The first listing is
   /// always read. A watch in progress is not ended.
@@ -196,12 +215,16 @@
   void RevokeLease();
 
   bool IsStoreReachable() const { return mIsReachable; }
-  /// Store revision up to which all changes were delivered or are pending.
-  std::int64_t KnownRevision() const { return mRevision; }
+  /// Store position up to which all changes were delivered or are pending.
+  StorePosition KnownPosition() const { return mMirror.GetPosition(); }
   /// Time at which the store last answered while this VM followed it; nullopt
   /// if this VM does not follow it or cannot reach it.
   std::optional<TimePoint> ConfirmedAt() const;
   const StoreMirror& Mirror() const { return mMirror; }
+  /// Entries that are kept since the last restore of the store.
+  const StoreCarry& Carried() const { return mCarried; }
+  /// The changes after a position as they are passed on to another VM.
+  StoreDelta ChangesAfter(StorePosition aPosition, TimePoint aNow) const;
 
 private:
   enum class FollowState : std::uint8_t
@@ -226,11 +249,38 @@
   void ApplyChanges(const std::vector<StoreChange>& aChanges, TimePoint aNow);
   /// Replaces the known items by a complete listing.
   void ApplyListing(std::int64_t aRevision, TimePoint aNow);
+  /// Does so with the first listing of an epoch, which is older than what is
+  /// known.
+  void ApplyRestoredListing(std::int64_t aRevision, TimePoint aNow);
+  void FinishListing(std::int64_t aRevision);
+  enum class EpochCheck : std::uint8_t
+  {
+    Known,
+    /// The answer is the first of a later epoch.
+    New,
+    /// The answer is of an earlier epoch and must be ignored.
+    Outdated,
+  };
+
+  /// Compares an answer's epoch with the latest known one. If it is later, the
+  /// own entries are written again.
+  EpochCheck CheckEpoch(const StoreReply& aReply, TimePoint aNow);
+  /// Whether the mirror holds a copy of an epoch that has ended.
+  bool IsMirrorOutdated() const;
+  /// Starts to read the store from the beginning.
+  void BeginEpoch(TimePoint aNow);
+  /// Delivers a key's state in force without delay.
+  void Deliver(const StoreChange& aChange);
+  /// Delivers the store's state of keys that are no longer kept.
+  void ApplyExpiredEntries(TimePoint aNow);
+  void MergeCarried(const std::vector<CarriedEntry>& aEntries, TimePoint aNow);
   Duration NextRetryDelay();
   /// aDelay plus up to half of it at random.
   Duration AddJitter(Duration aDelay);
 
   // store_follower_lease.cpp
+  /// Forgets the lease, and that the own entries are in the store.
+  void ForgetOwnEntries(TimePoint aNow);
   void ContinueLease(TimePoint aNow);
   void OnLeaseReply(const StoreReply& aReply, TimePoint aNow);
   /// Brings a lease call forward that waits to be repeated after a failure.
@@ -240,6 +290,10 @@
   StoreFollowerHooks mHooks;
   std::mt19937_64 mRandom;
   StoreMirror mMirror;
+  StoreCarry mCarried;
+  /// Latest epoch that the store or another VM told; nullopt before the first
+  /// answer. Later than the mirror's while the store is read anew.
+  std::optional<std::int64_t> mEpoch;
 
   StoreFollowing mFollowing = StoreFollowing::Eager;
   bool mReadsOnce = false;
@@ -257,6 +311,8 @@
   bool mIsFollowCallPending = false;
   /// State in which the call in progress was started.
   FollowState mFollowCallState = FollowState::Listing;
+  /// Epoch of the revision that a watch in progress continues from.
+  std::int64_t mFollowCallEpoch = 0;
   TimePoint mNextFollowCall{};
   Duration mRetryDelay{};
   bool mIsReachable = false;
@@ -271,6 +327,8 @@
   bool mIsOwnWritten = false;
   bool mIsRosterWritten = false;
   StoreCall mLeaseCall;
+  /// mEpoch when the call was started.
+  std::optional<std::int64_t> mLeaseCallEpoch;
 };
 
 } // namespace cranberrywing::gateway
--- a/src/include/cranberrywing/gateway/store_mirror.h
+++ b/src/include/cranberrywing/gateway/store_mirror.h
@@ -11,8 +11,8 @@
 
 namespace cranberrywing::gateway {
 
-/// Items and recent removals, each with the store revision of its last change.
-/// Not thread-safe; owned by the store follower.
+/// Items and recent removals of one epoch of the store, each with the revision
+/// of its last change. Not thread-safe; owned by the store follower.
 class StoreMirror
 {
 public:
@@ -29,26 +29,47 @@
   }
   explicit StoreMirror(Options aOptions);
 
+  /// Empties the copy for a new epoch. The items, and removals of earlier
+  /// epochs, stay known to RemovedItems until their keys are set again.
+  void Restart(std::int64_t aEpoch);
   /// Applies a change. Returns false if it or a newer one of its key is known.
   bool Apply(const StoreChange& aChange);
   /// Declares that all changes up to a revision have been applied. Revisions
-  /// never go back.
+  /// never go back within an epoch.
   void SetRevision(std::int64_t aRevision);
-  /// Store revision up to which the copy is complete; zero if it is empty.
-  std::int64_t GetRevision() const { return mRevision; }
+  /// Store position up to which the copy is complete; its revision is zero if
+  /// the copy is empty.
+  StorePosition GetPosition() const { return { mEpoch, mRevision }; }
 
-  /// Returns the changes after a revision, or a full copy if not all removals
-  /// since then are known. Contains no changes if aRevision is up to date.
-  StoreDelta ChangesAfter(std::int64_t aRevision) const;
+  const std::map<std::string, StoreItem>& Items() const { return mItems; }
+  /// Returns null if the key is not set.
+  const StoreItem* Find(const std::string& aKey) const;
+  /// Whether the key was removed in this epoch.
+  bool IsRemoved(const std::string& aKey) const;
+  /// Keys that were removed recently, with their last items, which have no key
+  /// if it is not known.
+  std::map<std::string, StoreItem> RemovedItems() const;
+
+  /// Returns the changes after a position, or a full copy if the position is of
+  /// another epoch or not all removals since then are known. Contains no
+  /// changes if aPosition is up to date.
+  StoreDelta ChangesAfter(StorePosition aPosition) const;
 
 private:
+  struct Removal
+  {
+    StorePosition mPosition;
+    StoreItem mLastItem;
+  };
+
   void LimitRemovals();
 
   Options mOptions;
+  std::int64_t mEpoch = 0;
   std::map<std::string, StoreItem> mItems;
-  /// Revision of each recent removal, by key.
-  std::map<std::string, std::int64_t> mRemovals;
-  /// Removals up to this revision may have been forgotten.
+  /// Recent removals, by key.
+  std::map<std::string, Removal> mRemovals;
+  /// Removals of this epoch up to this revision may have been forgotten.
   std::int64_t mForgottenRevision = 0;
   std::int64_t mRevision = 0;
 };
--- a/src/include/cranberrywing/gateway/store_relay.h
+++ b/src/include/cranberrywing/gateway/store_relay.h
@@ -62,6 +62,9 @@
     Duration mPullInterval = std::chrono::milliseconds(100);
     /// The same after a failed pull.
     Duration mPullRetryDelay = std::chrono::milliseconds(250);
+    /// Minimum time between pulls for the entries that another VM keeps since a
+    /// restore of the store.
+    Duration mCarriedPullInterval = std::chrono::milliseconds(2000);
     /// Time for reading large changes from the store before they are pulled
     /// from another VM after all.
     Duration mLargeReadTime = std::chrono::milliseconds(900);
@@ -120,7 +123,8 @@
   struct Source
   {
     RelayEndpoint mEndpoint;
-    std::int64_t mRevision = 0;
+    StorePosition mPosition;
+    std::uint64_t mCarriedDigest = 0;
     TimePoint mHeardAt{};
     /// nullopt if the last beacon was sent unasked.
     std::optional<Confirmation> mConfirmation;
@@ -147,6 +151,9 @@
   /// Whether the latest confirmation is this VM's own and it still follows the
   /// store.
   bool IsOrigin() const;
+  /// Whether the VM keeps entries since the last restore of the store that this
+  /// VM may not know.
+  bool HasUnknownEntries(const Source& aSource, TimePoint aNow) const;
   bool IsElected() const { return mGroups.mRank == 0; }
 
   Options mOptions;
@@ -162,6 +169,11 @@
 
   bool mIsPulling = false;
   VmId mPulledFrom;
+  /// Source::mCarriedDigest of the pull in progress, and of the last one that
+  /// succeeded: its entries are known, even if this VM did not keep them all.
+  std::uint64_t mPulledDigest = 0;
+  std::uint64_t mKnownDigest = 0;
+  TimePoint mNextCarriedPull{};
   /// VM whose last pull failed; others are preferred.
   VmId mFailedSource;
   TimePoint mNextPull{};
@@ -171,8 +183,8 @@
   TimePoint mNextQuery{};
   /// Position in the list of further VMs to ask.
   std::size_t mNextFurther = 0;
-  /// Revision of the last beacon that was sent unasked.
-  std::int64_t mSentRevision = 0;
+  /// Position in the last beacon that was sent unasked.
+  StorePosition mSentPosition;
   TimePoint mNextNews{};
   std::optional<TimePoint> mStartedAt;
 };
--- a/src/include/cranberrywing/message.h
+++ b/src/include/cranberrywing/message.h
@@ -43,10 +43,12 @@
                              message::ShiftProgress,
                              message::GatewayStatus,
                              message::StoreQuery,
-                             message::StoreBeacon,
-                             message::StoreChanges,
+                             message::StoreBeaconWithoutEpoch,
+                             message::StoreChangesWithoutEpoch,
                              message::RegionDemand,
-                             message::BackendRateLimits>;
+                             message::BackendRateLimits,
+                             message::StoreBeacon,
+                             message::StoreChanges>;
 
 /// A message with its sender, as sent over the network.
 struct Envelope
--- a/src/include/cranberrywing/messages/gateway.h
+++ b/src/include/cranberrywing/messages/gateway.h
@@ -2,6 +2,7 @@
 /// Messages between gateways: the status that a VM reports to the others.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -90,9 +91,43 @@
   }
 };
 
+/// Place in the history of the platform's store. When the store is restored
+/// from a copy, an epoch begins in which revisions are given out again.
+struct StorePosition
+{
+  std::int64_t mEpoch = 0;
+  std::int64_t mRevision = 0;
+
+  auto operator<=>(const StorePosition&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mEpoch, mRevision);
+  }
+};
+
+/// What VMs know of a key although the restored store does not hold it.
+struct CarriedEntry
+{
+  /// With the key's last value if it was removed.
+  StoreChange mChange;
+  /// Time for which the entry is kept; ignored if its values have versions.
+  std::uint32_t mTimeLeftMs = 0;
+
+  bool operator==(const CarriedEntry&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mChange, mTimeLeftMs);
+  }
+};
+
 /// Changes of the store as one VM passes them on to another.
 struct StoreDelta
 {
+  std::int64_t mEpoch = 0;
   /// Revision that the changes follow; zero if they are a full copy, in which
   /// keys that are not listed do not exist.
   std::int64_t mAfterRevision = 0;
@@ -100,13 +135,15 @@
   std::int64_t mRevision = 0;
   /// In the order of their revisions, except in a full copy.
   std::vector<StoreChange> mChanges;
+  /// All entries that the sender keeps since the last restore.
+  std::vector<CarriedEntry> mCarried;
 
   bool operator==(const StoreDelta&) const = default;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mAfterRevision, mRevision, mChanges);
+    aArchive(mEpoch, mAfterRevision, mRevision, mChanges, mCarried);
   }
 };
 
@@ -143,14 +180,52 @@
   }
 };
 
+/// Sent by builds that know no epochs of the store; ignored.
+struct StoreBeaconWithoutEpoch
+{
+  std::int64_t mRevision = 0;
+  std::int64_t mQuerySentAt = 0;
+  std::uint32_t mAgeMs = 0;
+  std::uint64_t mOrigin = 0;
+  bool mIsOriginElected = false;
+  std::string mAddress;
+  std::uint16_t mPort = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mRevision,
+             mQuerySentAt,
+             mAgeMs,
+             mOrigin,
+             mIsOriginElected,
+             mAddress,
+             mPort);
+  }
+};
+
+/// Sent by builds that know no epochs of the store; ignored.
+struct StoreChangesWithoutEpoch
+{
+  std::int64_t mAfterRevision = 0;
+  std::int64_t mRevision = 0;
+  std::vector<StoreChange> mChanges;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mAfterRevision, mRevision, mChanges);
+  }
+};
+
 /// Tells another VM how current the sender's copy of the store is, and where
 /// the copy can be read.
 struct StoreBeacon
 {
-  /// Store revision up to which the sender's copy is complete.
-  std::int64_t mRevision = 0;
+  /// Position up to which the sender's copy is complete.
+  StorePosition mPosition;
   /// StoreQuery::mSentAt of the query that this answers; zero if the beacon was
-  /// sent unasked, because the revision has changed. The receiver counts mAgeMs
+  /// sent unasked, because the position has changed. The receiver counts mAgeMs
   /// from there, so that a beacon that was long under way does not look recent.
   std::int64_t mQuerySentAt = 0;
   /// Time since a VM confirmed with the store itself that there were no later
@@ -160,6 +235,9 @@
   std::uint64_t mOrigin = 0;
   /// Whether that VM is the one chosen by its group to follow the store.
   bool mIsOriginElected = false;
+  /// Digest of the entries that the sender keeps since the last restore; zero
+  /// if there are none.
+  std::uint64_t mCarriedDigest = 0;
   /// Endpoint of the sender for VMs that do not know it.
   std::string mAddress;
   std::uint16_t mPort = 0;
@@ -167,11 +245,12 @@
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(mRevision,
+    aArchive(mPosition,
              mQuerySentAt,
              mAgeMs,
              mOrigin,
              mIsOriginElected,
+             mCarriedDigest,
              mAddress,
              mPort);
   }
--- a/src/libcranberrywing/gateway/store_follower.cpp
+++ b/src/libcranberrywing/gateway/store_follower.cpp
@@ -8,6 +8,10 @@
   : mOptions(std::move(aOptions))
   , mHooks(std::move(aHooks))
   , mRandom(mOptions.mSeed)
+  , mCarried(mOptions.mCarry,
+             StoreCarryHooks{ .mOutlivesRestore = mHooks.mOutlivesRestore,
+                              .mVersion = mHooks.mVersion,
+                              .mIsLeaseBound = mHooks.mIsLeaseBound })
 {
 }
 
@@ -21,6 +25,7 @@
 void StoreFollower::Tick(TimePoint aNow)
 {
   ApplyDueRemovals(aNow);
+  ApplyExpiredEntries(aNow);
   ContinueFollow(aNow);
   ContinueLease(aNow);
 }
@@ -44,6 +49,7 @@
   }
   mIsFollowCallPending = true;
   mFollowCallState = mState;
+  mFollowCallEpoch = mMirror.GetPosition().mEpoch;
   if (mState == FollowState::Listing) {
     Call(StoreChannel::Follow, store_call::ListPage{ mAfterKey });
   } else {
@@ -59,20 +65,69 @@
                             const StoreReply& aReply,
                             TimePoint aNow)
 {
-  if (aChannel == StoreChannel::Follow) {
-    mIsFollowCallPending = false;
-    if (mFollowCallState == mState) {
-      OnFollowReply(aReply, aNow);
-    } else {
-      // Another VM's copy completed the listing meanwhile.
-      mNextFollowCall = aNow;
-    }
-    ContinueFollow(aNow);
-  } else {
+  const EpochCheck epoch = CheckEpoch(aReply, aNow);
+  if (aChannel == StoreChannel::Lease) {
     mIsLeaseCallPending = false;
-    OnLeaseReply(aReply, aNow);
+    if (epoch == EpochCheck::New &&
+        (mState == FollowState::Listing || mFollowing != StoreFollowing::Off)) {
+      // A watch in progress may wait for a revision of the epoch before.
+      mIsFollowCallPending = false;
+      BeginEpoch(aNow);
+      ContinueFollow(aNow);
+    } else if (epoch == EpochCheck::Known && mLeaseCallEpoch == mEpoch) {
+      OnLeaseReply(aReply, aNow);
+    }
     ContinueLease(aNow);
+    return;
+  }
+  mIsFollowCallPending = false;
+  if (epoch == EpochCheck::New ||
+      (mState == FollowState::Watching && IsMirrorOutdated())) {
+    BeginEpoch(aNow);
+  } else if (epoch == EpochCheck::Outdated) {
+    mNextFollowCall = aNow + NextRetryDelay();
+  } else if (mFollowCallState != mState ||
+             (mState == FollowState::Watching &&
+              mFollowCallEpoch != mMirror.GetPosition().mEpoch)) {
+    // Another VM's copy completed the listing, or began the epoch, meanwhile.
+    mNextFollowCall = aNow;
+  } else {
+    OnFollowReply(aReply, aNow);
+  }
+  ContinueFollow(aNow);
+}
+
+StoreFollower::EpochCheck StoreFollower::CheckEpoch(const StoreReply& aReply,
+                                                    TimePoint aNow)
+{
+  if (!aReply.mEpoch || aReply.mEpoch == mEpoch) {
+    return EpochCheck::Known;
+  }
+  if (!mEpoch) {
+    mEpoch = aReply.mEpoch;
+    mLeaseCallEpoch = mEpoch;
+    mMirror.Restart(*mEpoch);
+    return EpochCheck::Known;
+  }
+  if (*aReply.mEpoch < *mEpoch) {
+    return EpochCheck::Outdated;
   }
+  mEpoch = aReply.mEpoch;
+  ForgetOwnEntries(aNow);
+  return EpochCheck::New;
+}
+
+bool StoreFollower::IsMirrorOutdated() const
+{
+  return mEpoch && *mEpoch != mMirror.GetPosition().mEpoch;
+}
+
+void StoreFollower::BeginEpoch(TimePoint aNow)
+{
+  mState = FollowState::Listing;
+  mAfterKey.clear();
+  mListedItems.clear();
+  mNextFollowCall = aNow;
 }
 
 Duration StoreFollower::AddJitter(Duration aDelay)
@@ -195,10 +250,14 @@
 
 void StoreFollower::ApplyListing(std::int64_t aRevision, TimePoint aNow)
 {
+  if (IsMirrorOutdated()) {
+    ApplyRestoredListing(aRevision, aNow);
+    return;
+  }
   std::vector<std::string> removed;
-  for (const auto& [key, revision] : mDeliveredRevisions) {
+  for (const auto& [key, item] : mMirror.Items()) {
     // An item that is newer than the listing may have been added after it.
-    if (!mListedItems.contains(key) && revision < aRevision) {
+    if (!mListedItems.contains(key) && item.mRevision < aRevision) {
       removed.push_back(key);
     }
   }
@@ -212,6 +271,48 @@
       isMassLoss,
       aNow);
   }
+  FinishListing(aRevision);
+}
+
+void StoreFollower::ApplyRestoredListing(std::int64_t aRevision, TimePoint aNow)
+{
+  const StorePosition before = mMirror.GetPosition();
+  mCarried.OnRestored(mMirror, mListedItems, aNow);
+  const std::map<std::string, StoreItem> known = mMirror.Items();
+  mMirror.Restart(*mEpoch);
+  mRevision = 0;
+  for (const auto& [key, item] : mListedItems) {
+    mMirror.Apply({ .mItem = item });
+    if (mCarried.Contains(key)) {
+      continue;
+    }
+    const auto it = known.find(key);
+    const bool isUnchanged = it != known.end() &&
+                             it->second.mValue == item.mValue &&
+                             mDeliveredRevisions.contains(key);
+    mPendingRemovals.erase(key);
+    mDeliveredRevisions[key] = item.mRevision;
+    if (!isUnchanged) {
+      mHooks.mOnChange({ .mItem = item });
+    }
+  }
+  std::vector<std::string> missing;
+  for (const auto& [key, revision] : mDeliveredRevisions) {
+    if (!mListedItems.contains(key) && !mCarried.Contains(key)) {
+      missing.push_back(key);
+    }
+  }
+  for (const std::string& key : missing) {
+    ApplyRemoval(key, true, aNow);
+  }
+  FinishListing(aRevision);
+  mHooks.mOnRestored({ .mBefore = before,
+                       .mAfter = mMirror.GetPosition(),
+                       .mCarried = mCarried.size() });
+}
+
+void StoreFollower::FinishListing(std::int64_t aRevision)
+{
   mRevision = std::max(mRevision, aRevision);
   mMirror.SetRevision(mRevision);
   mListedItems.clear();
@@ -223,17 +324,30 @@
 void StoreFollower::OnDelta(const StoreDelta& aDelta, TimePoint aNow)
 {
   const bool isFullCopy = aDelta.mAfterRevision == 0;
-  if (aDelta.mRevision < mRevision || aDelta.mRevision <= 0 ||
+  const StorePosition position{ aDelta.mEpoch, aDelta.mRevision };
+  const bool isListing = mState == FollowState::Listing;
+  const bool isOlder =
+    position < mMirror.GetPosition() || (mEpoch && aDelta.mEpoch < *mEpoch);
+  const bool isNewEpoch = aDelta.mEpoch != mMirror.GetPosition().mEpoch;
+  if (isOlder || aDelta.mRevision <= 0 ||
       (!isFullCopy &&
-       (mState == FollowState::Listing || aDelta.mAfterRevision > mRevision))) {
+       (isListing || isNewEpoch || aDelta.mAfterRevision > mRevision))) {
     return;
   }
   if (!isFullCopy) {
     ApplyChanges(aDelta.mChanges, aNow);
     mRevision = std::max(mRevision, aDelta.mRevision);
     mMirror.SetRevision(mRevision);
+    MergeCarried(aDelta.mCarried, aNow);
     return;
   }
+  if (mMirror.GetPosition().mRevision == 0) {
+    mMirror.Restart(aDelta.mEpoch);
+  }
+  if (mEpoch && aDelta.mEpoch > *mEpoch) {
+    ForgetOwnEntries(aNow);
+  }
+  mEpoch = aDelta.mEpoch;
   mListedItems.clear();
   for (const StoreChange& change : aDelta.mChanges) {
     if (!change.mIsRemoved) {
@@ -241,6 +355,44 @@
     }
   }
   ApplyListing(aDelta.mRevision, aNow);
+  MergeCarried(aDelta.mCarried, aNow);
+}
+
+StoreDelta StoreFollower::ChangesAfter(StorePosition aPosition,
+                                       TimePoint aNow) const
+{
+  StoreDelta delta = mMirror.ChangesAfter(aPosition);
+  delta.mCarried = mCarried.ForPeers(aNow);
+  return delta;
+}
+
+void StoreFollower::MergeCarried(const std::vector<CarriedEntry>& aEntries,
+                                 TimePoint aNow)
+{
+  for (const StoreChange& change : mCarried.Merge(aEntries, mMirror, aNow)) {
+    Deliver(change);
+  }
+}
+
+void StoreFollower::ApplyExpiredEntries(TimePoint aNow)
+{
+  for (const std::string& key : mCarried.TakeExpired(aNow)) {
+    const StoreItem* const item = mMirror.Find(key);
+    Deliver(item ? StoreChange{ .mItem = *item }
+                 : StoreChange{ .mItem = { .mKey = key }, .mIsRemoved = true });
+  }
+}
+
+void StoreFollower::Deliver(const StoreChange& aChange)
+{
+  const std::string& key = aChange.mItem.mKey;
+  mPendingRemovals.erase(key);
+  if (!aChange.mIsRemoved) {
+    mDeliveredRevisions[key] = aChange.mItem.mRevision;
+    mHooks.mOnChange(aChange);
+  } else if (mDeliveredRevisions.erase(key) > 0) {
+    mHooks.mOnChange({ .mItem = { .mKey = key }, .mIsRemoved = true });
+  }
 }
 
 bool StoreFollower::IsMassLoss(const std::vector<std::string>& aRemoved) const
@@ -262,7 +414,7 @@
 {
   const StoreItem& item = aChange.mItem;
   // Changes from the store and from other VMs may overlap.
-  if (!mMirror.Apply(aChange)) {
+  if (!mMirror.Apply(aChange) || !mCarried.Accept(aChange)) {
     return;
   }
   if (aChange.mIsRemoved) {
--- a/src/libcranberrywing/gateway/store_follower_lease.cpp
+++ b/src/libcranberrywing/gateway/store_follower_lease.cpp
@@ -21,6 +21,7 @@
     mLeaseCall = store_call::RenewLease{ mLease };
   }
   mIsLeaseCallPending = true;
+  mLeaseCallEpoch = mEpoch;
   Call(StoreChannel::Lease, mLeaseCall);
 }
 
@@ -69,6 +70,17 @@
   }
 }
 
+void StoreFollower::ForgetOwnEntries(TimePoint aNow)
+{
+  // The lease's number may have been given to another VM since the restore.
+  mLease = 0;
+  mIsOwnWritten = false;
+  mIsRosterWritten = false;
+  mHasLeaseCallFailed = false;
+  mNextLeaseCall = aNow + Duration(std::uniform_int_distribution<Duration::rep>(
+                            0, mOptions.mRewriteTime.count())(mRandom));
+}
+
 void StoreFollower::HastenLeaseCall(TimePoint aNow)
 {
   if (mHasLeaseCallFailed && !mIsLeaseCallPending) {
--- a/src/libcranberrywing/gateway/store_follower_test.cpp
+++ b/src/libcranberrywing/gateway/store_follower_test.cpp
@@ -208,13 +208,13 @@
                     { { .mKey = "servers/0", .mRevision = 12 }, true } } },
     follower.mNow);
   CHECK(follower.mChanges.size() == 2);
-  CHECK(follower.mFollower.KnownRevision() == 12);
+  CHECK(follower.mFollower.KnownPosition().mRevision == 12);
   // The watch in progress reports the same changes and an older one.
   follower.Reply({ .mStatus = StoreStatus::Ok,
                    .mRevision = 11,
                    .mChanges = { { { "servers/7", "new", 11 } } } });
   CHECK(follower.mChanges.size() == 2);
-  CHECK(follower.mFollower.KnownRevision() == 12);
+  CHECK(follower.mFollower.KnownPosition().mRevision == 12);
 }
 
 // Guards against a change that a VM never learns: another VM that has listed
@@ -228,7 +228,7 @@
                                .mRevision = 12,
                                .mChanges = { { { "servers/7", "new", 20 } } } },
                              follower.mNow);
-  CHECK(follower.mFollower.KnownRevision() == 12);
+  CHECK(follower.mFollower.KnownPosition().mRevision == 12);
   follower.mFollower.OnDelta({ .mAfterRevision = 12,
                                .mRevision = 21,
                                .mChanges = { { { "config", "c", 15 } },
@@ -267,7 +267,7 @@
     { .mAfterRevision = 0, .mRevision = 9, .mChanges = { change } },
     follower.mNow);
   CHECK(follower.mChanges.empty());
-  CHECK(follower.mFollower.KnownRevision() == 10);
+  CHECK(follower.mFollower.KnownPosition().mRevision == 10);
 }
 
 // Pattern: a VM restarts while the store turns it away.
@@ -284,7 +284,7 @@
   follower.Reply({ .mStatus = StoreStatus::Ok,
                    .mRevision = 30,
                    .mItems = { { "servers/2", "y", 25 } } });
-  CHECK(follower.mFollower.KnownRevision() == 20);
+  CHECK(follower.mFollower.KnownPosition().mRevision == 20);
   CHECK(std::get<store_call::Watch>(*follower.mFollow).mAfterRevision == 20);
 }
 
--- a/src/libcranberrywing/gateway/store_mirror.cpp
+++ b/src/libcranberrywing/gateway/store_mirror.cpp
@@ -9,6 +9,18 @@
 {
 }
 
+void StoreMirror::Restart(std::int64_t aEpoch)
+{
+  for (auto& [key, item] : mItems) {
+    mRemovals[key] = { { mEpoch, item.mRevision }, std::move(item) };
+  }
+  mEpoch = aEpoch;
+  mItems.clear();
+  LimitRemovals();
+  mRevision = 0;
+  mForgottenRevision = 0;
+}
+
 bool StoreMirror::Apply(const StoreChange& aChange)
 {
   const StoreItem& item = aChange.mItem;
@@ -16,19 +28,24 @@
   if (known != mItems.end() && known->second.mRevision >= item.mRevision) {
     return false;
   }
+  const StorePosition position{ mEpoch, item.mRevision };
   const auto removed = mRemovals.find(item.mKey);
-  if (removed != mRemovals.end()) {
-    if (removed->second >= item.mRevision) {
-      return false;
-    }
-    mRemovals.erase(removed);
+  if (removed != mRemovals.end() && removed->second.mPosition >= position) {
+    return false;
   }
   if (!aChange.mIsRemoved) {
+    if (removed != mRemovals.end()) {
+      mRemovals.erase(removed);
+    }
     mItems[item.mKey] = item;
     return true;
   }
-  mItems.erase(item.mKey);
-  mRemovals[item.mKey] = item.mRevision;
+  Removal& removal = mRemovals[item.mKey];
+  removal.mPosition = position;
+  if (known != mItems.end()) {
+    removal.mLastItem = std::move(known->second);
+    mItems.erase(known);
+  }
   LimitRemovals();
   return true;
 }
@@ -36,13 +53,16 @@
 void StoreMirror::LimitRemovals()
 {
   while (mRemovals.size() > mOptions.mMaxRemovals) {
-    const auto oldest =
-      std::min_element(mRemovals.begin(),
-                       mRemovals.end(),
-                       [](const auto& aLeft, const auto& aRight) {
-                         return aLeft.second < aRight.second;
-                       });
-    mForgottenRevision = std::max(mForgottenRevision, oldest->second);
+    const auto oldest = std::min_element(
+      mRemovals.begin(),
+      mRemovals.end(),
+      [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second.mPosition < aRight.second.mPosition;
+      });
+    const StorePosition& position = oldest->second.mPosition;
+    if (position.mEpoch == mEpoch) {
+      mForgottenRevision = std::max(mForgottenRevision, position.mRevision);
+    }
     mRemovals.erase(oldest);
   }
 }
@@ -56,10 +76,33 @@
   mRevision = std::max(mRevision, aRevision);
 }
 
-StoreDelta StoreMirror::ChangesAfter(std::int64_t aRevision) const
+const StoreItem* StoreMirror::Find(const std::string& aKey) const
+{
+  const auto it = mItems.find(aKey);
+  return it == mItems.end() ? nullptr : &it->second;
+}
+
+bool StoreMirror::IsRemoved(const std::string& aKey) const
+{
+  const auto it = mRemovals.find(aKey);
+  return it != mRemovals.end() && it->second.mPosition.mEpoch == mEpoch;
+}
+
+std::map<std::string, StoreItem> StoreMirror::RemovedItems() const
+{
+  std::map<std::string, StoreItem> items;
+  for (const auto& [key, removal] : mRemovals) {
+    items[key] = removal.mLastItem;
+  }
+  return items;
+}
+
+StoreDelta StoreMirror::ChangesAfter(StorePosition aPosition) const
 {
-  StoreDelta delta{ .mAfterRevision = aRevision, .mRevision = mRevision };
-  if (aRevision < mForgottenRevision) {
+  StoreDelta delta{ .mEpoch = mEpoch,
+                    .mAfterRevision = aPosition.mRevision,
+                    .mRevision = mRevision };
+  if (aPosition.mEpoch != mEpoch || aPosition.mRevision < mForgottenRevision) {
     delta.mAfterRevision = 0;
     for (const auto& [key, item] : mItems) {
       delta.mChanges.push_back({ .mItem = item });
@@ -67,14 +110,15 @@
     return delta;
   }
   for (const auto& [key, item] : mItems) {
-    if (item.mRevision > aRevision) {
+    if (item.mRevision > aPosition.mRevision) {
       delta.mChanges.push_back({ .mItem = item });
     }
   }
-  for (const auto& [key, revision] : mRemovals) {
-    if (revision > aRevision) {
+  for (const auto& [key, removal] : mRemovals) {
+    const StorePosition& position = removal.mPosition;
+    if (position.mEpoch == mEpoch && position.mRevision > aPosition.mRevision) {
       delta.mChanges.push_back(
-        { .mItem = { .mKey = key, .mRevision = revision },
+        { .mItem = { .mKey = key, .mRevision = position.mRevision },
           .mIsRemoved = true });
     }
   }
--- a/src/libcranberrywing/gateway/store_mirror_test.cpp
+++ b/src/libcranberrywing/gateway/store_mirror_test.cpp
@@ -29,11 +29,11 @@
   mirror.Apply(Set("c", 6));
   mirror.Apply(Removal("a", 7));
   mirror.SetRevision(8);
-  const StoreDelta delta = mirror.ChangesAfter(5);
+  const StoreDelta delta = mirror.ChangesAfter({ 0, 5 });
   CHECK(delta.mAfterRevision == 5);
   CHECK(delta.mRevision == 8);
   CHECK(delta.mChanges == std::vector{ Set("c", 6), Removal("a", 7) });
-  CHECK(mirror.ChangesAfter(8).mChanges.empty());
+  CHECK(mirror.ChangesAfter({ 0, 8 }).mChanges.empty());
 }
 
 TEST_CASE("A mirror returns a full copy if it has forgotten removals")
@@ -44,14 +44,15 @@
   mirror.Apply(Set("c", 3));
   mirror.SetRevision(3);
   // Removals before the first listing are unknown.
-  CHECK(mirror.ChangesAfter(2).mAfterRevision == 0);
+  CHECK(mirror.ChangesAfter({ 0, 2 }).mAfterRevision == 0);
   mirror.Apply(Removal("a", 4));
   mirror.Apply(Removal("b", 5));
   mirror.SetRevision(5);
-  const StoreDelta copy = mirror.ChangesAfter(3);
+  const StoreDelta copy = mirror.ChangesAfter({ 0, 3 });
   CHECK(copy.mAfterRevision == 0);
   CHECK(copy.mChanges == std::vector{ Set("c", 3) });
-  CHECK(mirror.ChangesAfter(4).mChanges == std::vector{ Removal("b", 5) });
+  CHECK(mirror.ChangesAfter({ 0, 4 }).mChanges ==
+        std::vector{ Removal("b", 5) });
 }
 
 // Guards against a server that left, or a key that was withdrawn, coming back
@@ -67,5 +68,5 @@
   CHECK(mirror.Apply(Set("a", 7)));
   mirror.SetRevision(9);
   mirror.SetRevision(8);
-  CHECK(mirror.GetRevision() == 9);
+  CHECK(mirror.GetPosition().mRevision == 9);
 }
--- a/src/libcranberrywing/gateway/store_relay.cpp
+++ b/src/libcranberrywing/gateway/store_relay.cpp
@@ -33,7 +33,7 @@
 
 void StoreRelay::SetProgress(const StoreProgress& aProgress)
 {
-  const bool isAdvanced = aProgress.mRevision > mProgress.mRevision;
+  const bool isAdvanced = aProgress.mPosition > mProgress.mPosition;
   mProgress = aProgress;
   if (mProgress.mConfirmedAt) {
     mOwnConfirmedAt = mProgress.mConfirmedAt;
@@ -52,7 +52,8 @@
   }
   Source& source = mSources[aFrom.mVm];
   source.mEndpoint = { aFrom.mVm, aBeacon.mAddress, aBeacon.mPort };
-  source.mRevision = aBeacon.mRevision;
+  source.mPosition = aBeacon.mPosition;
+  source.mCarriedDigest = aBeacon.mCarriedDigest;
   source.mHeardAt = aNow;
   source.mConfirmation.reset();
   const TimePoint askedAt{ Duration(aBeacon.mQuerySentAt) };
@@ -68,7 +69,7 @@
 {
   for (const auto& [id, source] : mSources) {
     // A confirmation of a later revision says nothing about this VM's copy.
-    if (source.mConfirmation && source.mRevision <= mProgress.mRevision &&
+    if (source.mConfirmation && source.mPosition <= mProgress.mPosition &&
         source.mConfirmation->mOrigin != mSelfHash &&
         (!mConfirmation || source.mConfirmation->mAt > mConfirmation->mAt)) {
       mConfirmation = source.mConfirmation;
@@ -185,10 +186,19 @@
                                                : StoreFollowing::Off;
 }
 
+bool StoreRelay::HasUnknownEntries(const Source& aSource, TimePoint aNow) const
+{
+  return aNow >= mNextCarriedPull &&
+         aSource.mPosition.mEpoch == mProgress.mPosition.mEpoch &&
+         aSource.mCarriedDigest != 0 &&
+         aSource.mCarriedDigest != mProgress.mCarriedDigest &&
+         aSource.mCarriedDigest != mKnownDigest;
+}
+
 std::optional<StorePull> StoreRelay::TakePull(TimePoint aNow)
 {
   const bool awaitsStore =
-    mProgress.mRevision == 0 &&
+    mProgress.mPosition.mRevision == 0 &&
     (!mStartedAt || aNow - *mStartedAt < mOptions.mFirstCopyDelay);
   if (mIsPulling || aNow < mNextPull || awaitsStore) {
     return std::nullopt;
@@ -199,11 +209,12 @@
     const bool hasRightFailed = aRight.mEndpoint.mVm == mFailedSource;
     return hasLeftFailed != hasRightFailed
              ? hasRightFailed
-             : std::pair(aLeft.mRevision, aLeft.mHeardAt) >
-                 std::pair(aRight.mRevision, aRight.mHeardAt);
+             : std::pair(aLeft.mPosition, aLeft.mHeardAt) >
+                 std::pair(aRight.mPosition, aRight.mHeardAt);
   };
   for (const auto& [id, source] : mSources) {
-    const bool isNews = source.mRevision > mProgress.mRevision &&
+    const bool isNews = (source.mPosition > mProgress.mPosition ||
+                         HasUnknownEntries(source, aNow)) &&
                         aNow - source.mHeardAt <= mOptions.mSourceValidity;
     if (isNews && (!newest || isPreferred(source, *newest))) {
       newest = &source;
@@ -215,9 +226,11 @@
   }
   mIsPulling = true;
   mPulledFrom = newest->mEndpoint.mVm;
+  mPulledDigest = newest->mCarriedDigest;
+  mNextCarriedPull = aNow + mOptions.mCarriedPullInterval;
   mNextPull = aNow + mOptions.mPullInterval;
   return StorePull{ .mFrom = newest->mEndpoint,
-                    .mAfterRevision = mProgress.mRevision,
+                    .mAfter = mProgress.mPosition,
                     .mMayBeLarge = mLargeSince && aNow - *mLargeSince >=
                                                     mOptions.mLargeReadTime };
 }
@@ -229,6 +242,7 @@
   switch (aResult) {
     case PullResult::Applied:
       mLargeSince.reset();
+      mKnownDigest = mPulledDigest;
       break;
     case PullResult::Failed:
       mNextPull = aNow + mOptions.mPullRetryDelay;
@@ -277,9 +291,9 @@
 std::vector<RelayEndpoint> StoreRelay::TakeReceivers(TimePoint aNow)
 {
   std::vector<RelayEndpoint> receivers;
-  const bool isChanged = mProgress.mRevision > mSentRevision;
-  const bool isFirst = mSentRevision == 0;
-  mSentRevision = mProgress.mRevision;
+  const bool isChanged = mProgress.mPosition > mSentPosition;
+  const bool isFirst = mSentPosition.mRevision == 0;
+  mSentPosition = mProgress.mPosition;
   if (isFirst || (!IsElected() && !IsOrigin())) {
     return receivers;
   }
@@ -302,7 +316,8 @@
 
 message::StoreBeacon StoreRelay::News() const
 {
-  return { .mRevision = mProgress.mRevision,
+  return { .mPosition = mProgress.mPosition,
+           .mCarriedDigest = mProgress.mCarriedDigest,
            .mAddress = mOptions.mSelf.mAddress,
            .mPort = mOptions.mSelf.mPeerPort };
 }
@@ -312,7 +327,7 @@
   TimePoint aNow) const
 {
   const auto latest = Latest();
-  if (!latest || mProgress.mRevision == 0) {
+  if (!latest || mProgress.mPosition.mRevision == 0) {
     return std::nullopt;
   }
   message::StoreBeacon beacon = News();
--- a/src/libcranberrywing/gateway/store_relay_test.cpp
+++ b/src/libcranberrywing/gateway/store_relay_test.cpp
@@ -158,7 +158,7 @@
     }
     CallStore(aVm);
     FinishPull(aVm);
-    aVm.mRelay.SetProgress({ aVm.mRevision, aVm.mConfirmedAt });
+    aVm.mRelay.SetProgress({ { 0, aVm.mRevision }, aVm.mConfirmedAt });
     aVm.mRelay.Tick(aVm.mFleet, mNow);
     aVm.mFollowing = aVm.mRelay.Following(mNow);
     if (aVm.mFollowing == StoreFollowing::Off) {
@@ -372,9 +372,9 @@
   const VmRecord self{ .mVm = VmId("b"), .mRegion = RegionId("r") };
   StoreRelay relay({ .mSelf = self });
   const TimePoint now{ std::chrono::seconds(100) };
-  relay.SetProgress({ 5, std::nullopt });
+  relay.SetProgress({ { 0, 5 }, std::nullopt });
   relay.OnBeacon({ VmId("a"), { 1 } },
-                 { .mRevision = 9,
+                 { .mPosition = { 0, 9 },
                    .mQuerySentAt = relay.Query(now).mSentAt,
                    .mAddress = "a",
                    .mPort = 1 },
@@ -382,11 +382,11 @@
   CHECK_FALSE(relay.Age(now));
   const auto pull = relay.TakePull(now);
   REQUIRE(pull);
-  CHECK(pull->mAfterRevision == 5);
+  CHECK(pull->mAfter == StorePosition{ 0, 5 });
   CHECK(pull->mFrom.mVm == VmId("a"));
   CHECK_FALSE(relay.TakePull(now));
   relay.OnPullEnded(PullResult::Applied, now);
-  relay.SetProgress({ 9, std::nullopt });
+  relay.SetProgress({ { 0, 9 }, std::nullopt });
   CHECK(relay.Age(now) == Duration::zero());
 }
 
@@ -395,8 +395,8 @@
 {
   StoreRelay relay({ .mSelf = { .mVm = VmId("b"), .mRegion = RegionId("r") } });
   TimePoint now{ std::chrono::seconds(100) };
-  relay.SetProgress({ 5, std::nullopt });
-  const message::StoreBeacon beacon{ .mRevision = 9, .mAddress = "a" };
+  relay.SetProgress({ { 0, 5 }, std::nullopt });
+  const message::StoreBeacon beacon{ .mPosition = { 0, 9 }, .mAddress = "a" };
   relay.OnBeacon({ VmId("a"), { 1 } }, beacon, now);
   REQUIRE(relay.TakePull(now));
   relay.OnPullEnded(PullResult::TooLarge, now);
@@ -407,3 +407,44 @@
   REQUIRE(pull);
   CHECK(pull->mMayBeLarge);
 }
+
+// Guards against a VM that was cut off while the store was restored: its higher
+// revision belongs to the past, and nobody may take it over.
+TEST_CASE("A copy of a later epoch is pulled although its revision is lower")
+{
+  const TimePoint now{ std::chrono::seconds(100) };
+  const message::StoreBeacon later{ .mPosition = { 2, 31 }, .mAddress = "a" };
+  StoreRelay relay({ .mSelf = { .mVm = VmId("b"), .mRegion = RegionId("r") } });
+  relay.SetProgress({ { 1, 90 }, std::nullopt });
+  relay.OnBeacon({ VmId("a"), { 1 } }, later, now);
+  const auto pull = relay.TakePull(now);
+  REQUIRE(pull);
+  CHECK(pull->mAfter == StorePosition{ 1, 90 });
+  const message::StoreBeacon earlier{ .mPosition = { 1, 90 }, .mAddress = "a" };
+  StoreRelay current(
+    { .mSelf = { .mVm = VmId("b"), .mRegion = RegionId("r") } });
+  current.SetProgress({ { 2, 31 }, std::nullopt });
+  current.OnBeacon({ VmId("a"), { 1 } }, earlier, now);
+  CHECK_FALSE(current.TakePull(now));
+}
+
+TEST_CASE("Entries that another VM keeps since a restore are pulled once")
+{
+  TimePoint now{ std::chrono::seconds(100) };
+  StoreRelay relay({ .mSelf = { .mVm = VmId("b"), .mRegion = RegionId("r") } });
+  relay.SetProgress({ { 2, 31 }, std::nullopt, 5 });
+  const auto hear = [&](std::uint64_t aDigest) {
+    relay.OnBeacon(
+      { VmId("a"), { 1 } },
+      { .mPosition = { 2, 31 }, .mCarriedDigest = aDigest, .mAddress = "a" },
+      now);
+  };
+  hear(5);
+  CHECK_FALSE(relay.TakePull(now));
+  hear(6);
+  REQUIRE(relay.TakePull(now));
+  relay.OnPullEnded(PullResult::Applied, now);
+  now += std::chrono::seconds(3);
+  hear(6);
+  CHECK_FALSE(relay.TakePull(now));
+}
--- a/src/libcranberrywing/reducer_delivery.h
+++ b/src/libcranberrywing/reducer_delivery.h
@@ -225,6 +225,12 @@
   void OnMessage(const VmIncarnation&, const message::GatewayStatus&) {}
   void OnMessage(const VmIncarnation&, const message::StoreQuery&) {}
   void OnMessage(const VmIncarnation&, const message::StoreBeacon&) {}
+  void OnMessage(const VmIncarnation&, const message::StoreBeaconWithoutEpoch&)
+  {
+  }
+  void OnMessage(const VmIncarnation&, const message::StoreChangesWithoutEpoch&)
+  {
+  }
   void OnMessage(const VmIncarnation&, const message::StoreChanges&) {}
   void OnMessage(const VmIncarnation&, const message::RegionDemand&) {}
   void OnMessage(const VmIncarnation&, const message::BackendRateLimits&) {}
