Split the store follower by job and share its test fixture

The handling of epochs moves to store_follower_restore.cpp; no behaviour changes. Tests of the tags and the encoding of the gateway's messages are new: builds of a rolling upgrade must not take each other's messages for others.

--- a/src/include/cranberrywing/gateway/store_follower.h
+++ b/src/include/cranberrywing/gateway/store_follower.h
@@ -233,6 +233,15 @@
     Watching,
   };
 
+  enum class EpochCheck : std::uint8_t
+  {
+    Known,
+    /// The answer is the first of a later epoch.
+    New,
+    /// The answer is of an earlier epoch and must be ignored.
+    Outdated,
+  };
+
   void Call(StoreChannel aChannel, const StoreCall& aCall);
   void ContinueFollow(TimePoint aNow);
   void OnFollowReply(const StoreReply& aReply, TimePoint aNow);
@@ -249,19 +258,15 @@
   void ApplyChanges(const std::vector<StoreChange>& aChanges, TimePoint aNow);
   /// Replaces the known items by a complete listing.
   void ApplyListing(std::int64_t aRevision, TimePoint aNow);
-  /// Does so with the first listing of an epoch, which is older than what is
-  /// known.
-  void ApplyRestoredListing(std::int64_t aRevision, TimePoint aNow);
   void FinishListing(std::int64_t aRevision);
-  enum class EpochCheck : std::uint8_t
-  {
-    Known,
-    /// The answer is the first of a later epoch.
-    New,
-    /// The answer is of an earlier epoch and must be ignored.
-    Outdated,
-  };
+  Duration NextRetryDelay();
+  /// aDelay plus up to half of it at random.
+  Duration AddJitter(Duration aDelay);
 
+  // store_follower_restore.cpp
+  /// Replaces the known items by the first listing of an epoch, which is older
+  /// than what is known.
+  void ApplyRestoredListing(std::int64_t aRevision, TimePoint aNow);
   /// Compares an answer's epoch with the latest known one. If it is later, the
   /// own entries are written again.
   EpochCheck CheckEpoch(const StoreReply& aReply, TimePoint aNow);
@@ -274,9 +279,6 @@
   /// Delivers the store's state of keys that are no longer kept.
   void ApplyExpiredEntries(TimePoint aNow);
   void MergeCarried(const std::vector<CarriedEntry>& aEntries, TimePoint aNow);
-  Duration NextRetryDelay();
-  /// aDelay plus up to half of it at random.
-  Duration AddJitter(Duration aDelay);
 
   // store_follower_lease.cpp
   /// Forgets the lease, and that the own entries are in the store.
--- /dev/null
+++ b/src/libcranberrywing/gateway/store_follower_for_tests.h
@@ -0,0 +1,112 @@
+/// \file
+/// Test fixture: a store follower whose calls of the store the test answers.
+#pragma once
+
+#include <catch2/catch.hpp>
+#include <optional>
+
+#include "cranberrywing/gateway/store_follower.h"
+#include "cranberrywing/parse_number.h"
+
+namespace cranberrywing::gateway::testing {
+
+/// Entries of servers are bound to leases. A value that is a number is also its
+/// writer's version. Not thread-safe.
+class FollowerFixture
+{
+public:
+  FollowerFixture()
+    : mFollower(
+        StoreFollower::Options{ .mOwnKey = "vms/a",
+                                .mOwnValue = "me",
+                                .mRosterKey = "roster/a" },
+        StoreFollowerHooks{
+          .mCall =
+            [this](StoreChannel aChannel, const StoreCall& aCall, Duration) {
+              (aChannel == StoreChannel::Follow ? mFollow : mLease) = aCall;
+            },
+          .mOnChange = [this](const StoreChange& aChange) { Keep(aChange); },
+          .mOnListingComplete = [this] { ++mCompleted; },
+          .mOnReachabilityChange =
+            [this](bool aIsReachable) { mIsReachable = aIsReachable; },
+          .mOnRestored = [this](const StoreRestore&) { ++mRestores; },
+          .mIsLeaseBound =
+            [](const std::string& aKey) {
+              return aKey.starts_with("servers/");
+            },
+          .mOutlivesRestore =
+            [](const std::string& aKey) { return !aKey.starts_with("vms/"); },
+          .mVersion = ReadVersion })
+  {
+    mFollower.Start(mNow);
+  }
+
+  /// Advances the time.
+  void Advance(Duration aTime)
+  {
+    mNow += aTime;
+    mFollower.Tick(mNow);
+  }
+
+  /// Answers the channel's call in progress.
+  void Reply(StoreReply aReply, StoreChannel aChannel = StoreChannel::Follow)
+  {
+    auto& call = aChannel == StoreChannel::Follow ? mFollow : mLease;
+    REQUIRE(call.has_value());
+    call.reset();
+    mFollower.OnReply(aChannel, aReply, mNow);
+  }
+
+  bool IsListing() const
+  {
+    return mFollow && std::holds_alternative<store_call::ListPage>(*mFollow);
+  }
+
+  /// Value in force; "-" if the key is not set.
+  std::string Value(const std::string& aKey) const
+  {
+    const auto it = mValues.find(aKey);
+    return it == mValues.end() ? "-" : it->second;
+  }
+
+  int Removals() const
+  {
+    int n = 0;
+    for (const StoreChange& change : mChanges) {
+      n += change.mIsRemoved ? 1 : 0;
+    }
+    return n;
+  }
+
+  TimePoint mNow{ std::chrono::seconds(100) };
+  std::optional<StoreCall> mFollow;
+  std::optional<StoreCall> mLease;
+  /// Delivered changes, in order.
+  std::vector<StoreChange> mChanges;
+  int mCompleted = 0;
+  int mRestores = 0;
+  bool mIsReachable = false;
+  StoreFollower mFollower;
+
+private:
+  static std::optional<WriterVersion> ReadVersion(const StoreItem& aItem)
+  {
+    const auto number = ParseNumber<std::int64_t>(aItem.mValue);
+    return number ? std::optional(WriterVersion{ .mMajor = *number })
+                  : std::nullopt;
+  }
+
+  void Keep(const StoreChange& aChange)
+  {
+    mChanges.push_back(aChange);
+    if (aChange.mIsRemoved) {
+      mValues.erase(aChange.mItem.mKey);
+    } else {
+      mValues[aChange.mItem.mKey] = aChange.mItem.mValue;
+    }
+  }
+
+  std::map<std::string, std::string> mValues;
+};
+
+} // namespace cranberrywing::gateway::testing
--- a/src/libcranberrywing/gateway/store_follower_test.cpp
+++ b/src/libcranberrywing/gateway/store_follower_test.cpp
@@ -1,56 +1,14 @@
-#include "cranberrywing/gateway/store_follower.h"
-
-#include <catch2/catch.hpp>
-#include <optional>
+#include "store_follower_for_tests.h"
 
 using namespace cranberrywing;
 using namespace cranberrywing::gateway;
 
 namespace {
 
-/// A follower with a simulated store: the test answers its calls.
-class Follower
+/// A fixture that can start with servers in the store.
+class Follower : public cranberrywing::gateway::testing::FollowerFixture
 {
 public:
-  Follower()
-    : mFollower(
-        StoreFollower::Options{ .mOwnKey = "vms/a",
-                                .mOwnValue = "me",
-                                .mRosterKey = "roster/a" },
-        StoreFollowerHooks{
-          .mCall =
-            [this](StoreChannel aChannel, const StoreCall& aCall, Duration) {
-              (aChannel == StoreChannel::Follow ? mFollow : mLease) = aCall;
-            },
-          .mOnChange =
-            [this](const StoreChange& aChange) { mChanges.push_back(aChange); },
-          .mOnListingComplete = [this] { ++mCompleted; },
-          .mOnReachabilityChange =
-            [this](bool aIsReachable) { mIsReachable = aIsReachable; },
-          .mIsLeaseBound =
-            [](const std::string& aKey) {
-              return aKey.starts_with("servers/");
-            } })
-  {
-    mFollower.Start(mNow);
-  }
-
-  /// Advances the time.
-  void Advance(Duration aTime)
-  {
-    mNow += aTime;
-    mFollower.Tick(mNow);
-  }
-
-  /// Answers the channel's call in progress.
-  void Reply(StoreReply aReply, StoreChannel aChannel = StoreChannel::Follow)
-  {
-    auto& call = aChannel == StoreChannel::Follow ? mFollow : mLease;
-    REQUIRE(call.has_value());
-    call.reset();
-    mFollower.OnReply(aChannel, aReply, mNow);
-  }
-
   /// Answers the listing with aCount servers at revision 10 and checks that the
   /// follower starts to watch.
   void ReadServers(int aCount)
@@ -63,23 +21,6 @@
     REQUIRE(std::holds_alternative<store_call::Watch>(*mFollow));
     mChanges.clear();
   }
-
-  int Removals() const
-  {
-    int n = 0;
-    for (const StoreChange& change : mChanges) {
-      n += change.mIsRemoved ? 1 : 0;
-    }
-    return n;
-  }
-
-  TimePoint mNow{ std::chrono::seconds(100) };
-  std::optional<StoreCall> mFollow;
-  std::optional<StoreCall> mLease;
-  std::vector<StoreChange> mChanges;
-  int mCompleted = 0;
-  bool mIsReachable = false;
-  StoreFollower mFollower;
 };
 
 /// A watch reply that removes the given servers.
--- a/src/libcranberrywing/gateway/store_restore_test.cpp
+++ b/src/libcranberrywing/gateway/store_restore_test.cpp
@@ -1,8 +1,4 @@
-#include <catch2/catch.hpp>
-#include <optional>
-
-#include "cranberrywing/gateway/store_follower.h"
-#include "cranberrywing/parse_number.h"
+#include "store_follower_for_tests.h"
 
 using namespace cranberrywing;
 using namespace cranberrywing::gateway;
@@ -12,92 +8,20 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// Values of servers and of the configuration are numbers, which are also
-/// their versions; evacuations have none.
-std::optional<WriterVersion> ReadVersion(const StoreItem& aItem)
-{
-  const auto number = ParseNumber<std::int64_t>(aItem.mValue);
-  return number ? std::optional(WriterVersion{ .mMajor = *number })
-                : std::nullopt;
-}
-
-/// A follower whose store calls the test answers. Keeps what the follower
-/// delivered.
-class Follower
+/// A fixture that answers one watch after the other.
+class Follower : public cranberrywing::gateway::testing::FollowerFixture
 {
 public:
-  Follower()
-    : mFollower(
-        StoreFollower::Options{ .mOwnKey = "vms/a",
-                                .mOwnValue = "me",
-                                .mRosterKey = "roster/a" },
-        StoreFollowerHooks{
-          .mCall =
-            [this](StoreChannel aChannel, const StoreCall& aCall, Duration) {
-              (aChannel == StoreChannel::Follow ? mFollow : mLease) = aCall;
-            },
-          .mOnChange = [this](const StoreChange& aChange) { Keep(aChange); },
-          .mOnListingComplete = [] {},
-          .mOnReachabilityChange = [](bool) {},
-          .mOnRestored = [this](const StoreRestore&) { ++mRestores; },
-          .mIsLeaseBound =
-            [](const std::string& aKey) {
-              return aKey.starts_with("servers/");
-            },
-          .mOutlivesRestore =
-            [](const std::string& aKey) { return !aKey.starts_with("vms/"); },
-          .mVersion = ReadVersion })
+  /// Answers the channel's call in progress, or the next one after the pause in
+  /// which the follower lets changes gather.
+  void Reply(const StoreReply& aReply,
+             StoreChannel aChannel = StoreChannel::Follow)
   {
-    mFollower.Start(mNow);
-  }
-
-  void Advance(Duration aTime)
-  {
-    mNow += aTime;
-    mFollower.Tick(mNow);
-  }
-
-  /// Answers the channel's call in progress, or the next one.
-  void Reply(StoreReply aReply, StoreChannel aChannel = StoreChannel::Follow)
-  {
-    auto& call = aChannel == StoreChannel::Follow ? mFollow : mLease;
-    if (!call) {
+    if (aChannel == StoreChannel::Follow && !mFollow) {
       Advance(StoreFollower::Options{}.mBatchDelay);
     }
-    REQUIRE(call.has_value());
-    call.reset();
-    mFollower.OnReply(aChannel, aReply, mNow);
-  }
-
-  bool IsListing() const
-  {
-    return mFollow && std::holds_alternative<store_call::ListPage>(*mFollow);
-  }
-
-  /// Delivered value; "-" if the key is not set.
-  std::string Value(const std::string& aKey) const
-  {
-    const auto it = mValues.find(aKey);
-    return it == mValues.end() ? "-" : it->second;
-  }
-
-  TimePoint mNow{ seconds(100) };
-  std::optional<StoreCall> mFollow;
-  std::optional<StoreCall> mLease;
-  int mRestores = 0;
-  StoreFollower mFollower;
-
-private:
-  void Keep(const StoreChange& aChange)
-  {
-    if (aChange.mIsRemoved) {
-      mValues.erase(aChange.mItem.mKey);
-    } else {
-      mValues[aChange.mItem.mKey] = aChange.mItem.mValue;
-    }
+    FollowerFixture::Reply(aReply, aChannel);
   }
-
-  std::map<std::string, std::string> mValues;
 };
 
 StoreReply Page(std::int64_t aEpoch,
--- a/src/libcranberrywing/message_test.cpp
+++ b/src/libcranberrywing/message_test.cpp
@@ -31,6 +31,48 @@
   CHECK_FALSE(DecodeEnvelope(bytes + "x", codec).has_value());
 }
 
+// Guards against a rolling upgrade in which builds take each other's messages
+// for something else.
+TEST_CASE("messages keep the tags that earlier builds know")
+{
+  CHECK(Message(message::GatewayStatus{}).index() == 21);
+  CHECK(Message(message::StoreQuery{}).index() == 22);
+  CHECK(Message(message::StoreBeaconWithoutEpoch{}).index() == 23);
+  CHECK(Message(message::StoreChangesWithoutEpoch{}).index() == 24);
+  CHECK(Message(message::RegionDemand{}).index() == 25);
+}
+
+TEST_CASE("messages of the gateway round-trip")
+{
+  const MessageCodec codec;
+  const auto roundTrip = [&](const Message& aMessage) {
+    return DecodeEnvelope(EncodeEnvelope({ {}, aMessage }, codec), codec)
+      ->mMessage;
+  };
+  const StoreDelta delta{
+    .mEpoch = 2,
+    .mAfterRevision = 3,
+    .mRevision = 5,
+    .mChanges = { { { "config", "c", 4 } } },
+    .mCarried = { { .mChange = { { "servers/1", "x", 9 }, true },
+                    .mTimeLeftMs = 7 } },
+  };
+  const auto changes = roundTrip(message::StoreChanges{ delta });
+  CHECK(std::get<message::StoreChanges>(changes).mDelta == delta);
+  const auto beacon = roundTrip(
+    message::StoreBeacon{ .mPosition = { 2, 5 }, .mCarriedDigest = 8 });
+  CHECK(std::get<message::StoreBeacon>(beacon).mPosition ==
+        StorePosition{ 2, 5 });
+  CHECK(std::get<message::StoreBeacon>(beacon).mCarriedDigest == 8);
+  const auto limits = roundTrip(message::BackendRateLimits{
+    { { .mBackend = 1, .mPerSecond = 2.5, .mAgeMs = 3 } } });
+  const auto& limit =
+    std::get<message::BackendRateLimits>(limits).mLimits.front();
+  CHECK(limit.mBackend == 1);
+  CHECK(limit.mPerSecond == 2.5);
+  CHECK(limit.mAgeMs == 3);
+}
+
 // Guards against accepting messages of another deployment or modified messages,
 // and against a secret rotation that separates old VMs from new ones.
 TEST_CASE("only messages signed with a known peer secret are accepted")
