Let a rate limit that nobody confirms lapse on one VM after another

A limit so low that only some VMs have a part of it may go unconfirmed for 10 s, when none of their objects belongs to the server. All VMs then took it as ended at once: in the fleet test 12 requests arrived in 4 s where 11 are allowed, found when the interval of the messages was changed. A VM also told the others that the server had stated the end.

VMs with a part now take as many objects as that part serves, so that the server stays in use; a lapse comes 0.7 s later on each further VM, and is not told.

--- a/src/include/cranberrywing/gateway/backend_pool.h
+++ b/src/include/cranberrywing/gateway/backend_pool.h
@@ -96,8 +96,11 @@
   double mRateWeight = 1;
   /// Times of recent dispatches and health checks while mRateLimit was binding.
   std::deque<TimePoint> mLimitedSends;
-  /// Time of the last own statement that other VMs were told.
+  /// Time of the last statement that the VMs of the region were told, by this
+  /// or another VM.
   TimePoint mRateLimitToldAt{};
+  /// Whether the limit has changed since then.
+  bool mIsRateLimitNews = false;
   /// Times of recent dispatches during the cold start. Appended by BackendPool;
   /// ColdStartLimiter removes old entries.
   std::deque<TimePoint> mColdSends;
--- a/src/include/cranberrywing/gateway/backend_rate_limit.h
+++ b/src/include/cranberrywing/gateway/backend_rate_limit.h
@@ -28,18 +28,22 @@
   TimePoint mStatedAt{};
 };
 
-/// Time for which a limit binds without being stated again. All VMs that may
-/// send to the server have had no requests for it then, or it does not answer.
+/// Least time for which a limit binds without being stated again. All VMs that
+/// may send to the server have had no requests for it then, or it does not
+/// answer.
 inline constexpr Duration kRateLimitValidity = std::chrono::seconds(10);
 
-/// Whether the limit still binds. Thread-safe.
-bool IsBinding(const BackendRateLimit& aLimit, TimePoint aNow);
-
 /// Number of requests that may be sent to a server in each window of time.
 struct RateQuota
 {
   std::size_t mRequests = 0;
   Duration mWindow{};
+  /// Requests per second of all VMs together if each had this VM's part.
+  /// Differs from the limit if that is so low that only some VMs have a part.
+  double mFleetRate = 0;
+  /// Added to kRateLimitValidity. It differs between the VMs, so that one of
+  /// them tries first and tells the others what the server answers.
+  Duration mLapseDelay{};
 
   bool operator==(const RateQuota&) const = default;
 };
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -171,6 +171,8 @@
   message::BackendRateLimits TakeStatedRateLimits();
   /// All known rate limits of the own region's servers.
   message::BackendRateLimits RegionRateLimits() const;
+  /// Tells these to some of the given VMs of other regions in turn.
+  void SendRegionRateLimits(const std::vector<const Peer*>& aReceivers);
   /// Computes the server's quota and usable fraction from its rate limit.
   void UpdateRateQuota(Backend& aBackend);
   /// Does so for all servers, and ends limits that have lapsed.
@@ -247,6 +249,10 @@
   /// BackendPool::OnAttemptEnded. Returns the attempt's server, or null if it
   /// is no longer registered.
   Backend* EndAttempt(Request& aRequest, bool aHasAnswered);
+  /// Logs a change of the server's rate limit.
+  void RecordRateLimit(const Backend& aBackend,
+                       std::optional<double> aBefore,
+                       std::string_view aSource);
   /// Learns the rate limit that a request's answer states.
   void LearnRateLimit(Backend& aBackend, const event::BackendReplied& aEvent);
   /// Learns a server's rate limit from a statement at aStatedAt, and logs a
@@ -307,6 +313,7 @@
   TimePoint mNextCrossRegionStatus{};
   /// Position in the list of VMs of other regions.
   std::size_t mNextDemandReceiver = 0;
+  std::size_t mNextLimitReceiver = 0;
 };
 
 } // namespace cranberrywing::gateway
--- a/src/libcranberrywing/gateway/backend_pool.cpp
+++ b/src/libcranberrywing/gateway/backend_pool.cpp
@@ -158,7 +158,10 @@
 
 bool BackendPool::IsRateLimited(const Backend& aBackend, TimePoint aNow) const
 {
-  return IsBinding(aBackend.mRateLimit, aNow);
+  const BackendRateLimit& limit = aBackend.mRateLimit;
+  return limit.mPerSecond &&
+         aNow - limit.mStatedAt <=
+           kRateLimitValidity + aBackend.mRateQuota.mLapseDelay;
 }
 
 bool BackendPool::MaySendLimited(Backend& aBackend, TimePoint aNow) const
--- a/src/libcranberrywing/gateway/backend_rate_limit.cpp
+++ b/src/libcranberrywing/gateway/backend_rate_limit.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <string>
 
 #include "cranberrywing/gateway/fleet_quota.h"
 #include "duration_math.h"
@@ -20,6 +21,10 @@
 /// Number of requests of all VMs per window from which the longest but one
 /// window is suitable; with fewer, a few VMs share the limit.
 constexpr std::size_t kMinRequests = 1;
+/// Time in which a VM that tries whether a limit has ended gets an answer and
+/// tells the others.
+constexpr Duration kLapseStep = std::chrono::milliseconds(700);
+constexpr std::size_t kMaxLapseSteps = 16;
 /// Fraction of a limit that is planned; the rest covers that objects differ in
 /// their number of requests.
 constexpr double kPlannedFraction = 0.9;
@@ -30,23 +35,36 @@
 constexpr double kMinUnlimitedPart = 0.05;
 constexpr double kMinWeight = 1.0 / 64;
 
-} // namespace
-
-bool IsBinding(const BackendRateLimit& aLimit, TimePoint aNow)
+/// Position of aSelf among the VMs in the server's rendezvous order; the number
+/// of VMs if it is not one of them.
+std::size_t RankOf(std::uint64_t aBackendHash,
+                   const std::vector<VmId>& aVms,
+                   const VmId& aSelf)
 {
-  return aLimit.mPerSecond && aNow - aLimit.mStatedAt <= kRateLimitValidity;
+  if (std::find(aVms.begin(), aVms.end(), aSelf) == aVms.end()) {
+    return aVms.size();
+  }
+  const std::string item = std::to_string(aBackendHash);
+  const std::uint64_t own = RendezvousWeight(item, aSelf.mName);
+  return static_cast<std::size_t>(
+    std::count_if(aVms.begin(), aVms.end(), [&](const VmId& aVm) {
+      return RendezvousWeight(item, aVm.mName) > own;
+    }));
 }
 
+} // namespace
+
 RateQuota BackendRateQuota(double aPerSecond,
                            std::uint64_t aBackendHash,
                            const std::vector<VmId>& aVms,
                            const VmId& aSelf)
 {
-  const auto requestsIn = [&](double aSeconds) {
+  const double perSecond = aPerSecond;
+  const auto requestsIn = [perSecond](double aSeconds) {
     // The rounding of the product must not lose a whole request.
     constexpr double kRounding = 1e-6;
     return static_cast<std::size_t>(
-      std::floor(aPerSecond * aSeconds + kRounding));
+      std::floor(perSecond * aSeconds + kRounding));
   };
   std::size_t n = 0;
   while (n + 2 < kWindowSeconds.size() &&
@@ -56,12 +74,21 @@
   if (requestsIn(kWindowSeconds[n]) < kMinRequests) {
     n = kWindowSeconds.size() - 1;
   }
-  return {
-    .mRequests =
-      FleetQuota(requestsIn(kWindowSeconds[n]), aBackendHash, aVms, aSelf),
+  const std::size_t total = requestsIn(kWindowSeconds[n]);
+  RateQuota quota{
+    .mRequests = FleetQuota(total, aBackendHash, aVms, aSelf),
     .mWindow = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(kWindowSeconds[n])),
+    .mFleetRate = perSecond,
+    .mLapseDelay =
+      kLapseStep * static_cast<Duration::rep>(std::min(
+                     kMaxLapseSteps, RankOf(aBackendHash, aVms, aSelf))),
   };
+  if (total < kMinRequestsPerVm * aVms.size()) {
+    quota.mFleetRate =
+      static_cast<double>(quota.mRequests * aVms.size()) / kWindowSeconds[n];
+  }
+  return quota;
 }
 
 double UsableFraction(double aPerSecond,
--- a/src/libcranberrywing/gateway/backend_rate_limit_test.cpp
+++ b/src/libcranberrywing/gateway/backend_rate_limit_test.cpp
@@ -147,6 +147,21 @@
   CHECK(fleet.ArrivalsSince(0, from) >= 40);
 }
 
+// Guards against a VM that misses all messages of a limit, takes it as ended,
+// and tells the others so.
+TEST_CASE("A limit that lapses on one VM holds on for the others")
+{
+  RateLimitFleet fleet(4, 3, 3);
+  fleet.mVmWithoutCallers = 0;
+  fleet.Run(seconds(6), 60);
+  fleet.SetLimit(0, 1);
+  fleet.Run(seconds(4), 60);
+  fleet.mDeafVm = 0;
+  const TimePoint from = fleet.mNow;
+  fleet.Run(kRateLimitValidity + seconds(8), 60);
+  CHECK(static_cast<double>(fleet.MostArrivals(0, from, kWindow)) <= Bound(1));
+}
+
 // Guards against a server that is held to the limit of the process before it.
 TEST_CASE("A restarted server is not held to its predecessor's rate limit")
 {
--- a/src/libcranberrywing/gateway/gateway_rate_limits.cpp
+++ b/src/libcranberrywing/gateway/gateway_rate_limits.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "cranberrywing/gateway/gateway.h"
 
@@ -8,8 +9,13 @@
 namespace {
 
 /// Maximum number of limits in a message, so that it fits into a few packets.
-constexpr std::size_t kMaxLimitsPerMessage = 128;
-
+constexpr std::size_t kMaxLimitsPerMessage = 256;
+/// Interval at which the VMs of a region tell each other that a limit holds on;
+/// much shorter than kRateLimitValidity, as messages may get lost.
+constexpr Duration kRateLimitTellInterval = std::chrono::seconds(2);
+/// Number of VMs of other regions that a VM tells its region's limits at a
+/// time. Any VM tells them all.
+constexpr std::size_t kLimitReceivers = 3;
 /// Time for which the end of a limit is told again with each message.
 constexpr Duration kEndRepeatTime = std::chrono::seconds(2);
 
@@ -35,14 +41,22 @@
   if (!mPool.OnRateLimitStated(aBackend, aPerSecond, aStatedAt)) {
     return;
   }
+  aBackend.mIsRateLimitNews = true;
   UpdateRateQuota(aBackend);
+  RecordRateLimit(aBackend, before, aSource);
+}
+
+void Gateway::RecordRateLimit(const Backend& aBackend,
+                              std::optional<double> aBefore,
+                              std::string_view aSource)
+{
   const auto toText = [](const std::optional<double>& aLimit) {
     return aLimit ? std::to_string(*aLimit) : std::string();
   };
   Record("backend_rate_limit",
          { { "backend", aBackend.mEntry.mBackend.mName },
-           { "per_s", toText(aPerSecond) },
-           { "before", toText(before) },
+           { "per_s", toText(aBackend.mRateLimit.mPerSecond) },
+           { "before", toText(aBefore) },
            { "source", std::string(aSource) },
            { "age_ms", std::to_string(ToMessage(aBackend, mNow).mAgeMs) },
            { "quota", std::to_string(aBackend.mRateQuota.mRequests) },
@@ -80,8 +94,9 @@
                                          : std::optional(stated.mPerSecond),
                    mNow - Milliseconds(stated.mAgeMs),
                    "vm");
-    // Its own region hears this from the sender as well.
+    // The own region hears this from the sender as well.
     backend->mRateLimitToldAt = backend->mRateLimit.mStatedAt;
+    backend->mIsRateLimitNews = false;
   }
 }
 
@@ -93,9 +108,12 @@
     // The end of a limit is stated once and may get lost on the way.
     const bool hasEndedLately =
       !limit.mPerSecond && mNow - limit.mStatedAt <= kEndRepeatTime;
-    if ((limit.mStatedAt > backend->mRateLimitToldAt || hasEndedLately) &&
-        message.mLimits.size() < kMaxLimitsPerMessage) {
+    const bool isDue =
+      backend->mIsRateLimitNews || hasEndedLately ||
+      limit.mStatedAt - backend->mRateLimitToldAt >= kRateLimitTellInterval;
+    if (isDue && message.mLimits.size() < kMaxLimitsPerMessage) {
       backend->mRateLimitToldAt = limit.mStatedAt;
+      backend->mIsRateLimitNews = false;
       message.mLimits.push_back(ToMessage(*backend, mNow));
     }
   }
@@ -117,6 +135,18 @@
   return message;
 }
 
+void Gateway::SendRegionRateLimits(const std::vector<const Peer*>& aReceivers)
+{
+  const message::BackendRateLimits limits = RegionRateLimits();
+  const std::size_t count =
+    limits.mLimits.empty() ? 0 : std::min(kLimitReceivers, aReceivers.size());
+  for (std::size_t n = 0; n < count; ++n) {
+    const VmRecord& vm =
+      aReceivers[mNextLimitReceiver++ % aReceivers.size()]->mRecord;
+    SendTo({ vm.mVm, vm.mAddress, vm.mPeerPort }, limits);
+  }
+}
+
 void Gateway::UpdateRateQuota(Backend& aBackend)
 {
   if (!mPool.IsRateLimited(aBackend, mNow)) {
@@ -146,7 +176,7 @@
     }
     if (mPool.IsRateLimited(*backend, mNow)) {
       limited.push_back(backend);
-      group.mLimitSum += *backend->mRateLimit.mPerSecond;
+      group.mLimitSum += backend->mRateQuota.mFleetRate;
     } else {
       ++group.mUnlimited;
     }
@@ -162,7 +192,7 @@
     ownShare * (mFleet.OwnRegionRate(aService, mNow) + ArrivalRate(aService));
   for (Backend* const backend : limited) {
     backend->mRateWeight =
-      RateLimitWeight(*backend->mRateLimit.mPerSecond, group);
+      RateLimitWeight(backend->mRateQuota.mFleetRate, group);
   }
 }
 
@@ -173,7 +203,10 @@
       continue;
     }
     if (!mPool.IsRateLimited(*backend, mNow)) {
-      LearnRateLimit(*backend, std::nullopt, mNow, "lapsed");
+      // The server did not state this, so other VMs are not told.
+      const auto before = std::exchange(backend->mRateLimit.mPerSecond, {});
+      backend->mLimitedSends.clear();
+      RecordRateLimit(*backend, before, "lapsed");
     }
     UpdateRateQuota(*backend);
   }
--- a/src/libcranberrywing/gateway/gateway_upkeep.cpp
+++ b/src/libcranberrywing/gateway/gateway_upkeep.cpp
@@ -190,18 +190,13 @@
     demand.mRequestsPerSecond +=
       static_cast<float>(mFleet.OwnRegionRate(demand.mService, mNow));
   }
-  const message::BackendRateLimits limits = RegionRateLimits();
   const std::size_t count = std::min(kCrossRegionPeers, receivers.size());
   for (std::size_t n = 0; n < count; ++n) {
     const Peer& peer = *receivers[mNextDemandReceiver++ % receivers.size()];
-    const RelayEndpoint receiver{ peer.mRecord.mVm,
-                                  peer.mRecord.mAddress,
-                                  peer.mRecord.mPeerPort };
-    SendTo(receiver, message);
-    if (!limits.mLimits.empty()) {
-      SendTo(receiver, limits);
-    }
+    SendTo({ peer.mRecord.mVm, peer.mRecord.mAddress, peer.mRecord.mPeerPort },
+           message);
   }
+  SendRegionRateLimits(receivers);
 }
 
 RegionalLoad Gateway::ComputeRegionalLoad(const ServiceId& aService) const
--- a/src/libcranberrywing/gateway/rate_limit_test_fleet.h
+++ b/src/libcranberrywing/gateway/rate_limit_test_fleet.h
@@ -125,6 +125,8 @@
   double mMessageLoss = 0;
   /// Index of a VM that gets no requests from callers.
   std::optional<std::size_t> mVmWithoutCallers;
+  /// Index of a VM that no message reaches.
+  std::optional<std::size_t> mDeafVm;
 
 private:
   struct Reply
@@ -268,7 +270,8 @@
       std::find_if(mVms.begin(), mVms.end(), [&](const Vm& aEach) {
         return aEach.mRecord.mVm == aSend.mTo;
       });
-    if (vm == mVms.end() || Draw() < mMessageLoss) {
+    const bool isDeaf = mDeafVm == static_cast<std::size_t>(vm - mVms.begin());
+    if (vm == mVms.end() || isDeaf || Draw() < mMessageLoss) {
       return;
     }
     const VmRecord& sender = mVms[aFrom].mRecord;
