Bound the rate limit that a server may name

A number such as 1e300 in a server's answer overflowed the conversion to a whole number of requests. Limits above a million a second count as that.

--- a/src/include/cranberrywing/gateway/backend_rate_limit.h
+++ b/src/include/cranberrywing/gateway/backend_rate_limit.h
@@ -28,6 +28,9 @@
   TimePoint mStatedAt{};
 };
 
+/// A higher limit, in requests per second, is the same as this one.
+inline constexpr double kMaxRateLimit = 1e6;
+
 /// Least time for which a limit binds without being stated again. All VMs that
 /// may send to the server have had no requests for it then, or it does not
 /// answer.
--- a/src/libcranberrywing/gateway/backend_rate_limit.cpp
+++ b/src/libcranberrywing/gateway/backend_rate_limit.cpp
@@ -59,7 +59,7 @@
                            const std::vector<VmId>& aVms,
                            const VmId& aSelf)
 {
-  const double perSecond = aPerSecond;
+  const double perSecond = std::min(aPerSecond, kMaxRateLimit);
   const auto requestsIn = [perSecond](double aSeconds) {
     // The rounding of the product must not lose a whole request.
     constexpr double kRounding = 1e-6;
--- a/src/libcranberrywing/gateway/backend_rate_limit_test.cpp
+++ b/src/libcranberrywing/gateway/backend_rate_limit_test.cpp
@@ -49,6 +49,8 @@
     }
   }
   CHECK(BackendRateQuota(0, 12345, Vms(4), VmId("vm-1")).mRequests == 0);
+  CHECK(BackendRateQuota(1e300, 1, Vms(1), VmId("vm-0")).mRequests ==
+        static_cast<std::size_t>(kMaxRateLimit));
 }
 
 // Guards against a server that names a rate limit and gets a multiple of it,
