--- a/src/include/cranberrywing/gateway/store_follower.h
+++ b/src/include/cranberrywing/gateway/store_follower.h
@@ -83,7 +83,8 @@
 {
   StoreStatus mStatus = StoreStatus::NoAnswer;
   /// Number of times that the store was restored from a copy; revisions of
-  /// different epochs cannot be compared. nullopt without an answer.
+  /// different epochs cannot be compared. nullopt if there is no answer or it
+  /// does not tell; it then counts as one of the latest epoch.
   std::optional<std::int64_t> mEpoch;
   /// Revision of the store at the time of a read.
   std::int64_t mRevision = 0;
