Use a server again whose entry stays in a restored store

A server that was taken for gone before a restore stayed out until it wrote a later count. If it runs and has nothing else to write, its entry does not change, and it would never have been used again. The platform removes entries of silent servers within seconds, so an entry that is still there after 30 s is that of a running server. "A server whose entry stays in the store is used again" fails without the change.

--- a/src/include/cranberrywing/gateway/store_carry.h
+++ b/src/include/cranberrywing/gateway/store_carry.h
@@ -55,6 +55,10 @@
     /// write again within seconds what the copy lacks; what is still missing
     /// then was changed by someone who did not know of the loss.
     Duration mUnversionedTime = std::chrono::seconds(10);
+    /// Time for which a lease-bound entry is kept as removed. A server that has
+    /// left has ended by then, and the platform removes entries of servers that
+    /// are silent for seconds, so that one which is still there runs.
+    Duration mRemovedServerTime = std::chrono::seconds(30);
   };
 
   StoreCarry(Options aOptions, StoreCarryHooks aHooks);
@@ -91,7 +95,7 @@
     /// With the last value if the key is kept as removed.
     StoreItem mItem;
     bool mIsRemoved = false;
-    /// Time at which the entry is given up; nullopt if it has a version.
+    /// Time at which the entry is given up; nullopt for never.
     std::optional<TimePoint> mUntil;
   };
 
--- a/src/include/cranberrywing/messages/gateway.h
+++ b/src/include/cranberrywing/messages/gateway.h
@@ -112,7 +112,8 @@
 {
   /// With the key's last value if it was removed.
   StoreChange mChange;
-  /// Time for which the entry is kept; ignored if its values have versions.
+  /// Time for which the entry is kept; ignored if it is kept until the key is
+  /// written again.
   std::uint32_t mTimeLeftMs = 0;
 
   bool operator==(const CarriedEntry&) const = default;
--- a/src/libcranberrywing/gateway/store_carry.cpp
+++ b/src/libcranberrywing/gateway/store_carry.cpp
@@ -39,6 +39,8 @@
   Entry entry{ .mItem = aItem, .mIsRemoved = aIsRemoved };
   if (!mHooks.mVersion(aItem)) {
     entry.mUntil = aNow + mOptions.mUnversionedTime;
+  } else if (aIsRemoved && mHooks.mIsLeaseBound(aItem.mKey)) {
+    entry.mUntil = aNow + mOptions.mRemovedServerTime;
   }
   return entry;
 }
