Check the lengths of a share record before allocating for them

A record in the store with a length beyond its end allocated memory for that length first, and bytes after the record were accepted. The extended test "a corrupt share record is refused" failed on the trailing bytes.

--- a/src/libcranberrywing/share_ledger_test.cpp
+++ b/src/libcranberrywing/share_ledger_test.cpp
@@ -259,6 +259,7 @@
   const std::string bytes = EncodeShareRecord(record);
   CHECK(DecodeShareRecord(bytes) == record);
   CHECK_FALSE(DecodeShareRecord(bytes.substr(0, bytes.size() - 1)));
+  CHECK_FALSE(DecodeShareRecord(bytes + "x"));
   record.mEntries[1].mFraction += 1;
   CHECK_FALSE(DecodeShareRecord(EncodeShareRecord(record)));
   record.mEntries[1] = { .mHolder = holder };
--- a/src/libcranberrywing/share_record.cpp
+++ b/src/libcranberrywing/share_record.cpp
@@ -6,6 +6,8 @@
 #include <cereal/types/vector.hpp>
 #include <sstream>
 
+#include "bounded_archive.h"
+
 namespace cranberrywing {
 
 namespace {
@@ -58,8 +60,7 @@
 {
   ShareRecord record;
   try {
-    std::istringstream buf{ std::string(aBytes) };
-    cereal::PortableBinaryInputArchive archive(buf);
+    BoundedInputArchive archive(aBytes);
     std::uint16_t version = 0;
     archive(version);
     if (version != kRecordVersion) {
@@ -68,6 +69,10 @@
                          ", expected " + std::to_string(kRecordVersion));
     }
     archive(record);
+    if (archive.Remaining() > 0) {
+      return MakeError(ResultCode::Malformed,
+                       "share record has trailing bytes");
+    }
   } catch (const std::exception& e) {
     return MakeError(ResultCode::Malformed,
                      std::string("share record cannot be decoded: ") +
