Drop the VM list that arrives after the poller was stopped

The answer to the request in progress armed the timer again, so that a stopped daemon went on polling. "a VM list poller that was stopped handles no further answer" failed before.

--- a/src/cranberrywingd/vm_list_poller.cpp
+++ b/src/cranberrywingd/vm_list_poller.cpp
@@ -78,6 +78,7 @@
 
 void VmListPoller::Stop()
 {
+  mIsStopped = true;
   mTimer.cancel();
 }
 
@@ -96,6 +97,9 @@
 
 void VmListPoller::OnResult(const netutil::ExchangeResult& aResult)
 {
+  if (mIsStopped) {
+    return;
+  }
   mTimer.expires_after(kPollInterval);
   mTimer.async_wait([this](boost::system::error_code aError) {
     if (!aError) {
--- a/src/cranberrywingd/vm_list_poller.h
+++ b/src/cranberrywingd/vm_list_poller.h
@@ -25,6 +25,7 @@
 
   /// Starts to poll. Does nothing if no list is configured.
   void Start();
+  /// Ends polling. The answer to a request in progress is dropped.
   void Stop();
 
 private:
@@ -35,6 +36,7 @@
   EventSink mSink;
   netutil::HttpClientPool mPool;
   boost::asio::steady_timer mTimer;
+  bool mIsStopped = false;
 };
 
 } // namespace cranberrywing::daemon
--- a/src/cranberrywingd/wire_formats_test.cpp
+++ b/src/cranberrywingd/wire_formats_test.cpp
@@ -6,6 +6,8 @@
 #include "cranberrywingd/lookup_api.h"
 #include "cranberrywingd/timeline.h"
 #include "cranberrywingd/vm_list_poller.h"
+#include "netutil/http_server.h"
+#include "netutil/loopback_for_tests.h"
 
 using namespace cranberrywing;
 using namespace cranberrywing::daemon;
@@ -25,6 +27,39 @@
   CHECK_FALSE(FrameReader().Add(std::string(4, '\0')));
 }
 
+// Guards against a stopped daemon that goes on polling: the answer to the
+// request in progress arrives after the stop.
+TEST_CASE("a VM list poller that was stopped handles no further answer")
+{
+  boost::asio::io_context context(1);
+  std::optional<netutil::ExchangeId> asked;
+  netutil::HttpServer server(
+    context,
+    {},
+    { .mOnRequest = [&](const netutil::ExchangeId& aExchange,
+                        RequestContent&&) { asked = aExchange; },
+      .mOnAborted = [](const netutil::ExchangeId&) {} });
+  REQUIRE(server.Listen({ "127.0.0.1", 0 }));
+  int lists = 0;
+  VmListPoller poller(
+    context,
+    { .mEndpoint = { "127.0.0.1", server.Port() }, .mTarget = "/vms" },
+    [&](Event) { ++lists; });
+  poller.Start();
+  REQUIRE(netutil::RunUntil(context, [&] { return asked.has_value(); }));
+  poller.Stop();
+  server.Answer(*asked,
+                std::make_shared<const AnswerContent>(
+                  AnswerContent{ .mStatus = 200, .mBody = "[]" }),
+                {});
+  // Enough for the answer to arrive over loopback.
+  for (int n = 0; n < 300; ++n) {
+    context.restart();
+    context.run_one_for(std::chrono::milliseconds(1));
+  }
+  CHECK(lists == 0);
+}
+
 // Guards against declaring VMs dead because of a corrupt list: a list that is
 // malformed in part must be rejected as a whole.
 TEST_CASE("a VM list with a malformed entry is rejected")
