Drop accounts that the settings no longer name from the fair queue

Each account that had ever sent a request for a service kept a queue there for the life of the process. Idle ones are dropped with the settings that lack them; "accounts that were removed from the settings are dropped" failed before.

--- a/src/include/cranberrywing/fair_queue.h
+++ b/src/include/cranberrywing/fair_queue.h
@@ -64,6 +64,9 @@
 
   std::size_t Waiting(const ServiceId& aService) const;
   std::size_t Running(const ServiceId& aService) const;
+  /// Number of client accounts that the service's queue keeps a state of. Idle
+  /// ones are dropped once the settings lack them.
+  std::size_t AccountCount(const ServiceId& aService) const;
   /// Number of requests of the service that an account of maximum weight may
   /// have running; zero for an unknown service.
   double Level(const ServiceId& aService) const;
--- a/src/libcranberrywing/fair_queue.cpp
+++ b/src/libcranberrywing/fair_queue.cpp
@@ -48,6 +48,11 @@
       service.mActiveQuanta += hasRequests ? quantum - account.mQuantum : 0;
       account.mQuantum = quantum;
     }
+    std::erase_if(service.mAccounts, [this](const auto& aEntry) {
+      const auto& [accountId, account] = aEntry;
+      return account.mWaiting + account.mRunning == 0 &&
+             !mQuanta.contains(accountId);
+    });
   }
   for (const auto& [id, service] : aSettings.mServices) {
     FindService(id).mLimit.SetCeiling(CountConnections(service));
@@ -187,6 +192,12 @@
   return it == mServices.end() ? 0 : it->second.mWaiting;
 }
 
+std::size_t FairQueue::AccountCount(const ServiceId& aService) const
+{
+  const auto it = mServices.find(aService);
+  return it == mServices.end() ? 0 : it->second.mAccounts.size();
+}
+
 std::size_t FairQueue::Running(const ServiceId& aService) const
 {
   const auto it = mServices.find(aService);
--- a/src/libcranberrywing/fair_queue_test.cpp
+++ b/src/libcranberrywing/fair_queue_test.cpp
@@ -208,3 +208,22 @@
   run(20, 60);
   CHECK(busy.Level(kService) > low);
 }
+
+// Guards against memory that grows with every account that ever sent a request.
+TEST_CASE("accounts that were removed from the settings are dropped")
+{
+  FairQueue queue(NonAdaptiveOptions());
+  SettingsSnapshot settings = QueueSettings(2);
+  queue.Apply(settings);
+  Caller caller(queue);
+  REQUIRE(caller.Push(kShops, 0, 1000));
+  REQUIRE(caller.Push(kPrinters, 0, 1000));
+  REQUIRE(queue.Pop(kService, At(0)));
+  settings.mAccounts.clear();
+  // Both accounts have a request, which waits or runs.
+  queue.Apply(settings);
+  CHECK(queue.AccountCount(kService) == 2);
+  REQUIRE(queue.Cancel(RequestId{ 2 }));
+  queue.Apply(settings);
+  CHECK(queue.AccountCount(kService) == 1);
+}
