Take VMs that reach no backend server out of lookups

Cause: a VM counted as usable if its messages arrive, and as ready if it has a configuration; nothing told whether it reaches servers.

On a failed connection, or when requests at two servers are overdue, a VM opens connections to up to four servers of different failure domains. If none opens, it tells all VMs, which leave it out of lookups unless that holds for every VM. It refuses at once as not run, blames no server for its own links (ejections, crash guard, load it reports), and is used again after checks have succeeded for a time that grows if links flap. New: event=server_links_lost and server_links_restored with age and last answer, metrics of connect failures and of losses.

--- a/src/cranberrywingd/gateway_daemon.cpp
+++ b/src/cranberrywingd/gateway_daemon.cpp
@@ -11,9 +11,6 @@
 /// Resolution of the gateway's timers. Each wake-up costs CPU time, and no
 /// decision needs a finer resolution.
 constexpr Milliseconds kTickInterval{ 25 };
-/// A server with a full listen queue drops the SYN, and TCP retransmits it only
-/// after 1 s.
-constexpr Milliseconds kConnectTimeout{ 350 };
 /// Applies to servers that do not state how long they keep idle connections.
 constexpr std::chrono::seconds kBackendIdleTime{ 7 };
 /// Readiness checks, lookups and metrics requests are small.
@@ -42,7 +39,7 @@
   options.mClient.mBudget = std::make_shared<netutil::ResponseBudget>();
   options.mClient.mBudget->mMaxBytes = aMemoryLimit / kAnswerMemoryDivisor;
   options.mClient.mMaxBodyBytes = options.mClient.mBudget->mMaxBytes;
-  options.mClient.mConnectTimeout = kConnectTimeout;
+  options.mClient.mConnectTimeout = detail::kConnectTimeout;
   options.mClient.mAcceptsCloseDelimitedBody = true;
   options.mIdleTimeout = kBackendIdleTime;
   return options;
@@ -52,7 +49,7 @@
 netutil::HttpClientPool::Options RelayPoolOptions()
 {
   netutil::HttpClientPool::Options options;
-  options.mClient.mConnectTimeout = kConnectTimeout;
+  options.mClient.mConnectTimeout = detail::kConnectTimeout;
   options.mClient.mMaxBodyBytes = kMaxStoreAnswerBytes;
   options.mClient.mProgressTime = kAnswerProgressTime;
   options.mIdleTimeout = std::chrono::seconds(20);
@@ -356,6 +353,15 @@
                    static_cast<double>(count),
                    { { "code", std::string(ToString(code)) } });
   }
+  writer.Counter("cranberrywing_backend_connect_failures_total",
+                 "Attempts for which no connection to the server was opened.",
+                 static_cast<double>(counters.mConnectFailures));
+  writer.Counter("cranberrywing_server_link_losses_total",
+                 "Times that the links to all backend servers were lost.",
+                 static_cast<double>(counters.mServerLinkLosses));
+  writer.Gauge("cranberrywing_servers_reached",
+               "0 while the links to all backend servers are lost, or else 1.",
+               mGateway.IsCutOff() ? 0 : 1);
   writer.Counter("cranberrywing_policy_problems_total",
                  "Parts of configurations that could not be read.",
                  static_cast<double>(counters.mPolicyProblems));
--- a/src/cranberrywingd/gateway_daemon.h
+++ b/src/cranberrywingd/gateway_daemon.h
@@ -20,6 +20,14 @@
 
 namespace cranberrywing::daemon {
 
+namespace detail {
+
+/// Time limit for connecting to a backend server or another VM. A server with a
+/// full listen queue drops the SYN, and TCP retransmits it only after 1 s.
+inline constexpr Milliseconds kConnectTimeout{ 350 };
+
+} // namespace detail
+
 /// Not thread-safe; used only on the event loop's thread.
 class GatewayDaemon
 {
@@ -72,6 +80,7 @@
   void Execute(gateway::effect::Refuse& aEffect);
   void Execute(gateway::effect::SendMessage& aEffect);
   void Execute(gateway::effect::ProbeBackend& aEffect);
+  void Execute(gateway::effect::CheckServer& aEffect);
   void Execute(gateway::effect::CloseBackendConnections& aEffect);
   void Execute(gateway::effect::AnnounceLeaving& aEffect);
   void Execute(gateway::effect::CloseCallerConnections& aEffect);
--- a/src/cranberrywingd/gateway_daemon_effects.cpp
+++ b/src/cranberrywingd/gateway_daemon_effects.cpp
@@ -1,5 +1,6 @@
 #include "cranberrywingd/event_sink.h"
 #include "cranberrywingd/gateway_daemon.h"
+#include "netutil/connection_check.h"
 
 namespace cranberrywing::daemon {
 
@@ -142,6 +143,17 @@
     });
 }
 
+void GatewayDaemon::Execute(gateway::effect::CheckServer& aEffect)
+{
+  netutil::CheckConnection(mContext,
+                           { aEffect.mAddress, aEffect.mPort },
+                           detail::kConnectTimeout,
+                           [this, backend = aEffect.mBackend](bool aIsReached) {
+                             Deliver(gateway::event::ServerChecked{
+                               .mBackend = backend, .mIsReached = aIsReached });
+                           });
+}
+
 void GatewayDaemon::Execute(gateway::effect::CloseBackendConnections& aEffect)
 {
   mBackends.CloseIdle({ aEffect.mAddress, aEffect.mPort });
--- a/src/include/cranberrywing/gateway/backend_pool.h
+++ b/src/include/cranberrywing/gateway/backend_pool.h
@@ -79,12 +79,15 @@
   std::uint32_t mConsecutiveFailures = 0;
   /// No request is sent before this time; a health check is required then.
   TimePoint mEjectedUntil{};
+  TimePoint mEjectedAt{};
   Duration mEjectionTime{};
   bool mNeedsProbe = false;
   bool mIsProbing = false;
   /// Time of the last answer, or of the first request sent to the idle server
   /// if that is later.
   TimePoint mAwaitingSince{};
+  /// Time of the last answer to this VM.
+  TimePoint mAnsweredAt{};
   TimePoint mColdUntil{};
   BackendRateLimit mRateLimit;
   /// This VM's part of mRateLimit, while that binds.
@@ -214,6 +217,9 @@
   /// Ejects a server that cannot be reached, that failed a health check, or
   /// whose address is used by another server.
   void Eject(Backend& aBackend, TimePoint aNow);
+  /// Undoes the effect of all failures since aSince, for which this VM's links
+  /// are to blame. Returns the number of servers that it had ejected since.
+  std::size_t ForgiveFailures(TimePoint aSince, TimePoint aNow);
   /// Withholds requests until a health check, which is due at once.
   void RequireProbe(Backend& aBackend, TimePoint aNow);
   void OnProbeResult(Backend& aBackend, bool aIsHealthy, TimePoint aNow);
--- a/src/include/cranberrywing/gateway/event.h
+++ b/src/include/cranberrywing/gateway/event.h
@@ -132,6 +132,8 @@
 struct BackendProbed
 {
   BackendId mBackend;
+  /// Whether the server has answered at all.
+  bool mHasAnswered = false;
   bool mIsHealthy = false;
   std::optional<LoadSample> mLoad;
   /// As BackendReplied::mRateLimit.
@@ -141,6 +143,14 @@
   std::optional<Duration> mColdTimeLeft;
 };
 
+/// Result of a CheckServer effect.
+struct ServerChecked
+{
+  BackendId mBackend;
+  /// Whether a connection was opened.
+  bool mIsReached = false;
+};
+
 /// A configuration was read from the store. Older revisions are ignored.
 struct PolicyReceived
 {
@@ -213,6 +223,7 @@
                            event::BackendReplied,
                            event::BackendFailed,
                            event::BackendProbed,
+                           event::ServerChecked,
                            event::PeerMessageReceived,
                            event::PolicyReceived,
                            event::BackendRegistered,
@@ -262,6 +273,15 @@
   std::string mHealthPath;
 };
 
+/// Opens a new connection to a server and closes it, without sending a request;
+/// the driver answers with ServerChecked.
+struct CheckServer
+{
+  BackendId mBackend;
+  std::string mAddress;
+  std::uint16_t mPort = 0;
+};
+
 /// Closes idle connections to a server that is draining or was removed.
 struct CloseBackendConnections
 {
@@ -309,6 +329,7 @@
                             effect::Refuse,
                             effect::SendMessage,
                             effect::ProbeBackend,
+                            effect::CheckServer,
                             effect::CloseBackendConnections,
                             effect::FollowStore,
                             effect::ReadStore,
--- a/src/include/cranberrywing/gateway/fleet_view.h
+++ b/src/include/cranberrywing/gateway/fleet_view.h
@@ -24,12 +24,22 @@
   /// Whether the VM's leased store entry has expired or was removed.
   bool mIsExpired = false;
   TimePoint mExpiredAt{};
+  /// The VM has told that it reaches no backend server; holds until then.
+  TimePoint mCutOffUntil{};
   message::GatewayStatus mStatus;
   /// Demand of the peer's whole region, and the time at which it was told.
   message::RegionDemand mRegionDemand;
   TimePoint mRegionDemandAt{};
 };
 
+/// State of this VM that decides whether callers are directed to it.
+struct OwnState
+{
+  bool mIsReady = false;
+  /// Whether this VM reaches no backend server.
+  bool mIsCutOff = false;
+};
+
 /// Set of all other known VMs. Not thread-safe; owned by the gateway.
 class FleetView
 {
@@ -48,6 +58,12 @@
     /// tolerance of the rate limits.
     Duration mFewExpiredRetention = std::chrono::seconds(5);
     double mFewExpiredFraction = 0.2;
+    /// Time for which a VM counts as cut off from the backend servers after it
+    /// has last said so.
+    Duration mCutOffValidity = std::chrono::milliseconds(2500);
+    /// If fewer of a region's usable VMs reach backend servers, its callers are
+    /// directed to all regions, so as not to overload those few.
+    double mMinReachingFraction = 0.25;
   };
 
   explicit FleetView(Options aOptions);
@@ -71,6 +87,11 @@
   void OnRegionDemand(const VmIncarnation& aFrom,
                       const message::RegionDemand& aDemand,
                       TimePoint aNow);
+  /// Stores whether the sender reaches backend servers, under the same
+  /// conditions.
+  void OnServerReach(const VmIncarnation& aFrom,
+                     const message::ServerReachStatus& aStatus,
+                     TimePoint aNow);
   /// Erases VMs that are not heard and whose entries expired longer ago than
   /// the retention time.
   void Tick(TimePoint aNow);
@@ -81,6 +102,10 @@
   bool IsHeard(const Peer& aPeer, TimePoint aNow) const;
   /// Whether callers may be directed to the peer.
   bool IsUsable(const Peer& aPeer, TimePoint aNow) const;
+  /// Whether the peer has lost its links to all backend servers.
+  bool IsCutOff(const Peer& aPeer, TimePoint aNow) const;
+  /// Whether any other usable VM reaches backend servers.
+  bool HasReachingPeer(TimePoint aNow) const;
   /// VMs among which fleet-wide limits are divided, including this VM and VMs
   /// with expired entries that are still retained.
   std::vector<SharingVm> SharingVms() const;
@@ -90,9 +115,10 @@
   /// The members of SharingVms that are in the region.
   std::vector<VmId> VmsOfRegion(const RegionId& aRegion) const;
   /// VMs that callers of the region should use: the usable VMs of the region,
-  /// or those of all regions if it has none. Includes this VM if aSelfIsReady.
+  /// or those of all regions if it has none. VMs that reach no backend server
+  /// are left out unless that holds for all VMs.
   std::vector<VmRecord> CallerTargets(const RegionId& aRegion,
-                                      bool aSelfIsReady,
+                                      const OwnState& aSelf,
                                       TimePoint aNow) const;
   /// Demand of the region's callers for a service, in busy server slots. For
   /// the own region, the sum of what its VMs except this one report; for
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -24,6 +24,7 @@
 #include "cranberrywing/gateway/object_selector.h"
 #include "cranberrywing/gateway/region_plan.h"
 #include "cranberrywing/gateway/retry_budget.h"
+#include "cranberrywing/gateway/server_reach.h"
 #include "cranberrywing/gateway/service_split.h"
 #include "cranberrywing/gateway/service_times.h"
 #include "cranberrywing/gateway/store_relay.h"
@@ -41,6 +42,10 @@
   std::uint64_t mCancelled = 0;
   /// Parts of configurations that could not be read.
   std::uint64_t mPolicyProblems = 0;
+  /// Attempts for which no connection to the server could be opened.
+  std::uint64_t mConnectFailures = 0;
+  /// Times that the links to all backend servers were lost.
+  std::uint64_t mServerLinkLosses = 0;
   std::map<ResultCode, std::uint64_t> mRefused;
 };
 
@@ -73,8 +78,11 @@
   EffectList Reduce(const Event& aEvent, TimePoint aNow);
 
   /// Whether callers may be directed to this VM: it has a configuration and all
-  /// registrations, and is not stopping.
+  /// registrations, is not stopping, and reaches backend servers unless no VM
+  /// does.
   bool IsReady() const;
+  /// Whether the links to all backend servers are lost.
+  bool IsCutOff() const { return mServerReach.IsCutOff(); }
   bool IsStopping() const { return mStoppingSince.has_value(); }
   /// VMs that callers of a region should use.
   std::vector<VmRecord> CallerTargets(const RegionId& aRegion,
@@ -149,6 +157,7 @@
   void On(const event::StorePullEnded& aEvent);
   void On(const event::StopRequested& aEvent);
   void On(const event::BackendProbed& aEvent);
+  void On(const event::ServerChecked& aEvent);
   void OnMessage(const message::BackendRateLimits& aMessage);
   /// Moves the effects of modules that are shared with the daemon's reducer to
   /// mEffects; adds the peers' addresses to messages.
@@ -162,6 +171,27 @@
   /// VMs that may lend tokens of the account, those of the own region first.
   std::vector<VmId> TokenPeers(const AccountId& aAccount);
 
+  /// IsReady without regard to the links to backend servers.
+  bool HasStarted() const;
+
+  // gateway_reach.cpp
+  /// Whether servers have answered lately, at least over connections that were
+  /// open before.
+  bool HasOpenServerConnections() const;
+  /// Whether requests can be expected to reach servers.
+  bool CanSendToServers() const;
+  /// Some servers of different failure domains.
+  std::vector<const Backend*> SelectServersToCheck() const;
+  /// Suspects the links if requests at several servers are overdue.
+  void SuspectOverdueServers();
+  /// Starts a round of checks if one is due, and tells other VMs of a loss.
+  void CheckServerReach();
+  /// Handles a failure to connect to the server. Whether the server or this
+  /// VM's links are to blame shows in the next round of checks.
+  void OnUnreachable(const BackendId& aBackend);
+  /// Tells all VMs whether this VM reaches servers, if that is due.
+  void TellServerReach();
+
   // gateway_upkeep.cpp
   /// Sends the messages to the own region and to others that are due.
   void SendStatus();
@@ -288,6 +318,7 @@
   bool mHasExited = false;
 
   BackendPool mPool;
+  ServerReach mServerReach;
   FleetView mFleet;
   StoreRelay mStoreRelay;
   StoreFollowing mStoreFollowing = StoreFollowing::Eager;
@@ -308,6 +339,14 @@
 
   /// Shares as last logged.
   std::map<ServiceId, RegionShares> mRecordedShares;
+  /// Servers that could not be reached, while it is not known yet whether this
+  /// VM reaches any.
+  std::vector<BackendId> mSuspectedServers;
+  /// Time of the last answer from any server.
+  TimePoint mLastAnswerAt{};
+  TimePoint mCutOffSince{};
+  int mReachNewsLeft = 0;
+  TimePoint mNextReachNews{};
   TimePoint mNextPlan{};
   TimePoint mNextSameRegionStatus{};
   TimePoint mNextCrossRegionStatus{};
--- a/src/include/cranberrywing/message.h
+++ b/src/include/cranberrywing/message.h
@@ -48,7 +48,8 @@
                              message::RegionDemand,
                              message::BackendRateLimits,
                              message::StoreBeacon,
-                             message::StoreChanges>;
+                             message::StoreChanges,
+                             message::ServerReachStatus>;
 
 /// A message with its sender, as sent over the network.
 struct Envelope
--- a/src/include/cranberrywing/messages/gateway.h
+++ b/src/include/cranberrywing/messages/gateway.h
@@ -281,6 +281,19 @@
   }
 };
 
+/// Whether the sender has lost its links to all backend servers. Sent to all
+/// VMs on a change, and again while the sender is cut off.
+struct ServerReachStatus
+{
+  bool mIsCutOff = false;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mIsCutOff);
+  }
+};
+
 /// Sent several times per second to the VMs of the own region.
 struct GatewayStatus
 {
--- a/src/libcranberrywing/gateway/backend_pool.cpp
+++ b/src/libcranberrywing/gateway/backend_pool.cpp
@@ -331,6 +331,7 @@
                                       mOptions.mEjectionTime,
                                       mOptions.mMaxEjectionTime);
   aBackend.mEjectedUntil = aNow + aBackend.mEjectionTime;
+  aBackend.mEjectedAt = aNow;
   aBackend.mNeedsProbe = true;
   aBackend.mOtherVmLoad = 0;
 }
@@ -340,9 +341,33 @@
   if (!aBackend.mNeedsProbe) {
     aBackend.mNeedsProbe = true;
     aBackend.mEjectedUntil = aNow;
+    aBackend.mEjectedAt = aNow;
   }
 }
 
+std::size_t BackendPool::ForgiveFailures(TimePoint aSince, TimePoint aNow)
+{
+  std::size_t forgiven = 0;
+  for (const auto& [id, backend] : mBackends) {
+    const bool wasEjected = backend->mEjectedAt >= aSince;
+    if (!wasEjected && backend->mFailureAt < aSince) {
+      continue;
+    }
+    forgiven += wasEjected ? 1 : 0;
+    if (wasEjected) {
+      backend->mEjectedUntil = aNow;
+      backend->mEjectionTime = Duration::zero();
+      backend->mNeedsProbe = false;
+      backend->mEjectedAt = TimePoint{};
+    }
+    backend->mServiceTimeRatios.clear();
+    backend->mSlowness = 1;
+    backend->mFailureRate = 0;
+    backend->mConsecutiveFailures = 0;
+  }
+  return forgiven;
+}
+
 void BackendPool::OnProbeResult(Backend& aBackend,
                                 bool aIsHealthy,
                                 TimePoint aNow)
--- a/src/libcranberrywing/gateway/fleet_view.cpp
+++ b/src/libcranberrywing/gateway/fleet_view.cpp
@@ -9,6 +9,17 @@
 /// Time after the last status message for which a peer's demand is counted.
 constexpr Duration kDemandValidity = std::chrono::seconds(4);
 
+std::vector<VmRecord> OfRegion(const std::vector<VmRecord>& aVms,
+                               const RegionId& aRegion)
+{
+  std::vector<VmRecord> vms;
+  std::copy_if(aVms.begin(),
+               aVms.end(),
+               std::back_inserter(vms),
+               [&](const auto& aVm) { return aVm.mRegion == aRegion; });
+  return vms;
+}
+
 } // namespace
 
 FleetView::FleetView(Options aOptions)
@@ -92,6 +103,16 @@
   }
 }
 
+void FleetView::OnServerReach(const VmIncarnation& aFrom,
+                              const message::ServerReachStatus& aStatus,
+                              TimePoint aNow)
+{
+  if (Peer* const peer = FindSender(aFrom)) {
+    peer->mCutOffUntil =
+      aStatus.mIsCutOff ? aNow + mOptions.mCutOffValidity : aNow;
+  }
+}
+
 void FleetView::Tick(TimePoint aNow)
 {
   const auto expired =
@@ -144,6 +165,18 @@
          aNow - aPeer.mLastHeardAt <= mOptions.mSilenceLimit;
 }
 
+bool FleetView::IsCutOff(const Peer& aPeer, TimePoint aNow) const
+{
+  return aNow < aPeer.mCutOffUntil;
+}
+
+bool FleetView::HasReachingPeer(TimePoint aNow) const
+{
+  return std::any_of(mPeers.begin(), mPeers.end(), [&](const auto& aEntry) {
+    return IsUsable(aEntry.second, aNow) && !IsCutOff(aEntry.second, aNow);
+  });
+}
+
 std::size_t FleetView::SharingVmCount() const
 {
   return mPeers.size() + 1;
@@ -161,25 +194,35 @@
 }
 
 std::vector<VmRecord> FleetView::CallerTargets(const RegionId& aRegion,
-                                               bool aSelfIsReady,
+                                               const OwnState& aSelf,
                                                TimePoint aNow) const
 {
-  std::vector<VmRecord> all;
-  if (aSelfIsReady) {
-    all.push_back(mOptions.mSelf);
+  std::vector<VmRecord> usable;
+  std::vector<VmRecord> reaching;
+  const auto add = [&](const VmRecord& aRecord, bool aIsCutOff) {
+    usable.push_back(aRecord);
+    if (!aIsCutOff) {
+      reaching.push_back(aRecord);
+    }
+  };
+  if (aSelf.mIsReady) {
+    add(mOptions.mSelf, aSelf.mIsCutOff);
   }
   for (const auto& [id, peer] : mPeers) {
     if (IsUsable(peer, aNow)) {
-      all.push_back(peer.mRecord);
+      add(peer.mRecord, IsCutOff(peer, aNow));
     }
   }
-  std::vector<VmRecord> sameRegion;
-  std::copy_if(
-    all.begin(),
-    all.end(),
-    std::back_inserter(sameRegion),
-    [&](const VmRecord& aRecord) { return aRecord.mRegion == aRegion; });
-  return sameRegion.empty() ? all : sameRegion;
+  const std::vector<VmRecord> sameRegion = OfRegion(usable, aRegion);
+  if (reaching.empty()) {
+    // No VM is worse than the others; the servers themselves are probably down.
+    return sameRegion.empty() ? usable : sameRegion;
+  }
+  std::vector<VmRecord> best = OfRegion(reaching, aRegion);
+  const bool isEnough =
+    static_cast<double>(best.size()) >=
+    mOptions.mMinReachingFraction * static_cast<double>(sameRegion.size());
+  return best.empty() || !isEnough ? reaching : best;
 }
 
 double FleetView::SumOwnRegion(const ServiceId& aService,
--- a/src/libcranberrywing/gateway/fleet_view_test.cpp
+++ b/src/libcranberrywing/gateway/fleet_view_test.cpp
@@ -39,7 +39,8 @@
 
   std::size_t TargetCount() const
   {
-    return mView.CallerTargets(RegionId("north"), true, mNow).size();
+    return mView.CallerTargets(RegionId("north"), { .mIsReady = true }, mNow)
+      .size();
   }
 
   TimePoint mNow{ std::chrono::seconds(100) };
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -16,6 +16,7 @@
   : mOptions(std::move(aOptions))
   , mRandom(mOptions.mSeed)
   , mPool(BackendPool::Options{})
+  , mServerReach(ServerReach::Options{})
   , mFleet(FleetView::Options{ .mSelf = mOptions.mSelf })
   , mStoreRelay(StoreRelay::Options{ .mSelf = mOptions.mSelf })
   , mRegionPlan(RegionPlan::Options{ .mOwnRegion = mOptions.mSelf.mRegion,
@@ -65,15 +66,24 @@
   return std::exchange(mEffects, {});
 }
 
-bool Gateway::IsReady() const
+bool Gateway::HasStarted() const
 {
   return mPolicy && mHasRegistrations && !mStoppingSince;
 }
 
+bool Gateway::IsReady() const
+{
+  return HasStarted() &&
+         (!mServerReach.IsCutOff() || !mFleet.HasReachingPeer(mNow));
+}
+
 std::vector<VmRecord> Gateway::CallerTargets(const RegionId& aRegion,
                                              TimePoint aNow) const
 {
-  return mFleet.CallerTargets(aRegion, IsReady(), aNow);
+  return mFleet.CallerTargets(
+    aRegion,
+    { .mIsReady = HasStarted(), .mIsCutOff = mServerReach.IsCutOff() },
+    aNow);
 }
 
 void Gateway::Record(std::string aName,
@@ -251,13 +261,19 @@
   if (aEvent.mRateLimit) {
     LearnRateLimit(*backend, aEvent.mRateLimit, mNow, "probe");
   }
-  mPool.OnProbeResult(*backend, aEvent.mIsHealthy, mNow);
-  if (!aEvent.mIsHealthy) {
-    OnBackendDown(aEvent.mBackend);
+  if (!aEvent.mHasAnswered) {
+    backend->mIsProbing = false;
+    OnUnreachable(aEvent.mBackend);
+  } else {
+    mPool.OnProbeResult(*backend, aEvent.mIsHealthy, mNow);
+    if (!aEvent.mIsHealthy) {
+      OnBackendDown(aEvent.mBackend);
+    }
   }
   Record("backend_probed",
          { { "backend", aEvent.mBackend.mName },
-           { "healthy", aEvent.mIsHealthy ? "1" : "0" } });
+           { "healthy", aEvent.mIsHealthy ? "1" : "0" },
+           { "answered", aEvent.mHasAnswered ? "1" : "0" } });
 }
 
 void Gateway::On(const event::PeerMessageReceived& aEvent)
@@ -289,6 +305,11 @@
     OnMessage(*limits);
     return;
   }
+  if (const auto* const reach =
+        std::get_if<message::ServerReachStatus>(&aEvent.mMessage)) {
+    mFleet.OnServerReach(aEvent.mFrom, *reach, mNow);
+    return;
+  }
   cranberrywing::EffectList effects;
   if (const auto* const tokenRequest =
         std::get_if<message::TokenRequest>(&aEvent.mMessage)) {
@@ -326,6 +347,7 @@
       RefuseRateExceeded(it->second);
     }
   }
+  CheckServerReach();
   ExpireRequests();
   RetryFromSilentServers();
   BroadcastRequestBlocks();
--- a/src/libcranberrywing/gateway/gateway_outcomes.cpp
+++ b/src/libcranberrywing/gateway/gateway_outcomes.cpp
@@ -73,6 +73,10 @@
     return;
   }
   Backend* const backend = EndAttempt(*request, true);
+  mLastAnswerAt = mNow;
+  if (backend) {
+    backend->mAnsweredAt = mNow;
+  }
   if (backend && aEvent.mLoad) {
     mPool.OnLoadSample(*backend, *aEvent.mLoad, mNow);
   }
@@ -157,18 +161,17 @@
   const bool isSent = aEvent.mStage == event::FailureStage::AfterFirstByte;
   request->mMayHaveRun = request->mMayHaveRun || isSent;
   if (aEvent.mKind == event::FailureKind::Connect) {
-    OnBackendDown(server);
-    if (backend) {
-      mPool.Eject(*backend, mNow);
-    }
-  } else if (backend) {
+    ++mCounters.mConnectFailures;
+    OnUnreachable(server);
+  } else if (backend && !mServerReach.IsCutOff()) {
     const bool isEjected = mPool.OnFailure(*backend, mNow);
     if (aEvent.mKind == event::FailureKind::Reset && isSent && !isEjected) {
       // A health check shows whether the server or only the connection failed.
       mPool.RequireProbe(*backend, mNow);
     }
   }
-  if (aEvent.mKind == event::FailureKind::Reset && isSent) {
+  if (aEvent.mKind == event::FailureKind::Reset && isSent &&
+      !mServerReach.IsCutOff()) {
     mCrashGuard.OnReset(request->mFingerprint, server, mNow);
   }
   const bool mayRepeat = !isSent || request->mRoute->mIsIdempotent;
@@ -280,7 +283,7 @@
 
 void Gateway::RetryFromSilentServers()
 {
-  if (mStoppingSince) {
+  if (mStoppingSince || !CanSendToServers()) {
     return;
   }
   std::vector<RequestId> unanswered;
@@ -331,7 +334,8 @@
     if (!request.mBackend.IsEmpty()) {
       request.mMayHaveRun = true;
       mEffects.push_back(effect::CancelDispatch{ id, request.mAttempt });
-      if (Backend* const backend = EndAttempt(request, false)) {
+      Backend* const backend = EndAttempt(request, false);
+      if (backend && !mServerReach.IsCutOff()) {
         const Duration usual =
           mServiceTimes.Estimate(*request.mRoute, request.mService).mWarm;
         mPool.OnTimeout(*backend,
--- /dev/null
+++ b/src/libcranberrywing/gateway/gateway_reach.cpp
@@ -0,0 +1,172 @@
+#include <algorithm>
+#include <set>
+
+#include "cranberrywing/gateway/gateway.h"
+#include "request_limits.h"
+
+namespace cranberrywing::gateway {
+
+using detail::ToMs;
+
+namespace {
+
+/// Number of servers to which connections are opened in one round of checks.
+constexpr std::size_t kChecksPerRound = 4;
+/// A request is overdue if no server has answered for this time and for
+/// kOverdueFactor times the expected duration of the request.
+constexpr Duration kMinOverdueTime = std::chrono::milliseconds(500);
+constexpr double kOverdueFactor = 1.5;
+/// Number of servers with overdue requests that make the VM suspect that its
+/// links are lost.
+constexpr std::size_t kOverdueServers = 2;
+/// Failures up to this long before the first suspicion are attributed to the
+/// loss of the links.
+constexpr Duration kBlameTime = std::chrono::seconds(1);
+/// While cut off, open connections are used for this time after the last
+/// answer: they can live on although no new connection can be opened.
+constexpr Duration kLiveConnectionTime = std::chrono::seconds(1);
+/// A loss or return of the links is told to all VMs kNewsRepeats times, since
+/// messages may get lost, and a loss is repeated at the longer interval as long
+/// as it lasts.
+constexpr int kNewsRepeats = 3;
+constexpr Duration kNewsInterval = std::chrono::milliseconds(150);
+constexpr Duration kCutOffTellInterval = std::chrono::milliseconds(1000);
+
+} // namespace
+
+bool Gateway::HasOpenServerConnections() const
+{
+  return mNow - mLastAnswerAt <= kLiveConnectionTime;
+}
+
+bool Gateway::CanSendToServers() const
+{
+  return !mServerReach.IsCutOff() || HasOpenServerConnections();
+}
+
+std::vector<const Backend*> Gateway::SelectServersToCheck() const
+{
+  std::vector<const Backend*> servers;
+  for (const auto& [id, backend] : mPool.All()) {
+    servers.push_back(backend.get());
+  }
+  // A server that answered lately is most likely to run still.
+  std::sort(servers.begin(),
+            servers.end(),
+            [](const Backend* aLeft, const Backend* aRight) {
+              return aLeft->mAnsweredAt > aRight->mAnsweredAt;
+            });
+  std::vector<const Backend*> selected;
+  std::set<FailureDomainId> domains;
+  for (const bool isAnotherDomain : { true, false }) {
+    for (const Backend* const backend : servers) {
+      const bool isSelected =
+        std::find(selected.begin(), selected.end(), backend) != selected.end();
+      if (selected.size() < kChecksPerRound && !isSelected &&
+          (!isAnotherDomain ||
+           domains.insert(backend->mEntry.mFailureDomain).second)) {
+        selected.push_back(backend);
+      }
+    }
+  }
+  return selected;
+}
+
+void Gateway::SuspectOverdueServers()
+{
+  std::set<BackendId> overdue;
+  for (const auto& [id, request] : mRequests) {
+    const Duration limit = std::max(
+      kMinOverdueTime,
+      Duration(static_cast<Duration::rep>(
+        kOverdueFactor * static_cast<double>(request.mExpectedTotal.count()))));
+    if (!request.mBackend.IsEmpty() &&
+        mNow - std::max(request.mSentAt, mLastAnswerAt) > limit) {
+      overdue.insert(request.mBackend);
+    }
+  }
+  if (overdue.size() >= kOverdueServers) {
+    mServerReach.OnSuspicion(mNow);
+  }
+}
+
+void Gateway::CheckServerReach()
+{
+  SuspectOverdueServers();
+  if (mServerReach.IsRoundDue(mNow)) {
+    const std::vector<const Backend*> servers = SelectServersToCheck();
+    mServerReach.StartRound(servers.size(), mNow);
+    for (const Backend* const backend : servers) {
+      mEffects.push_back(
+        effect::CheckServer{ .mBackend = backend->mEntry.mBackend,
+                             .mAddress = backend->mEntry.mAddress,
+                             .mPort = backend->mEntry.mPort });
+    }
+  }
+  TellServerReach();
+}
+
+void Gateway::On(const event::ServerChecked& aEvent)
+{
+  const auto suspectSince = mServerReach.SuspectSince();
+  switch (mServerReach.OnChecked(aEvent.mIsReached, mNow)) {
+    case ServerReach::Change::None:
+      return;
+    case ServerReach::Change::SuspicionCleared:
+      for (const BackendId& backend : std::exchange(mSuspectedServers, {})) {
+        OnBackendDown(backend);
+      }
+      return;
+    case ServerReach::Change::Lost:
+      mSuspectedServers.clear();
+      mCutOffSince = mNow;
+      ++mCounters.mServerLinkLosses;
+      break;
+    case ServerReach::Change::Restored:
+      break;
+  }
+  // The servers are not to blame for what failed while the links were down.
+  const std::size_t forgiven =
+    mPool.ForgiveFailures(suspectSince.value_or(mNow) - kBlameTime, mNow);
+  mReachNewsLeft = kNewsRepeats;
+  mNextReachNews = mNow;
+  TellServerReach();
+  const bool isCutOff = mServerReach.IsCutOff();
+  Record(isCutOff ? "server_links_lost" : "server_links_restored",
+         { { "since_ms", ToMs(mNow - suspectSince.value_or(mNow)) },
+           { "last_answer_ms", ToMs(mNow - mLastAnswerAt) },
+           { "forgiven_servers", std::to_string(forgiven) },
+           { "in_flight", std::to_string(mRequests.size()) },
+           { "others_reach", mFleet.HasReachingPeer(mNow) ? "1" : "0" } });
+}
+
+void Gateway::OnUnreachable(const BackendId& aBackend)
+{
+  if (mServerReach.IsCutOff()) {
+    return;
+  }
+  mServerReach.OnSuspicion(mNow);
+  if (Backend* const backend = mPool.Find(aBackend)) {
+    mPool.Eject(*backend, mNow);
+  }
+  mSuspectedServers.push_back(aBackend);
+}
+
+void Gateway::TellServerReach()
+{
+  const bool isCutOff = mServerReach.IsCutOff();
+  if (mNow < mNextReachNews || (mReachNewsLeft == 0 && !isCutOff)) {
+    return;
+  }
+  mNextReachNews =
+    mNow + (mReachNewsLeft > 0 ? kNewsInterval : kCutOffTellInterval);
+  mReachNewsLeft = std::max(0, mReachNewsLeft - 1);
+  for (const auto& [id, peer] : mFleet.Peers()) {
+    if (IsReceiver(peer)) {
+      SendTo({ id, peer.mRecord.mAddress, peer.mRecord.mPeerPort },
+             message::ServerReachStatus{ isCutOff });
+    }
+  }
+}
+
+} // namespace cranberrywing::gateway
--- a/src/libcranberrywing/gateway/gateway_requests.cpp
+++ b/src/libcranberrywing/gateway/gateway_requests.cpp
@@ -17,6 +17,9 @@
 /// Minimum time before the deadline for a retry to be worthwhile.
 constexpr Duration kMinTimeForRetry = std::chrono::milliseconds(60);
 
+/// Retry delay of requests that another VM can serve at once.
+constexpr Duration kCutOffRetryDelay = std::chrono::milliseconds(50);
+
 std::string_view PathOf(std::string_view aTarget)
 {
   return aTarget.substr(0, aTarget.find('?'));
@@ -248,6 +251,13 @@
 void Gateway::DispatchOrRefuse(Request& aRequest,
                                const std::optional<Selection>& aSelection)
 {
+  if (!CanSendToServers() && !aRequest.mMayHaveRun) {
+    RefuseRequest(aRequest,
+                  { .mCode = ResultCode::NoBackend,
+                    .mDetail = "this VM has lost its links to all servers",
+                    .mRetryAfter = JitterRetryDelay(kCutOffRetryDelay) });
+    return;
+  }
   if (aRequest.mMayHaveRun && !aSelection) {
     RefuseOutcomeUnknown(aRequest, "no_further_server");
     return;
@@ -318,7 +328,7 @@
 std::optional<Selection> Gateway::SelectRetry(const Request& aRequest)
 {
   if (aRequest.mAttempt >= aRequest.mRoute->mMaxAttempts ||
-      aRequest.mDeadline - mNow < kMinTimeForRetry ||
+      aRequest.mDeadline - mNow < kMinTimeForRetry || !CanSendToServers() ||
       mCrashGuard.IsSuspect(aRequest.mFingerprint, mNow)) {
     return std::nullopt;
   }
--- a/src/libcranberrywing/gateway/gateway_test.cpp
+++ b/src/libcranberrywing/gateway/gateway_test.cpp
@@ -212,8 +212,8 @@
   fixture.Advance(std::chrono::seconds(1));
   REQUIRE(fixture.FindEffect<effect::ProbeBackend>());
   CHECK(fixture.FindEffect<effect::ProbeBackend>()->mBackend == first.mBackend);
-  fixture.Deliver(
-    event::BackendProbed{ .mBackend = first.mBackend, .mIsHealthy = true });
+  fixture.Deliver(event::BackendProbed{
+    .mBackend = first.mBackend, .mHasAnswered = true, .mIsHealthy = true });
   fixture.Request("/orders/2");
   CHECK(fixture.FindEffect<effect::Dispatch>()->mBackend == first.mBackend);
 }
--- a/src/libcranberrywing/gateway/gateway_upkeep.cpp
+++ b/src/libcranberrywing/gateway/gateway_upkeep.cpp
@@ -148,7 +148,8 @@
   status.mIsLeaving = mStoppingSince.has_value();
   status.mDemand = OwnDemand();
   for (const auto& [id, backend] : mPool.All()) {
-    if (backend->mInFlight > 0) {
+    // What hangs on lost links keeps no server busy.
+    if (backend->mInFlight > 0 && !mServerReach.IsCutOff()) {
       status.mInFlight.push_back(
         { backend->mHash, static_cast<std::uint16_t>(backend->mInFlight) });
     }
@@ -294,7 +295,7 @@
 
 void Gateway::ProbeServers()
 {
-  if (!mPolicy) {
+  if (!mPolicy || mServerReach.IsCutOff()) {
     return;
   }
   for (Backend* const backend : mPool.TakeProbesDue(mNow)) {
--- a/src/libcranberrywing/gateway/server_reach_test.cpp
+++ b/src/libcranberrywing/gateway/server_reach_test.cpp
@@ -40,6 +40,28 @@
       } else if (const auto* const probe =
                    std::get_if<effect::ProbeBackend>(&effect)) {
         Deliver(event::BackendProbed{ .mBackend = probe->mBackend });
+      } else if (const auto* const check =
+                   std::get_if<effect::CheckServer>(&effect)) {
+        Deliver(event::ServerChecked{ .mBackend = check->mBackend,
+                                      .mIsReached =
+                                        check->mBackend == mReachableServer });
+      }
+    }
+  }
+
+  /// Lets all checks of the links succeed for the given time.
+  void RestoreLinks(Duration aTime)
+  {
+    const Duration step = std::chrono::milliseconds(100);
+    for (Duration passed{}; passed < aTime; passed += step) {
+      HearPeer();
+      const EffectList effects = Advance(step);
+      for (const Effect& effect : effects) {
+        if (const auto* const check =
+              std::get_if<effect::CheckServer>(&effect)) {
+          Deliver(event::ServerChecked{ .mBackend = check->mBackend,
+                                        .mIsReached = true });
+        }
       }
     }
   }
@@ -57,6 +79,9 @@
     }
   }
 
+  /// The only server that checks reach; empty if there is none.
+  BackendId mReachableServer;
+
   std::vector<VmId> Targets() const
   {
     std::vector<VmId> vms;
@@ -69,14 +94,93 @@
 
 } // namespace
 
+// Guards against lookups that change with each gap in links that come and go.
+TEST_CASE("Links that are lost again soon have to hold longer")
+{
+  ServerReach reach(ServerReach::Options{});
+  TimePoint now{ std::chrono::seconds(100) };
+  const auto runRound = [&](bool aIsReached) {
+    while (!reach.IsRoundDue(now)) {
+      now += std::chrono::milliseconds(50);
+    }
+    reach.StartRound(2, now);
+    const auto first = reach.OnChecked(aIsReached, now);
+    const auto second = reach.OnChecked(aIsReached, now);
+    return first == ServerReach::Change::None ? second : first;
+  };
+  const auto roundsUntilRestored = [&] {
+    int rounds = 1;
+    while (runRound(true) != ServerReach::Change::Restored) {
+      ++rounds;
+    }
+    return rounds;
+  };
+  reach.OnSuspicion(now);
+  REQUIRE(runRound(false) == ServerReach::Change::Lost);
+  const int rounds = roundsUntilRestored();
+  reach.OnSuspicion(now);
+  REQUIRE(runRound(false) == ServerReach::Change::Lost);
+  CHECK(roundsUntilRestored() > rounds);
+}
+
 // Guards against callers that are served far worse than others because lookups
 // name a VM whose links to all servers are gone.
-TEST_CASE("Callers are not sent to a VM that reaches no backend server",
-          "[!shouldfail]")
+TEST_CASE("Callers are not sent to a VM that reaches no backend server")
 {
   CutVmFixture fixture;
   fixture.RunCutOff(std::chrono::seconds(2));
   CHECK(fixture.Targets() == std::vector<VmId>{ VmId("vm-2") });
+  CHECK_FALSE(fixture.mGateway.IsReady());
+}
+
+// Guards against callers that are sent nowhere because the servers themselves
+// are down for all VMs.
+TEST_CASE("VMs that all reach no backend server are all named to callers")
+{
+  CutVmFixture fixture;
+  fixture.RunCutOff(std::chrono::seconds(2));
+  fixture.Deliver(event::PeerMessageReceived{
+    { VmId("vm-2"), { 8 } }, message::ServerReachStatus{ true } });
+  CHECK(fixture.Targets().size() == 2);
+  CHECK(fixture.mGateway.IsReady());
+}
+
+// Guards against servers that stay ejected for seconds after the links of the
+// VM, and not the servers, had failed.
+TEST_CASE("Servers are used at once when the VM's links are back")
+{
+  CutVmFixture fixture;
+  fixture.RunCutOff(std::chrono::seconds(5));
+  fixture.RestoreLinks(std::chrono::seconds(2));
+  REQUIRE(fixture.mGateway.IsReady());
+  CHECK(fixture.Targets().size() == 2);
+  fixture.Request("/prices/1");
+  CHECK(fixture.FindEffect<effect::Dispatch>());
+}
+
+// Guards against the loss of one server, or of most, being taken for the loss
+// of the VM's own links.
+TEST_CASE("A VM that reaches one of its servers is not cut off")
+{
+  CutVmFixture fixture;
+  fixture.mReachableServer = BackendId("s2");
+  fixture.RunCutOff(std::chrono::seconds(5));
+  CHECK_FALSE(fixture.mGateway.IsCutOff());
+  CHECK(fixture.Targets().size() == 2);
+}
+
+// Guards against requests that wait for a connection although none can be
+// opened, and against false statements that they may have run.
+TEST_CASE("A VM that reaches no backend server refuses requests as not run")
+{
+  CutVmFixture fixture;
+  fixture.RunCutOff(std::chrono::seconds(2));
+  fixture.Request("/orders/1");
+  const auto* const refuse = fixture.FindEffect<effect::Refuse>();
+  REQUIRE(refuse);
+  CHECK(refuse->mRefusal.mExecution == Execution::NotRun);
+  CHECK(refuse->mRefusal.mRetryAfter > Duration::zero());
+  CHECK_FALSE(fixture.FindEffect<effect::Dispatch>());
 }
 
 } // namespace cranberrywing::gateway
--- a/src/libcranberrywing/reducer_delivery.h
+++ b/src/libcranberrywing/reducer_delivery.h
@@ -234,6 +234,7 @@
   void OnMessage(const VmIncarnation&, const message::StoreChanges&) {}
   void OnMessage(const VmIncarnation&, const message::RegionDemand&) {}
   void OnMessage(const VmIncarnation&, const message::BackendRateLimits&) {}
+  void OnMessage(const VmIncarnation&, const message::ServerReachStatus&) {}
 
   VmId mFrom{};
 };
