Attribute refusals on kept connections to their requests

Now an answer that names no attempt counts only on the first use of a connection, where no earlier request exists; others are skipped, counted and logged (foreign_answer_skipped). The daemon's own interface had no identifier: it sends Cranberrywing-Attempt, which servers echo in shed answers.

--- a/src/cranberrywingd/backend_client.cpp
+++ b/src/cranberrywingd/backend_client.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::uint32_t kServiceUnavailable = 503;
 constexpr std::string_view kNotRunHeader = "Cranberrywing-Not-Run";
+/// Identifies an attempt; servers echo it in their answers.
+constexpr std::string_view kAttemptHeader = "Cranberrywing-Attempt";
 constexpr std::int64_t kMaxRetryAfterSeconds = 3600;
 
 Duration ReadRetryAfter(const AnswerContent& aAnswer)
@@ -60,6 +62,18 @@
   return { .mIsShed = true, .mRetryAfter = ReadRetryAfter(aAnswer) };
 }
 
+bool IsAnswerToAttempt(const AnswerContent& aAnswer,
+                       const std::string& aAttemptId,
+                       netutil::ConnectionUse aUse)
+{
+  if (const std::string* const id =
+        netutil::FindHeader(aAnswer.mHeaders, kAttemptHeader)) {
+    return *id == aAttemptId;
+  }
+  return aUse == netutil::ConnectionUse::First ||
+         !ReadShedStatus(aAnswer).mIsShed;
+}
+
 event::BackendFailed DescribeFailure(const netutil::ExchangeFailure& aFailure)
 {
   using netutil::ExchangeFailureKind;
@@ -103,16 +117,26 @@
     std::chrono::floor<Milliseconds>(aEffect.mTimeout), Milliseconds(1));
   std::vector<Header> headers{ { "X-Request-Deadline-Ms",
                                  std::to_string(remaining.count()) } };
+  const std::string attemptId =
+    std::to_string(static_cast<std::uint64_t>(aEffect.mRequest)) + "-" +
+    std::to_string(aEffect.mAttempt);
+  headers.push_back({ std::string(kAttemptHeader), attemptId });
   const bool isHead = aEffect.mContent->mMethod == "HEAD";
-  mAttempts[id] =
-    mPool.Start(endpoint,
-                aEffect.mContent,
-                std::move(headers),
-                aEffect.mTimeout,
-                [this, id, isHead, dispatched = ReadClock()](
-                  netutil::ExchangeResult aResult) {
-                  OnResult(id, dispatched, isHead, std::move(aResult));
-                });
+  mAttempts[id] = mPool.Start(
+    endpoint,
+    aEffect.mContent,
+    std::move(headers),
+    aEffect.mTimeout,
+    [this, id, isHead, dispatched = ReadClock()](
+      netutil::ExchangeResult aResult) {
+      OnResult(id, dispatched, isHead, std::move(aResult));
+    },
+    [this, attemptId](const AnswerContent& aAnswer,
+                      netutil::ConnectionUse aUse) {
+      const bool isAnswer = IsAnswerToAttempt(aAnswer, attemptId, aUse);
+      mMetrics.mForeignAnswers += isAnswer ? 0 : 1;
+      return isAnswer;
+    });
 }
 
 void BackendClient::OnResult(const AttemptId& aId,
--- a/src/cranberrywingd/backend_client.h
+++ b/src/cranberrywingd/backend_client.h
@@ -24,6 +24,14 @@
 /// other answers are for the caller. Thread-safe.
 ShedStatus ReadShedStatus(const AnswerContent& aAnswer);
 
+/// Whether an answer can belong to the attempt with the given identifier. An
+/// answer that names another attempt does not, and neither does a shed answer
+/// that names none, unless the connection has not been used before: it could
+/// repeat the refusal of an earlier request. Thread-safe.
+bool IsAnswerToAttempt(const AnswerContent& aAnswer,
+                       const std::string& aAttemptId,
+                       netutil::ConnectionUse aUse);
+
 /// Converts a failed exchange into the core's event, without request and
 /// attempt. Thread-safe.
 event::BackendFailed DescribeFailure(const netutil::ExchangeFailure& aFailure);
--- a/src/cranberrywingd/gateway_daemon.h
+++ b/src/cranberrywingd/gateway_daemon.h
@@ -92,6 +92,8 @@
                        const RequestContentPtr& aContent,
                        TimePoint aSentAt,
                        netutil::ExchangeResult aResult);
+  /// Skips and logs answers that do not belong to the request.
+  netutil::ResponseFilter AnswerFilter(const RequestContentPtr& aContent);
   void AnswerCaller(RequestId aRequest,
                     const AnswerContentPtr& aAnswer,
                     bool aCloseAfter);
--- a/src/cranberrywingd/gateway_daemon_effects.cpp
+++ b/src/cranberrywingd/gateway_daemon_effects.cpp
@@ -48,9 +48,24 @@
      attempt = aEffect.mAttempt](netutil::ExchangeResult aResult) {
       OnBackendResult(request, attempt, content, sentAt, std::move(aResult));
     },
-    [this, content](const AnswerContent& aAnswer) {
-      return mOptions.mDialect.mIsAnswerTo(*content, aAnswer);
-    });
+    AnswerFilter(content));
+}
+
+netutil::ResponseFilter GatewayDaemon::AnswerFilter(
+  const RequestContentPtr& aContent)
+{
+  return [this, aContent](const AnswerContent& aAnswer,
+                          netutil::ConnectionUse aUse) {
+    const bool isAnswer =
+      mOptions.mDialect.mIsAnswerTo(*aContent, aAnswer, aUse);
+    if (!isAnswer) {
+      ++mMetrics.mForeignAnswers;
+      Record("foreign_answer_skipped",
+             { { "target", aContent->mTarget },
+               { "status", std::to_string(aAnswer.mStatus) } });
+    }
+    return isAnswer;
+  };
 }
 
 void GatewayDaemon::OnBackendResult(RequestId aRequest,
@@ -140,7 +155,8 @@
     [this, backend = aEffect.mBackend](netutil::ExchangeResult aResult) {
       Deliver(aResult ? mOptions.mDialect.mReadProbe(backend, *aResult)
                       : gateway::event::BackendProbed{ .mBackend = backend });
-    });
+    },
+    AnswerFilter(request));
 }
 
 void GatewayDaemon::Execute(gateway::effect::CheckServer& aEffect)
--- a/src/cranberrywingd/gateway_dialect.h
+++ b/src/cranberrywingd/gateway_dialect.h
@@ -11,6 +11,7 @@
 
 #include "cranberrywing/gateway/gateway.h"
 #include "cranberrywing/gateway/store_follower.h"
+#include "netutil/http_client.h"
 
 namespace cranberrywing::daemon {
 
@@ -24,9 +25,11 @@
   /// Header fields to add to the request for a backend server.
   std::function<std::vector<Header>(const gateway::effect::Dispatch&)>
     mBackendFields;
-  /// Whether an answer belongs to this request, and not to an earlier request
-  /// on the same connection.
-  std::function<bool(const RequestContent&, const AnswerContent&)> mIsAnswerTo;
+  /// Whether an answer belongs to this request or health probe, and not to an
+  /// earlier request on the same connection.
+  std::function<
+    bool(const RequestContent&, const AnswerContent&, netutil::ConnectionUse)>
+    mIsAnswerTo;
   /// Decodes a backend server's answer. Sets all members but the request, the
   /// attempt and the latency.
   std::function<gateway::event::BackendReplied(const RequestContent&,
--- a/src/cranberrywingd/metrics.cpp
+++ b/src/cranberrywingd/metrics.cpp
@@ -174,6 +174,9 @@
   aOut.Counter("cranberrywing_backend_exchanges_total",
                "Requests sent to backend servers.",
                number(aMetrics.mBackendExchanges));
+  aOut.Counter("cranberrywing_foreign_answers_total",
+               "Skipped answers of backend servers to other requests.",
+               number(aMetrics.mForeignAnswers));
   for (const auto& [kind, count] : aMetrics.mBackendFailures) {
     aOut.Counter("cranberrywing_backend_failures_total",
                  "Failed exchanges with backend servers by kind.",
--- a/src/cranberrywingd/metrics.h
+++ b/src/cranberrywingd/metrics.h
@@ -97,6 +97,9 @@
   std::map<unsigned, std::uint64_t> mAnswersByStatus;
   std::uint64_t mBackendExchanges = 0;
   std::map<std::string, std::uint64_t> mBackendFailures;
+  /// Answers of backend servers that belong to another request than the one in
+  /// progress.
+  std::uint64_t mForeignAnswers = 0;
   std::uint64_t mStoreCalls = 0;
   std::uint64_t mStoreFailures = 0;
   std::uint64_t mDatagramsSent = 0;
--- a/src/cranberrywingd/wire_formats_test.cpp
+++ b/src/cranberrywingd/wire_formats_test.cpp
@@ -93,6 +93,24 @@
   CHECK_FALSE(ReadShedStatus(answer).mIsShed);
 }
 
+// Guards against a refusal that a server repeats late on a kept connection, and
+// that was taken for the refusal of a request which the server ran.
+TEST_CASE("a shed answer on a kept connection has to name its attempt")
+{
+  using netutil::ConnectionUse;
+  AnswerContent answer{ .mStatus = 503,
+                        .mHeaders = { { "Cranberrywing-Not-Run", "1" } },
+                        .mBody = {} };
+  CHECK(IsAnswerToAttempt(answer, "2-1", ConnectionUse::First));
+  CHECK_FALSE(IsAnswerToAttempt(answer, "2-1", ConnectionUse::Repeated));
+  answer.mHeaders.push_back({ "Cranberrywing-Attempt", "2-1" });
+  CHECK(IsAnswerToAttempt(answer, "2-1", ConnectionUse::Repeated));
+  CHECK_FALSE(IsAnswerToAttempt(answer, "3-1", ConnectionUse::Repeated));
+  CHECK_FALSE(IsAnswerToAttempt(answer, "3-1", ConnectionUse::First));
+  const AnswerContent plain{ .mStatus = 200, .mHeaders = {}, .mBody = {} };
+  CHECK(IsAnswerToAttempt(plain, "2-1", ConnectionUse::Repeated));
+}
+
 // Guards against treating a timeout after sending as safe to retry.
 TEST_CASE("the stage of a failure depends on whether bytes were sent")
 {
--- a/src/netutil/http_client.cpp
+++ b/src/netutil/http_client.cpp
@@ -87,6 +87,7 @@
   mTimeout = aTimeout;
   mStartedAt = std::chrono::steady_clock::now();
   mSkippedResponses = 0;
+  mUse = mIsConnected ? ConnectionUse::Repeated : ConnectionUse::First;
   if (mIsConnected) {
     StartTimer(aTimeout);
     Send();
@@ -347,7 +348,7 @@
       { { name.data(), name.size() }, { value.data(), value.size() } });
   }
   response.mBody = std::move(message.body());
-  if (mFilter && !mFilter(response)) {
+  if (mFilter && !mFilter(response, mUse)) {
     return false;
   }
   mIsKeepAlive = message.keep_alive() && mIsSendComplete && mBuffer.size() == 0;
--- a/src/netutil/http_client.h
+++ b/src/netutil/http_client.h
@@ -94,10 +94,18 @@
   double mKeepAliveFraction = 0.75;
 };
 
+/// Whether a connection has carried other exchanges before the current one.
+enum class ConnectionUse : std::uint8_t
+{
+  First,
+  Repeated,
+};
+
 /// Returns whether a response belongs to the exchange in progress. Other
 /// responses, such as a late second response to an earlier request, are
-/// discarded, and reading continues.
-using ResponseFilter = std::function<bool(const AnswerContent&)>;
+/// discarded, and reading continues. On the first use of a connection there is
+/// no earlier request.
+using ResponseFilter = std::function<bool(const AnswerContent&, ConnectionUse)>;
 
 /// Serializes the request line and header fields up to and including the empty
 /// line. Adds Content-Length, and Host if aRequest has none. Thread-safe.
@@ -186,6 +194,8 @@
   /// Number of the current exchange; lets completion handlers of earlier
   /// exchanges be ignored.
   std::uint64_t mExchangeNumber = 0;
+  /// Use of the connection by the current exchange.
+  ConnectionUse mUse = ConnectionUse::First;
   bool mIsConnected = false;
   bool mIsActive = false;
   bool mWasSent = false;
--- a/src/netutil/http_client_endless_test.cpp
+++ b/src/netutil/http_client_endless_test.cpp
@@ -122,9 +122,11 @@
 TEST_CASE("responses without end to other requests fail the exchange")
 {
   const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-  CHECK(FailEndless(response, response, {}, [](const AnswerContent&) {
-          return false;
-        }).mKind == ExchangeFailureKind::Malformed);
+  CHECK(FailEndless(response,
+                    response,
+                    {},
+                    [](const AnswerContent&, ConnectionUse) { return false; })
+          .mKind == ExchangeFailureKind::Malformed);
   const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
   CHECK(FailEndless(interim, interim, {}).mKind ==
         ExchangeFailureKind::Malformed);
--- a/src/netutil/http_client_test.cpp
+++ b/src/netutil/http_client_test.cpp
@@ -107,6 +107,34 @@
   CHECK(garbage.mKind == ExchangeFailureKind::Malformed);
 }
 
+// Guards against the failure MIXED: a server that stops in the middle of its
+// answer's head and closes, whose answer was passed on with an empty or short
+// body, framed as a whole one.
+TEST_CASE("an answer that ends within its head is no answer")
+{
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  const std::vector<std::string> heads{
+    "HTTP/1.1 200 OK\r\nContent-Length: 40\r\nSignature: s\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nSignature: s\r\n\r\n",
+    "HTTP/1.1 204 No Content\r\nSignature: s\r\n\r\n",
+  };
+  for (const std::string& head : heads) {
+    for (const std::string& before : { std::string(), interim }) {
+      for (std::size_t length = 0; length < head.size(); ++length) {
+        boost::asio::io_context context(1);
+        RawServer server(context, before + head.substr(0, length), true);
+        HttpClientPool::Options options;
+        options.mClient.mAcceptsCloseDelimitedBody = true;
+        HttpClientPool pool(context, options);
+        const ExchangeResult result = Exchange(context, pool, server.Address());
+        REQUIRE_FALSE(result.has_value());
+        CHECK(result.error().mWasSent);
+      }
+    }
+  }
+}
+
 // Guards against treating a refused connection as a request that may have run,
 // which would prevent a safe retry.
 TEST_CASE("a refused connection counts as not sent")
@@ -178,13 +206,18 @@
                    "3\r\n\r\nnew",
                    false);
   HttpClientPool pool(context, {});
-  const auto result = Exchange(
-    context, pool, server.Address(), "GET", [](const AnswerContent& aResponse) {
-      return std::any_of(
-        aResponse.mHeaders.begin(),
-        aResponse.mHeaders.end(),
-        [](const Header& aHeader) { return aHeader.mValue == "present"; });
-    });
+  const auto result =
+    Exchange(context,
+             pool,
+             server.Address(),
+             "GET",
+             [](const AnswerContent& aResponse, ConnectionUse) {
+               return std::any_of(aResponse.mHeaders.begin(),
+                                  aResponse.mHeaders.end(),
+                                  [](const Header& aHeader) {
+                                    return aHeader.mValue == "present";
+                                  });
+             });
   REQUIRE(result.has_value());
   CHECK(result->mBody == "new");
 }
@@ -198,9 +231,11 @@
     context, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold", true);
   HttpClientPool pool(context, {});
   const auto result =
-    Exchange(context, pool, server.Address(), "GET", [](const AnswerContent&) {
-      return false;
-    });
+    Exchange(context,
+             pool,
+             server.Address(),
+             "GET",
+             [](const AnswerContent&, ConnectionUse) { return false; });
   REQUIRE_FALSE(result.has_value());
   CHECK(result.error().mKind == ExchangeFailureKind::Reset);
   CHECK(result.error().mWasSent);
@@ -251,9 +286,11 @@
   RawServer server(context, "HTTP/1.1 200 OK\r\n\r\nold", true);
   HttpClientPool pool(context, options);
   const auto result =
-    Exchange(context, pool, server.Address(), "GET", [](const AnswerContent&) {
-      return false;
-    });
+    Exchange(context,
+             pool,
+             server.Address(),
+             "GET",
+             [](const AnswerContent&, ConnectionUse) { return false; });
   REQUIRE_FALSE(result.has_value());
   CHECK(result.error().mKind == ExchangeFailureKind::Reset);
 }
--- a/src/standins/backend/backend_server.cpp
+++ b/src/standins/backend/backend_server.cpp
@@ -158,11 +158,16 @@
   return netutil::MakeJsonResponse(200, body);
 }
 
-AnswerContentPtr BackendServer::RejectNotRun(const std::string& aReason) const
+AnswerContentPtr BackendServer::RejectNotRun(const RequestContent& aRequest,
+                                             const std::string& aReason) const
 {
   AnswerContent answer = *netutil::MakeProblemResponse(
     Error{ ResultCode::Overloaded, mOptions.mName + ": " + aReason });
   answer.mHeaders.push_back({ "Cranberrywing-Not-Run", "1" });
+  if (const std::string* const attempt =
+        netutil::FindHeader(aRequest.mHeaders, "Cranberrywing-Attempt")) {
+    answer.mHeaders.push_back({ "Cranberrywing-Attempt", *attempt });
+  }
   return std::make_shared<const AnswerContent>(std::move(answer));
 }
 
@@ -178,7 +183,9 @@
   if (mBehaviour.mShedding || mBehaviour.mDraining || isOverThreshold) {
     ++mCounters.mShed;
     mServer.Answer(
-      aExchange, RejectNotRun("overloaded or draining; request was shed"), {});
+      aExchange,
+      RejectNotRun(aRequest, "overloaded or draining; request was shed"),
+      {});
     return;
   }
   QueuedRequest queued{ .mExchange = aExchange,
@@ -208,7 +215,8 @@
       ++mCounters.mExpired;
       mServer.Answer(
         queued.mExchange,
-        RejectNotRun("deadline passed while the request was queued"),
+        RejectNotRun(queued.mRequest,
+                     "deadline passed while the request was queued"),
         {});
       continue;
     }
--- a/src/standins/backend/backend_server.h
+++ b/src/standins/backend/backend_server.h
@@ -77,7 +77,8 @@
   void Run(QueuedRequest aQueued);
   void Finish(const netutil::ExchangeId& aExchange, AnswerContentPtr aAnswer);
   AnswerContentPtr Execute(const RequestContent& aRequest);
-  AnswerContentPtr RejectNotRun(const std::string& aReason) const;
+  AnswerContentPtr RejectNotRun(const RequestContent& aRequest,
+                                const std::string& aReason) const;
   Duration ServiceTime() const;
   double ArrivalRate(Clock::time_point aNow);
 
