Refuse requests that a stopping VM may not finish

It could happen here: new requests were taken until 3.9 s after the stop, while the process exits 5.25 s after it and a request may take up to its deadline. Now a request that must not be repeated is taken only if its deadline lies before the exit, others if twice their usual time does; the rest is refused at once as not run. The daemon's own interface already bounds deadlines by the end of the drain.

--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -236,6 +236,11 @@
   void On(const event::BackendFailed& aEvent);
   /// Sets the request's policy, route and account, or returns why not.
   std::optional<Refusal> ResolveRouteAndAccount(Request& aRequest);
+  /// Whether a request that arrives after the stop request is accepted: it will
+  /// have its answer before the process exits. Precondition: IsStopping.
+  bool MayFinishBeforeExit(const Request& aRequest) const;
+  /// Latest time at which a stopping process exits. Precondition: IsStopping.
+  TimePoint ExitTime() const;
   /// Applies the account's rate limit: the request is dispatched, refused, or
   /// held until tokens arrive.
   void AdmitByRate(Request& aRequest);
--- a/src/libcranberrywing/gateway/gateway_test.cpp
+++ b/src/libcranberrywing/gateway/gateway_test.cpp
@@ -200,6 +200,33 @@
   CHECK(fixture.FindEffect<effect::Exit>());
 }
 
+// Guards against the failure LOST: a stopping VM takes a request that may last
+// longer than the process, and cuts it at the end of the grace time.
+TEST_CASE("A stopping VM takes no request that it may not finish")
+{
+  GatewayFixture fixture;
+  PolicyContent content = fixture.Content(2);
+  for (RoutePolicy& route : content.mRoutes) {
+    route.mTimeout = std::chrono::seconds(3);
+  }
+  fixture.SetPolicy(content);
+  fixture.Deliver(event::StopRequested{});
+  fixture.Advance(std::chrono::seconds(2));
+  fixture.Request("/orders/1");
+  CHECK(fixture.FindEffect<effect::Dispatch>());
+  fixture.Advance(std::chrono::milliseconds(500));
+  fixture.Request("/orders/2");
+  CHECK_FALSE(fixture.FindEffect<effect::Dispatch>());
+  const auto* const refuse = fixture.FindEffect<effect::Refuse>();
+  REQUIRE(refuse);
+  CHECK(refuse->mRefusal.mCode == ResultCode::ShuttingDown);
+  CHECK(refuse->mRefusal.mExecution == Execution::NotRun);
+  CHECK(refuse->mCloseAfter);
+  // A request that may be repeated needs only the usual time.
+  fixture.Request("/prices/1");
+  CHECK(fixture.FindEffect<effect::Dispatch>());
+}
+
 // Guards against sending further requests to a server that refuses connections:
 // it has to pass a health check first.
 TEST_CASE("An unreachable server gets a health check before it is used again")
--- a/src/libcranberrywing/gateway/gateway_upkeep.cpp
+++ b/src/libcranberrywing/gateway/gateway_upkeep.cpp
@@ -25,9 +25,6 @@
 /// one at a time.
 constexpr Duration kCrossRegionInterval = std::chrono::milliseconds(1000);
 constexpr std::size_t kCrossRegionPeers = 12;
-/// The process exits at the latest this fraction of the stop limit before it
-/// would be killed, which would cut answers that are being sent.
-constexpr int kStopMarginDivisor = 8;
 
 /// Demand of the own region, in server slots, below which its shares are set
 /// without a limit on the rate of change.
@@ -325,8 +322,7 @@
     mHasClosedCallerConnections = true;
     mEffects.push_back(effect::CloseCallerConnections{});
   }
-  if (isQuiet ||
-      age >= mOptions.mStopLimit - mOptions.mStopLimit / kStopMarginDivisor) {
+  if (isQuiet || mNow >= ExitTime()) {
     mHasExited = true;
     Record("stopped", { { "in_flight", std::to_string(mRequests.size()) } });
     mEffects.push_back(effect::Exit{});
