Heed servers that say that they are leaving or ask to wait

A server that leaves says so in all its answers, and one that refuses may ask for a time without requests; neither was read.

ServerNotices holds both by server lifetime, so that they bind no later process and outlast a registration that lapses and returns. BackendPool asks it in the questions that every sender asks (IsEligible, IsUsable, TakeProbesDue): first tries, retries, requests that waited, other regions, health checks. Leaving is told to all VMs by the hash of the server's lifetime. A wait binds the VM that was told; it is bounded to 60 s, and a value that is no positive number is ignored. When all servers of a service wait, callers are told at once when to return.

--- a/src/cranberrywingd/gateway_daemon.cpp
+++ b/src/cranberrywingd/gateway_daemon.cpp
@@ -362,6 +362,12 @@
   writer.Gauge("cranberrywing_servers_reached",
                "0 while the links to all backend servers are lost, or else 1.",
                mGateway.IsCutOff() ? 0 : 1);
+  writer.Gauge("cranberrywing_backends_leaving",
+               "Backend servers that have said that they are leaving.",
+               static_cast<double>(mGateway.Pool().Notices().LeavingCount()));
+  writer.Gauge("cranberrywing_backends_waiting",
+               "Backend servers that have asked this VM to send nothing.",
+               static_cast<double>(mGateway.Pool().Notices().WaitingCount()));
   writer.Counter("cranberrywing_policy_problems_total",
                  "Parts of configurations that could not be read.",
                  static_cast<double>(counters.mPolicyProblems));
--- a/src/include/cranberrywing/gateway/backend_pool.h
+++ b/src/include/cranberrywing/gateway/backend_pool.h
@@ -14,6 +14,7 @@
 
 #include "cranberrywing/gateway/backend_rate_limit.h"
 #include "cranberrywing/gateway/policy.h"
+#include "cranberrywing/gateway/server_notices.h"
 #include "cranberrywing/types.h"
 
 namespace cranberrywing::gateway {
@@ -165,12 +166,18 @@
   }
   std::vector<ServiceId> Services() const;
 
-  /// Whether new requests may be sent to the server: it is eligible, not
-  /// ejected and not waiting for a health check.
+  /// What servers have told this VM.
+  ServerNotices& Notices() { return mNotices; }
+  const ServerNotices& Notices() const { return mNotices; }
+
+  /// Whether new requests may be sent to the server: it is eligible, has not
+  /// asked this VM to wait, is not ejected and needs no health check.
   bool IsUsable(const Backend& aBackend, TimePoint aNow) const;
-  /// Whether the server is not draining and its failure domain is not
-  /// evacuated, regardless of this VM's own failures with it.
+  /// Whether the server is not draining or leaving and its failure domain is
+  /// not evacuated, regardless of this VM's own failures with it.
   bool IsEligible(const Backend& aBackend) const;
+  /// Whether the server has asked this VM to send nothing for the time being.
+  bool IsWaiting(const Backend& aBackend, TimePoint aNow) const;
   bool IsCold(const Backend& aBackend, TimePoint aNow) const;
   /// Whether the server has stated a rate limit that still binds.
   bool IsRateLimited(const Backend& aBackend, TimePoint aNow) const;
@@ -224,8 +231,8 @@
   void RequireProbe(Backend& aBackend, TimePoint aNow);
   void OnProbeResult(Backend& aBackend, bool aIsHealthy, TimePoint aNow);
   /// Returns eligible servers whose ejection has ended and that need a health
-  /// check, and marks them as being probed. Servers whose rate limit does not
-  /// permit a request of this VM are left for later.
+  /// check, and marks them as being probed. Servers that have asked this VM to
+  /// wait, or whose rate limit does not permit a request, are left for later.
   std::vector<Backend*> TakeProbesDue(TimePoint aNow);
 
 private:
@@ -237,6 +244,7 @@
   std::unordered_map<ServiceId, std::vector<Backend*>> mByService;
   std::unordered_map<std::uint64_t, Backend*> mByLifetime;
   std::set<FailureDomainId> mEvacuated;
+  ServerNotices mNotices;
 };
 
 } // namespace cranberrywing::gateway
--- a/src/include/cranberrywing/gateway/event.h
+++ b/src/include/cranberrywing/gateway/event.h
@@ -124,6 +124,11 @@
   /// Requests per second that the server accepts from all VMs together; nullopt
   /// if the answer states no limit.
   std::optional<double> mRateLimit;
+  /// Whether the answer states that the server is leaving.
+  bool mIsLeaving = false;
+  /// Time for which a server that refused the request wants nothing from this
+  /// VM.
+  std::optional<Duration> mWait;
   /// Time from the dispatch to the last byte of the answer.
   Duration mLatency{};
 };
@@ -136,8 +141,10 @@
   bool mHasAnswered = false;
   bool mIsHealthy = false;
   std::optional<LoadSample> mLoad;
-  /// As BackendReplied::mRateLimit.
+  /// As the members of BackendReplied.
   std::optional<double> mRateLimit;
+  bool mIsLeaving = false;
+  std::optional<Duration> mWait;
   /// Remaining cold-start time that the server reports; nullopt if it reports
   /// none.
   std::optional<Duration> mColdTimeLeft;
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -159,6 +159,7 @@
   void On(const event::BackendProbed& aEvent);
   void On(const event::ServerChecked& aEvent);
   void OnMessage(const message::BackendRateLimits& aMessage);
+  void OnMessage(const message::BackendsLeaving& aMessage);
   /// Moves the effects of modules that are shared with the daemon's reducer to
   /// mEffects; adds the peers' addresses to messages.
   void ForwardCoreEffects(cranberrywing::EffectList& aEffects);
@@ -189,6 +190,19 @@
   /// Handles a failure to connect to the server. Whether the server or this
   /// VM's links are to blame shows in the next round of checks.
   void OnUnreachable(const BackendId& aBackend);
+
+  // gateway_notices.cpp
+  /// Heeds what a server said of itself. aSource says where it was read.
+  void HeedNotices(const Backend& aBackend,
+                   bool aIsLeaving,
+                   std::optional<Duration> aWait,
+                   std::string_view aSource);
+  /// Returns false if it was known that the server is leaving.
+  bool MarkLeaving(const Backend& aBackend, std::string_view aSource);
+  /// Time until the first server of the service that has asked to wait can be
+  /// used; nullopt if none waits.
+  std::optional<Duration> ShortestWait(const ServiceId& aService) const;
+
   /// Tells all VMs whether this VM reaches servers, if that is due.
   void TellServerReach();
 
--- /dev/null
+++ b/src/include/cranberrywing/gateway/server_notices.h
@@ -0,0 +1,54 @@
+/// \file
+/// What backend servers ask of this VM's traffic: that they are leaving, or
+/// that nothing be sent to them for some time.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+
+#include "cranberrywing/types.h"
+
+namespace cranberrywing::gateway {
+
+/// Notices by server lifetime (Backend::mLifetimeHash), so that they bind no
+/// later process with the same identifier or address, and hold on if the
+/// server's registration lapses and comes back. Not thread-safe; owned by
+/// BackendPool.
+class ServerNotices
+{
+public:
+  struct Options
+  {
+    /// Upper bound of a wait, against values that would put a server out of use
+    /// for good.
+    Duration mMaxWait = std::chrono::seconds(60);
+    /// Time after which a notice of leaving is dropped; a server exits long
+    /// before.
+    Duration mLeavingRetention = std::chrono::hours(1);
+  };
+
+  explicit ServerNotices(Options aOptions);
+
+  /// Records that the server is leaving, which lasts for its lifetime. Returns
+  /// false if that was known.
+  bool OnLeaving(std::uint64_t aLifetime, TimePoint aNow);
+  /// Records that nothing is to be sent to the server for aWait. A wait never
+  /// shortens an earlier one. Returns whether the server did not wait before.
+  bool OnWait(std::uint64_t aLifetime, Duration aWait, TimePoint aNow);
+  bool IsLeaving(std::uint64_t aLifetime) const;
+  /// Time until which nothing may be sent; in the past if no wait is known.
+  TimePoint WaitEnd(std::uint64_t aLifetime) const;
+  /// Drops notices that have ended. Precondition: aNow never decreases.
+  void Tick(TimePoint aNow);
+
+  std::size_t LeavingCount() const { return mLeaving.size(); }
+  std::size_t WaitingCount() const { return mWaitEnds.size(); }
+
+private:
+  Options mOptions;
+  std::unordered_map<std::uint64_t, TimePoint> mLeaving;
+  std::unordered_map<std::uint64_t, TimePoint> mWaitEnds;
+};
+
+} // namespace cranberrywing::gateway
--- a/src/include/cranberrywing/message.h
+++ b/src/include/cranberrywing/message.h
@@ -49,7 +49,8 @@
                              message::BackendRateLimits,
                              message::StoreBeacon,
                              message::StoreChanges,
-                             message::ServerReachStatus>;
+                             message::ServerReachStatus,
+                             message::BackendsLeaving>;
 
 /// A message with its sender, as sent over the network.
 struct Envelope
--- a/src/include/cranberrywing/messages/gateway.h
+++ b/src/include/cranberrywing/messages/gateway.h
@@ -281,6 +281,20 @@
   }
 };
 
+/// Backend servers that told the sender that they are leaving.
+struct BackendsLeaving
+{
+  /// Hashes of the servers' identifiers and start times, so that a late message
+  /// says nothing of a later process.
+  std::vector<std::uint64_t> mBackends;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mBackends);
+  }
+};
+
 /// Whether the sender has lost its links to all backend servers. Sent to all
 /// VMs on a change, and again while the sender is cut off.
 struct ServerReachStatus
--- a/src/libcranberrywing/gateway/backend_pool.cpp
+++ b/src/libcranberrywing/gateway/backend_pool.cpp
@@ -35,6 +35,7 @@
 
 BackendPool::BackendPool(Options aOptions)
   : mOptions(aOptions)
+  , mNotices(ServerNotices::Options{})
 {
 }
 
@@ -142,13 +143,19 @@
 bool BackendPool::IsEligible(const Backend& aBackend) const
 {
   return !aBackend.mEntry.mIsDraining &&
+         !mNotices.IsLeaving(aBackend.mLifetimeHash) &&
          !mEvacuated.contains(aBackend.mEntry.mFailureDomain);
 }
 
 bool BackendPool::IsUsable(const Backend& aBackend, TimePoint aNow) const
 {
-  return IsEligible(aBackend) && !aBackend.mNeedsProbe &&
-         aNow >= aBackend.mEjectedUntil;
+  return IsEligible(aBackend) && !IsWaiting(aBackend, aNow) &&
+         !aBackend.mNeedsProbe && aNow >= aBackend.mEjectedUntil;
+}
+
+bool BackendPool::IsWaiting(const Backend& aBackend, TimePoint aNow) const
+{
+  return aNow < mNotices.WaitEnd(aBackend.mLifetimeHash);
 }
 
 bool BackendPool::IsCold(const Backend& aBackend, TimePoint aNow) const
@@ -387,7 +394,8 @@
   std::vector<Backend*> due;
   for (const auto& [id, backend] : mBackends) {
     if (!backend->mNeedsProbe || backend->mIsProbing ||
-        aNow < backend->mEjectedUntil || !IsEligible(*backend)) {
+        aNow < backend->mEjectedUntil || !IsEligible(*backend) ||
+        IsWaiting(*backend, aNow)) {
       continue;
     }
     const bool isLimited = IsRateLimited(*backend, aNow);
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -261,6 +261,7 @@
   if (aEvent.mRateLimit) {
     LearnRateLimit(*backend, aEvent.mRateLimit, mNow, "probe");
   }
+  HeedNotices(*backend, aEvent.mIsLeaving, aEvent.mWait, "probe");
   if (!aEvent.mHasAnswered) {
     backend->mIsProbing = false;
     OnUnreachable(aEvent.mBackend);
@@ -310,6 +311,11 @@
     mFleet.OnServerReach(aEvent.mFrom, *reach, mNow);
     return;
   }
+  if (const auto* const leaving =
+        std::get_if<message::BackendsLeaving>(&aEvent.mMessage)) {
+    OnMessage(*leaving);
+    return;
+  }
   cranberrywing::EffectList effects;
   if (const auto* const tokenRequest =
         std::get_if<message::TokenRequest>(&aEvent.mMessage)) {
@@ -347,6 +353,7 @@
       RefuseRateExceeded(it->second);
     }
   }
+  mPool.Notices().Tick(mNow);
   CheckServerReach();
   ExpireRequests();
   RetryFromSilentServers();
--- a/src/libcranberrywing/gateway/gateway_outcomes.cpp
+++ b/src/libcranberrywing/gateway/gateway_outcomes.cpp
@@ -82,6 +82,9 @@
   }
   if (backend) {
     LearnRateLimit(*backend, aEvent);
+    if (aEvent.mKind != event::ReplyKind::WrongServer) {
+      HeedNotices(*backend, aEvent.mIsLeaving, aEvent.mWait, "answer");
+    }
   }
   const std::uint32_t status = aEvent.mAnswer ? aEvent.mAnswer->mStatus : 0;
   switch (aEvent.mKind) {
@@ -96,7 +99,7 @@
       if (backend && aEvent.mKind == event::ReplyKind::NotRun) {
         const bool isFull =
           !aEvent.mLoad || aEvent.mLoad->mRunning >= backend->mEntry.mSlots;
-        if (!isFull) {
+        if (!isFull && !aEvent.mWait) {
           mPool.OnFailure(*backend, mNow);
         }
       }
--- a/src/libcranberrywing/gateway/gateway_requests.cpp
+++ b/src/libcranberrywing/gateway/gateway_requests.cpp
@@ -295,10 +295,14 @@
     return;
   }
   if (!aSelection) {
-    RefuseRequest(aRequest,
-                  { .mCode = ResultCode::NoBackend,
-                    .mDetail = "no usable backend server for the service",
-                    .mRetryAfter = JitterRetryDelay(2 * kDefaultRetryDelay) });
+    const auto wait = ShortestWait(aRequest.mService);
+    RefuseRequest(
+      aRequest,
+      { .mCode = ResultCode::NoBackend,
+        .mDetail = wait ? "the service's backend servers have asked to wait"
+                        : "no usable backend server for the service",
+        .mRetryAfter =
+          JitterRetryDelay(wait.value_or(2 * kDefaultRetryDelay)) });
     return;
   }
   const AdmissionDecision decision = Admit(aRequest, *aSelection);
--- a/src/libcranberrywing/gateway/gateway_upkeep.cpp
+++ b/src/libcranberrywing/gateway/gateway_upkeep.cpp
@@ -210,7 +210,7 @@
     load.mEligibleCapacity[region] += backend->mEntry.mSlots;
     // Servers that are slow or waiting for a health check count in full: these
     // states change faster than traffic can be shifted between regions.
-    if (mNow >= backend->mEjectedUntil) {
+    if (mNow >= backend->mEjectedUntil && !mPool.IsWaiting(*backend, mNow)) {
       load.mCapacity[region] +=
         backend->mUsableFraction * backend->mEntry.mSlots;
     }
--- a/src/libcranberrywing/message_test.cpp
+++ b/src/libcranberrywing/message_test.cpp
@@ -64,6 +64,11 @@
   CHECK(std::get<message::StoreBeacon>(beacon).mPosition ==
         StorePosition{ 2, 5 });
   CHECK(std::get<message::StoreBeacon>(beacon).mCarriedDigest == 8);
+  const auto reach = roundTrip(message::ServerReachStatus{ true });
+  CHECK(std::get<message::ServerReachStatus>(reach).mIsCutOff);
+  const auto leaving = roundTrip(message::BackendsLeaving{ { 4, 9 } });
+  CHECK(std::get<message::BackendsLeaving>(leaving).mBackends ==
+        std::vector<std::uint64_t>{ 4, 9 });
   const auto limits = roundTrip(message::BackendRateLimits{
     { { .mBackend = 1, .mPerSecond = 2.5, .mAgeMs = 3 } } });
   const auto& limit =
--- a/src/libcranberrywing/reducer_delivery.h
+++ b/src/libcranberrywing/reducer_delivery.h
@@ -235,6 +235,7 @@
   void OnMessage(const VmIncarnation&, const message::RegionDemand&) {}
   void OnMessage(const VmIncarnation&, const message::BackendRateLimits&) {}
   void OnMessage(const VmIncarnation&, const message::ServerReachStatus&) {}
+  void OnMessage(const VmIncarnation&, const message::BackendsLeaving&) {}
 
   VmId mFrom{};
 };
