Leave VMs without server links out of cranberrywingd's lookups, too

ServerReach moves from the gateway to the core and serves both compositions, with the choice of servers to check and the times at which a loss is told. The reducer checks with health probes, leaves cut-off VMs out of lookups and of the owners of slots unless no VM reaches a server, and does not count probes over lost links as servers going down while running a request. Status and metrics show it.

--- a/src/bench/reducer_bench.cpp
+++ b/src/bench/reducer_bench.cpp
@@ -199,8 +199,10 @@
           .mCall = call->mCall, .mReply = mStore.Apply(call->mRequest, mNow) });
       } else if (const auto* probe =
                    std::get_if<effect::ProbeBackend>(&effect)) {
-        mPendingEvents.push_back(event::HealthReported{
-          .mBackend = probe->mBackend, .mHealthy = true });
+        mPendingEvents.push_back(
+          event::HealthReported{ .mBackend = probe->mBackend,
+                                 .mHealthy = true,
+                                 .mHasAnswered = true });
       } else if (const auto* send = std::get_if<effect::SendMessage>(&effect)) {
         Acknowledge(*send);
       }
--- a/src/cranberrywingd/admin_views.cpp
+++ b/src/cranberrywingd/admin_views.cpp
@@ -187,6 +187,7 @@
     view["store_contact_age_ms"] = MillisecondsOf(*age);
   }
   view["serves_keyed_requests"] = IsCurrent(aReducer, aNow);
+  view["reaches_servers"] = !aReducer.GetServerReach().IsCutOff();
   view["usable_members"] = membership.UsableCount();
   view["owned_slots"] = OwnedSlots(aReducer);
   view["in_flight"] = aReducer.GetRequests().InFlight();
@@ -266,6 +267,9 @@
     "key: it cannot have missed key withdrawals for longer than "
     "isolation_limit allows.",
     IsCurrent(aReducer, aNow) ? 1 : 0);
+  aOut.Gauge("cranberrywing_servers_reached",
+             "0 while the links to all backend servers are lost, or else 1.",
+             aReducer.GetServerReach().IsCutOff() ? 0 : 1);
   aOut.Gauge("cranberrywing_owned_slots",
              "Execution slots owned by this VM.",
              number(OwnedSlots(aReducer)));
--- a/src/cranberrywingd/backend_prober.cpp
+++ b/src/cranberrywingd/backend_prober.cpp
@@ -29,6 +29,7 @@
   if (!aResult) {
     return report;
   }
+  report.mHasAnswered = true;
   report.mHealthy = aResult->mStatus == 200;
   if (const auto body = netutil::ParseObject(aResult->mBody)) {
     report.mDraining = netutil::FindString(*body, "status") == "draining";
--- a/src/include/cranberrywing/event.h
+++ b/src/include/cranberrywing/event.h
@@ -100,6 +100,8 @@
   bool mHealthy = false;
   /// Whether the server reports that it is draining.
   bool mDraining = false;
+  /// Whether the server has answered at all.
+  bool mHasAnswered = false;
 };
 
 struct LoadReport
--- a/src/include/cranberrywing/gateway/fleet_view.h
+++ b/src/include/cranberrywing/gateway/fleet_view.h
@@ -58,9 +58,6 @@
     /// tolerance of the rate limits.
     Duration mFewExpiredRetention = std::chrono::seconds(5);
     double mFewExpiredFraction = 0.2;
-    /// Time for which a VM counts as cut off from the backend servers after it
-    /// has last said so.
-    Duration mCutOffValidity = std::chrono::milliseconds(2500);
     /// If fewer of a region's usable VMs reach backend servers, its callers are
     /// directed to all regions, so as not to overload those few.
     double mMinReachingFraction = 0.25;
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -24,11 +24,11 @@
 #include "cranberrywing/gateway/object_selector.h"
 #include "cranberrywing/gateway/region_plan.h"
 #include "cranberrywing/gateway/retry_budget.h"
-#include "cranberrywing/gateway/server_reach.h"
 #include "cranberrywing/gateway/service_split.h"
 #include "cranberrywing/gateway/service_times.h"
 #include "cranberrywing/gateway/store_relay.h"
 #include "cranberrywing/rate_limiter.h"
+#include "cranberrywing/server_reach.h"
 
 namespace cranberrywing::gateway {
 
@@ -181,8 +181,6 @@
   bool HasOpenServerConnections() const;
   /// Whether requests can be expected to reach servers.
   bool CanSendToServers() const;
-  /// Some servers of different failure domains.
-  std::vector<const Backend*> SelectServersToCheck() const;
   /// Suspects the links if requests at several servers are overdue.
   void SuspectOverdueServers();
   /// Starts a round of checks if one is due, and tells other VMs of a loss.
@@ -190,6 +188,8 @@
   /// Handles a failure to connect to the server. Whether the server or this
   /// VM's links are to blame shows in the next round of checks.
   void OnUnreachable(const BackendId& aBackend);
+  /// Tells all VMs whether this VM reaches servers, if that is due.
+  void TellServerReach();
 
   // gateway_notices.cpp
   /// Heeds what a server said of itself. aSource says where it was read.
@@ -203,9 +203,6 @@
   /// used; nullopt if none waits.
   std::optional<Duration> ShortestWait(const ServiceId& aService) const;
 
-  /// Tells all VMs whether this VM reaches servers, if that is due.
-  void TellServerReach();
-
   // gateway_upkeep.cpp
   /// Sends the messages to the own region and to others that are due.
   void SendStatus();
@@ -363,9 +360,6 @@
   std::vector<BackendId> mSuspectedServers;
   /// Time of the last answer from any server.
   TimePoint mLastAnswerAt{};
-  TimePoint mCutOffSince{};
-  int mReachNewsLeft = 0;
-  TimePoint mNextReachNews{};
   TimePoint mNextPlan{};
   TimePoint mNextSameRegionStatus{};
   TimePoint mNextCrossRegionStatus{};
--- a/src/include/cranberrywing/reducer.h
+++ b/src/include/cranberrywing/reducer.h
@@ -23,6 +23,7 @@
 #include "cranberrywing/rate_limiter.h"
 #include "cranberrywing/requests.h"
 #include "cranberrywing/retry_policy.h"
+#include "cranberrywing/server_reach.h"
 #include "cranberrywing/share_ledger.h"
 #include "cranberrywing/shifts.h"
 #include "cranberrywing/slots.h"
@@ -84,6 +85,7 @@
   const DrainController& GetDrain() const;
   const Steering& GetSteering() const;
   const Executions& GetExecutions() const;
+  const ServerReach& GetServerReach() const;
 
   /// Replaces the table of client address blocks. The driver builds it on
   /// another thread, since building a table of 1.2 million blocks takes long.
--- a/src/include/cranberrywing/gateway/server_reach.h
+++ b/src/include/cranberrywing/server_reach.h
@@ -6,10 +6,25 @@
 
 #include <cstddef>
 #include <optional>
+#include <vector>
 
 #include "cranberrywing/types.h"
 
-namespace cranberrywing::gateway {
+namespace cranberrywing {
+
+/// A server to which a connection can be opened as a check.
+struct ReachCandidate
+{
+  BackendId mBackend;
+  FailureDomainId mFailureDomain;
+  /// Time of the server's last answer to this VM.
+  TimePoint mAnsweredAt{};
+};
+
+/// Some of the servers, of as many failure domains as possible; in each domain,
+/// those that answered last, since they are most likely to run still.
+std::vector<BackendId> SelectServersToCheck(
+  std::vector<ReachCandidate> aCandidates);
 
 /// State machine that is fed with the outcomes of connections. On a suspicion
 /// it asks for a round of checks, in each of which a connection to one of
@@ -19,7 +34,7 @@
 /// Requests are no evidence by themselves: a server may be slow or down, and
 /// open connections may live on while no new one can be opened.
 ///
-/// Not thread-safe; owned by the gateway.
+/// Not thread-safe; owned by the gateway or the reducer.
 class ServerReach
 {
 public:
@@ -46,6 +61,11 @@
     Restored,
   };
 
+  /// Time for which a VM counts as cut off after it has last said so. Several
+  /// times the interval at which a loss is told.
+  static constexpr Duration kStatementValidity =
+    std::chrono::milliseconds(2500);
+
   explicit ServerReach(Options aOptions);
 
   /// A connection to a server could not be opened, or no server has answered
@@ -58,6 +78,10 @@
   void StartRound(std::size_t aChecks, TimePoint aNow);
   /// Records the result of one check of the current round.
   Change OnChecked(bool aIsReached, TimePoint aNow);
+  /// Whether other VMs are to be told now what IsCutOff returns: several times
+  /// after a change, since messages may get lost, and from time to time while
+  /// cut off. Returns true once for each time.
+  bool TakeStatementDue(TimePoint aNow);
 
   bool IsCutOff() const { return mIsCutOff; }
   /// Time of the first evidence for the current suspicion or loss; nullopt if
@@ -67,6 +91,7 @@
 private:
   Change OnRoundSucceeded(TimePoint aNow);
   Change OnRoundFailed(TimePoint aNow);
+  void SetCutOff(bool aIsCutOff, TimePoint aNow);
 
   Options mOptions;
   bool mIsCutOff = false;
@@ -79,6 +104,9 @@
   std::optional<TimePoint> mReachedSince;
   std::optional<TimePoint> mRestoredAt;
   Duration mReturnTime{};
+  /// Statements of the last change that are still to be repeated.
+  int mStatementsLeft = 0;
+  TimePoint mNextStatement{};
 };
 
-} // namespace cranberrywing::gateway
+} // namespace cranberrywing
--- a/src/libcranberrywing/gateway/fleet_view.cpp
+++ b/src/libcranberrywing/gateway/fleet_view.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "cranberrywing/server_reach.h"
+
 namespace cranberrywing::gateway {
 
 namespace {
@@ -109,7 +111,7 @@
 {
   if (Peer* const peer = FindSender(aFrom)) {
     peer->mCutOffUntil =
-      aStatus.mIsCutOff ? aNow + mOptions.mCutOffValidity : aNow;
+      aStatus.mIsCutOff ? aNow + ServerReach::kStatementValidity : aNow;
   }
 }
 
--- a/src/libcranberrywing/gateway/gateway_reach.cpp
+++ b/src/libcranberrywing/gateway/gateway_reach.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/// Number of servers to which connections are opened in one round of checks.
-constexpr std::size_t kChecksPerRound = 4;
 /// A request is overdue if no server has answered for this time and for
 /// kOverdueFactor times the expected duration of the request.
 constexpr Duration kMinOverdueTime = std::chrono::milliseconds(500);
@@ -25,12 +23,6 @@
 /// While cut off, open connections are used for this time after the last
 /// answer: they can live on although no new connection can be opened.
 constexpr Duration kLiveConnectionTime = std::chrono::seconds(1);
-/// A loss or return of the links is told to all VMs kNewsRepeats times, since
-/// messages may get lost, and a loss is repeated at the longer interval as long
-/// as it lasts.
-constexpr int kNewsRepeats = 3;
-constexpr Duration kNewsInterval = std::chrono::milliseconds(150);
-constexpr Duration kCutOffTellInterval = std::chrono::milliseconds(1000);
 
 } // namespace
 
@@ -44,34 +36,6 @@
   return !mServerReach.IsCutOff() || HasOpenServerConnections();
 }
 
-std::vector<const Backend*> Gateway::SelectServersToCheck() const
-{
-  std::vector<const Backend*> servers;
-  for (const auto& [id, backend] : mPool.All()) {
-    servers.push_back(backend.get());
-  }
-  // A server that answered lately is most likely to run still.
-  std::sort(servers.begin(),
-            servers.end(),
-            [](const Backend* aLeft, const Backend* aRight) {
-              return aLeft->mAnsweredAt > aRight->mAnsweredAt;
-            });
-  std::vector<const Backend*> selected;
-  std::set<FailureDomainId> domains;
-  for (const bool isAnotherDomain : { true, false }) {
-    for (const Backend* const backend : servers) {
-      const bool isSelected =
-        std::find(selected.begin(), selected.end(), backend) != selected.end();
-      if (selected.size() < kChecksPerRound && !isSelected &&
-          (!isAnotherDomain ||
-           domains.insert(backend->mEntry.mFailureDomain).second)) {
-        selected.push_back(backend);
-      }
-    }
-  }
-  return selected;
-}
-
 void Gateway::SuspectOverdueServers()
 {
   std::set<BackendId> overdue;
@@ -94,13 +58,18 @@
 {
   SuspectOverdueServers();
   if (mServerReach.IsRoundDue(mNow)) {
-    const std::vector<const Backend*> servers = SelectServersToCheck();
+    std::vector<ReachCandidate> candidates;
+    for (const auto& [id, backend] : mPool.All()) {
+      candidates.push_back(
+        { id, backend->mEntry.mFailureDomain, backend->mAnsweredAt });
+    }
+    const std::vector<BackendId> servers =
+      SelectServersToCheck(std::move(candidates));
     mServerReach.StartRound(servers.size(), mNow);
-    for (const Backend* const backend : servers) {
-      mEffects.push_back(
-        effect::CheckServer{ .mBackend = backend->mEntry.mBackend,
-                             .mAddress = backend->mEntry.mAddress,
-                             .mPort = backend->mEntry.mPort });
+    for (const BackendId& id : servers) {
+      const BackendEntry& entry = mPool.Find(id)->mEntry;
+      mEffects.push_back(effect::CheckServer{
+        .mBackend = id, .mAddress = entry.mAddress, .mPort = entry.mPort });
     }
   }
   TellServerReach();
@@ -119,7 +88,6 @@
       return;
     case ServerReach::Change::Lost:
       mSuspectedServers.clear();
-      mCutOffSince = mNow;
       ++mCounters.mServerLinkLosses;
       break;
     case ServerReach::Change::Restored:
@@ -128,8 +96,6 @@
   // The servers are not to blame for what failed while the links were down.
   const std::size_t forgiven =
     mPool.ForgiveFailures(suspectSince.value_or(mNow) - kBlameTime, mNow);
-  mReachNewsLeft = kNewsRepeats;
-  mNextReachNews = mNow;
   TellServerReach();
   const bool isCutOff = mServerReach.IsCutOff();
   Record(isCutOff ? "server_links_lost" : "server_links_restored",
@@ -154,17 +120,13 @@
 
 void Gateway::TellServerReach()
 {
-  const bool isCutOff = mServerReach.IsCutOff();
-  if (mNow < mNextReachNews || (mReachNewsLeft == 0 && !isCutOff)) {
+  if (!mServerReach.TakeStatementDue(mNow)) {
     return;
   }
-  mNextReachNews =
-    mNow + (mReachNewsLeft > 0 ? kNewsInterval : kCutOffTellInterval);
-  mReachNewsLeft = std::max(0, mReachNewsLeft - 1);
   for (const auto& [id, peer] : mFleet.Peers()) {
     if (IsReceiver(peer)) {
       SendTo({ id, peer.mRecord.mAddress, peer.mRecord.mPeerPort },
-             message::ServerReachStatus{ isCutOff });
+             message::ServerReachStatus{ mServerReach.IsCutOff() });
     }
   }
 }
--- a/src/libcranberrywing/reducer.cpp
+++ b/src/libcranberrywing/reducer.cpp
@@ -32,6 +32,7 @@
   , mCrashGuard({})
   , mRetries({})
   , mHealth({ .mSeed = mOptions.mSeed, .mRegion = mOptions.mSelf.mRegion })
+  , mReach({})
   , mSelector({ .mSeed = mOptions.mSeed, .mPolicy = mOptions.mSelection },
               mHealth)
   , mQueue({ .mUtilization = MakeUtilizationHook() })
@@ -148,6 +149,7 @@
   mRates.Tick(aNow, aOut);
   mHealth.Tick(aNow, aOut);
   mCrashGuard.Tick(aNow);
+  CheckServerReach(aNow, aOut);
   mSlots.Tick(aNow, aOut);
   mExecutions.Tick(aNow, aOut);
   mShifts.Tick(aNow, aOut);
@@ -293,6 +295,11 @@
   return mState->mSteering;
 }
 
+const ServerReach& Reducer::GetServerReach() const
+{
+  return mState->mReach;
+}
+
 const Executions& Reducer::GetExecutions() const
 {
   return mState->mExecutions;
--- a/src/libcranberrywing/reducer_delivery.h
+++ b/src/libcranberrywing/reducer_delivery.h
@@ -28,14 +28,14 @@
   }
   void operator()(const event::BackendFailed& aEvent)
   {
+    if (aEvent.mKind == event::FailureKind::Connect) {
+      mState.mReach.OnSuspicion(mNow);
+    }
     mState.mRequests.OnFailed(aEvent, mNow, mOut);
   }
   void operator()(const event::HealthReported& aEvent)
   {
-    mState.mHealth.OnHealth(aEvent, mNow, mOut);
-    if (!aEvent.mHealthy && !aEvent.mDraining) {
-      mState.mCrashGuard.OnServerDown(aEvent.mBackend, mNow, mOut);
-    }
+    mState.OnHealthReported(aEvent, mNow, mOut);
   }
   void operator()(const event::LoadReported& aEvent)
   {
@@ -130,6 +130,12 @@
     mState.mCrashGuard.OnMessage(aMessage, mNow);
   }
 
+  void OnMessage(const VmIncarnation& aFrom,
+                 const message::ServerReachStatus& aMessage)
+  {
+    mState.OnServerReachStatus(aFrom, aMessage, mNow);
+  }
+
   template<class Component, class Content>
   void DeliverTo(Component& aComponent,
                  const VmIncarnation& aFrom,
@@ -234,7 +240,6 @@
   void OnMessage(const VmIncarnation&, const message::StoreChanges&) {}
   void OnMessage(const VmIncarnation&, const message::RegionDemand&) {}
   void OnMessage(const VmIncarnation&, const message::BackendRateLimits&) {}
-  void OnMessage(const VmIncarnation&, const message::ServerReachStatus&) {}
   void OnMessage(const VmIncarnation&, const message::BackendsLeaving&) {}
 
   VmId mFrom{};
--- a/src/libcranberrywing/reducer_hooks.cpp
+++ b/src/libcranberrywing/reducer_hooks.cpp
@@ -91,12 +91,12 @@
   const
 {
   std::vector<std::pair<VmId, FailureDomainId>> candidates;
-  if (mDrain.Stage() == DrainStage::Serving) {
+  if (mDrain.Stage() == DrainStage::Serving && !IsAvoided()) {
     candidates.emplace_back(mOptions.mSelf.mMember.mVm,
                             mOptions.mSelf.mFailureDomain);
   }
   for (const auto& [vm, member] : mMembership.Members()) {
-    if (mMembership.IsUsable(member)) {
+    if (mMembership.IsUsable(member) && !IsAvoided(member)) {
       candidates.emplace_back(vm, member.mUpdate.mFailureDomain);
     }
   }
@@ -233,11 +233,12 @@
                         .mAddress = aUpdate.mAddress,
                         .mPort = aUpdate.mCallerPort });
   };
-  if (mDrain.Stage() == DrainStage::Serving && IsCurrent(mNow)) {
+  if (mDrain.Stage() == DrainStage::Serving && IsCurrent(mNow) &&
+      !IsAvoided()) {
     add(mOptions.mSelf);
   }
   for (const auto& [vm, member] : mMembership.Members()) {
-    if (mMembership.IsUsable(member)) {
+    if (mMembership.IsUsable(member) && !IsAvoided(member)) {
       add(member.mUpdate);
     }
   }
--- a/src/libcranberrywing/reducer_state.h
+++ b/src/libcranberrywing/reducer_state.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -79,6 +80,26 @@
   Duration LongestDeadline() const;
   std::size_t ExpectedHolders(const std::string& aName) const;
   std::vector<SteeringTarget> SteeringTargets() const;
+
+  // reducer_reach.cpp
+  void OnHealthReported(const event::HealthReported& aEvent,
+                        TimePoint aNow,
+                        EffectList& aOut);
+  void OnServerReachStatus(const VmIncarnation& aFrom,
+                           const message::ServerReachStatus& aMessage,
+                           TimePoint aNow);
+  /// Starts a round of checks if one is due, and tells other VMs of a loss.
+  void CheckServerReach(TimePoint aNow, EffectList& aOut);
+  /// Whether the member has lost its links to all backend servers.
+  bool IsCutOff(const Member& aMember) const;
+  /// Whether work should go to other VMs: the links of this VM, or of the
+  /// member, to all backend servers are lost, and other usable VMs reach
+  /// servers.
+  bool IsAvoided() const;
+  bool IsAvoided(const Member& aMember) const;
+  /// Whether this VM or any other usable one reaches backend servers.
+  bool IsAnyReaching() const;
+
   std::vector<std::pair<VmId, FailureDomainId>> SlotCandidates() const;
   std::optional<VmId> CopyHolder(std::uint32_t aSlot) const;
   std::vector<VmId> RatePeers(const AccountId& aAccount) const;
@@ -98,11 +119,17 @@
   TimePoint mStartedAt{};
   TimePoint mNextShareUpdate{};
   TimePoint mNextTargetUpdate{};
+  /// Servers whose check in the current round has no result yet.
+  std::set<BackendId> mPendingReachChecks;
+  /// Other processes that reach no backend server, and until when their
+  /// statements hold.
+  std::map<VmIncarnation, TimePoint> mCutOffPeers;
 
   KeyTable mKeys;
   CrashGuard mCrashGuard;
   RetryPolicy mRetries;
   BackendHealth mHealth;
+  ServerReach mReach;
   BackendSelector mSelector;
   FairQueue mQueue;
   Configuration mConfiguration;
--- a/testsuite/world.h
+++ b/testsuite/world.h
@@ -100,6 +100,8 @@
     std::uint64_t mStartCount = 0;
     bool mIsPaused = false;
     bool mHasStore = true;
+    /// Whether connections to backend servers can be opened.
+    bool mHasServers = true;
     bool mHasExited = false;
     /// Events that wait for the end of a pause.
     std::vector<Event> mDeferredEvents;
--- a/testsuite/world_actions.cpp
+++ b/testsuite/world_actions.cpp
@@ -74,6 +74,11 @@
     for (const std::string& name : GetStringList(arguments)) {
       mVms.at(name).mHasStore = aStep.mAction == "store_join";
     }
+  } else if (aStep.mAction == "servers_cut" ||
+             aStep.mAction == "servers_join") {
+    for (const std::string& name : GetStringList(arguments)) {
+      mVms.at(name).mHasServers = aStep.mAction == "servers_join";
+    }
   } else if (aStep.mAction == "cut") {
     AddPartition(arguments);
   } else if (aStep.mAction == "heal") {
--- a/testsuite/world_effects.cpp
+++ b/testsuite/world_effects.cpp
@@ -101,7 +101,8 @@
   Backend& backend = mBackends[aDispatch.mBackend.mName];
   event::BackendFailed failed{ .mRequest = aDispatch.mRequest,
                                .mAttempt = aDispatch.mAttempt };
-  if (backend.mMode == BackendMode::Refuses || backend.mIsDown) {
+  if (backend.mMode == BackendMode::Refuses || backend.mIsDown ||
+      !aVm.mHasServers) {
     failed.mStage = event::FailureStage::BeforeFirstByte;
     failed.mKind = event::FailureKind::Connect;
     Schedule(aVm, mNow + kConnectFailureDelay, failed);
@@ -224,12 +225,13 @@
 void World::Probe(Vm& aVm, const effect::ProbeBackend& aProbe)
 {
   const Backend& backend = mBackends[aProbe.mBackend.mName];
-  const bool isUp = backend.mMode != BackendMode::Refuses && !backend.mIsDown;
-  Schedule(
-    aVm,
-    mNow + backend.mLatency,
-    event::HealthReported{ .mBackend = aProbe.mBackend,
-                           .mHealthy = isUp && backend.mReportsHealthy });
+  const bool isUp = backend.mMode != BackendMode::Refuses && !backend.mIsDown &&
+                    aVm.mHasServers;
+  Schedule(aVm,
+           mNow + backend.mLatency,
+           event::HealthReported{ .mBackend = aProbe.mBackend,
+                                  .mHealthy = isUp && backend.mReportsHealthy,
+                                  .mHasAnswered = isUp });
   if (isUp) {
     Schedule(aVm,
              mNow + backend.mLatency,
