Test who is named when VMs of a whole region are cut off

- All VMs of a region, or all VMs at all, reach no server.
- So few VMs of a region reach servers that its callers would overload them.
- The message about the return of the links is lost.
- A VM reaches the store, but neither a peer nor a server.
- A server passes health checks and fails all requests: it is ejected for twice the time after each check.

--- a/src/libcranberrywing/gateway/backend_pool_test.cpp
+++ b/src/libcranberrywing/gateway/backend_pool_test.cpp
@@ -81,6 +81,34 @@
   CHECK(pool.IsUsable(server, later));
 }
 
+// Guards against a server that passes health checks but fails all requests, and
+// gets requests again after each check at a constant rate.
+TEST_CASE(
+  "A server that passes only health checks is tried less and less often")
+{
+  BackendPool pool({});
+  pool.Upsert(Entry(), kNow);
+  Backend& server = *pool.Find(BackendId("s"));
+  TimePoint now = kNow;
+  Duration previous{};
+  for (int n = 0; n < 4; ++n) {
+    const TimePoint failedAt = now;
+    while (!pool.OnFailure(server, now)) {
+    }
+    while (pool.TakeProbesDue(now).empty()) {
+      now += std::chrono::milliseconds(10);
+    }
+    pool.OnProbeResult(server, true, now);
+    REQUIRE(pool.IsUsable(server, now));
+    CHECK(now - failedAt > previous);
+    previous = now - failedAt;
+  }
+  pool.OnSuccess(server, 1, now);
+  while (!pool.OnFailure(server, now)) {
+  }
+  CHECK(server.mEjectedUntil - now < previous);
+}
+
 // Guards against servers that stay in a region that their failure domain has
 // left in the settings.
 TEST_CASE("A registration with another region is a change")
--- a/src/libcranberrywing/gateway/fleet_view_test.cpp
+++ b/src/libcranberrywing/gateway/fleet_view_test.cpp
@@ -1,6 +1,7 @@
 #include "cranberrywing/gateway/fleet_view.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 using namespace cranberrywing;
 using namespace cranberrywing::gateway;
@@ -141,3 +142,92 @@
   CHECK(fixture.mView.Demand(RegionId("north"), service, fixture.mNow) == 8);
   CHECK(fixture.mView.OwnRegionRate(service, fixture.mNow) == 20);
 }
+
+namespace {
+
+/// A view of vm-0 on four VMs of its region and two of another one, all heard.
+struct RegionsFixture : Fixture
+{
+  RegionsFixture()
+  {
+    for (const char* name : { "vm-3", "vm-4", "far-1", "far-2" }) {
+      VmRecord record = Record(name);
+      record.mRegion = RegionId(name[0] == 'f' ? "south" : "north");
+      mView.Register(record, mNow);
+      Hear(name);
+    }
+  }
+
+  void TellCutOff(const std::string& aName, bool aIsCutOff = true)
+  {
+    mView.OnServerReach({ VmId(aName), { 1 } }, { aIsCutOff }, mNow);
+  }
+
+  /// Names of the VMs to which callers of the own region are directed.
+  std::set<std::string> Targets(bool aSelfIsCutOff = false) const
+  {
+    std::set<std::string> names;
+    for (const VmRecord& vm :
+         mView.CallerTargets(RegionId("north"),
+                             { .mIsReady = true, .mIsCutOff = aSelfIsCutOff },
+                             mNow)) {
+      names.insert(vm.mVm.mName);
+    }
+    return names;
+  }
+};
+
+} // namespace
+
+// Guards against callers that are kept at the cut-off VMs of their region,
+// since VMs of other regions are named only if the region has none at all.
+TEST_CASE("Callers of a region that reaches no server are sent to others")
+{
+  RegionsFixture fixture;
+  for (const char* name : { "vm-1", "vm-2", "vm-3", "vm-4" }) {
+    fixture.TellCutOff(name);
+  }
+  CHECK(fixture.Targets(true) == std::set<std::string>{ "far-1", "far-2" });
+  fixture.TellCutOff("far-1");
+  fixture.TellCutOff("far-2");
+  CHECK(fixture.Targets(true) ==
+        std::set<std::string>{ "vm-0", "vm-1", "vm-2", "vm-3", "vm-4" });
+}
+
+// Guards against the last VMs that reach servers falling over under the callers
+// of a whole region.
+TEST_CASE("A few VMs that reach servers do not get all callers of a region")
+{
+  RegionsFixture fixture;
+  for (const char* name : { "vm-1", "vm-2", "vm-3" }) {
+    fixture.TellCutOff(name);
+  }
+  CHECK(fixture.Targets(true) ==
+        std::set<std::string>{ "vm-4", "far-1", "far-2" });
+  fixture.TellCutOff("vm-3", false);
+  CHECK(fixture.Targets(true) == std::set<std::string>{ "vm-3", "vm-4" });
+}
+
+// Guards against a VM that stays out of lookups after the message about the
+// return of its links got lost.
+TEST_CASE("A statement that a VM is cut off lapses unless it is repeated")
+{
+  RegionsFixture fixture;
+  fixture.TellCutOff("vm-1");
+  CHECK_FALSE(fixture.Targets().contains("vm-1"));
+  fixture.Advance(std::chrono::milliseconds(2600));
+  for (const char* name : { "vm-1", "vm-2" }) {
+    fixture.Hear(name);
+  }
+  CHECK(fixture.Targets().contains("vm-1"));
+}
+
+// Guards against a VM that reaches the store only, takes the silence of all
+// others for their failure, and keeps its callers.
+TEST_CASE("A VM that hears nobody and reaches no server names the others")
+{
+  RegionsFixture fixture;
+  fixture.Advance(std::chrono::seconds(5));
+  CHECK(fixture.Targets(true) ==
+        std::set<std::string>{ "vm-1", "vm-2", "vm-3", "vm-4" });
+}
