Send callers of a VM without server links to other VMs

Callers went on using open connections to a VM that had lost its links, until their next lookup, and requests that hung on these links lasted until their deadlines. While other VMs reach servers, such a VM now closes a connection after its answer, and ends idempotent requests that are overdue as 'outcome unknown', so that their callers can ask another VM in time. Requests that must not be repeated wait on: their answers may still come.

Both tests fail without their parts of the change.

--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -181,6 +181,9 @@
   bool HasOpenServerConnections() const;
   /// Whether requests can be expected to reach servers.
   bool CanSendToServers() const;
+  /// Whether the request's server should have answered it, or any server a
+  /// request of this VM, by now.
+  bool IsOverdue(const Request& aRequest) const;
   /// Suspects the links if requests at several servers are overdue.
   void SuspectOverdueServers();
   /// Starts a round of checks if one is due, and tells other VMs of a loss.
@@ -188,6 +191,13 @@
   /// Handles a failure to connect to the server. Whether the server or this
   /// VM's links are to blame shows in the next round of checks.
   void OnUnreachable(const BackendId& aBackend);
+  /// Whether callers are served better by other VMs, so that their connections
+  /// are closed after an answer: this VM is stopping, or it reaches no backend
+  /// server while others do.
+  bool SendsCallersAway() const;
+  /// While cut off, ends idempotent requests whose answers are not expected any
+  /// more, so that their callers can still be served by another VM.
+  void GiveUpOverdueRequests();
   /// Tells all VMs whether this VM reaches servers, if that is due.
   void TellServerReach();
 
--- a/src/libcranberrywing/gateway/gateway_outcomes.cpp
+++ b/src/libcranberrywing/gateway/gateway_outcomes.cpp
@@ -239,7 +239,7 @@
   mEffects.push_back(
     effect::Respond{ .mRequest = aRequest.mArrival.mRequest,
                      .mAnswer = std::move(aAnswer),
-                     .mCloseAfter = mStoppingSince.has_value() });
+                     .mCloseAfter = SendsCallersAway() });
   const RequestId id = aRequest.mArrival.mRequest;
   mRequests.erase(id);
 }
@@ -271,7 +271,7 @@
   mEffects.push_back(
     effect::Refuse{ .mRequest = aRequest.mArrival.mRequest,
                     .mRefusal = std::move(aRefusal),
-                    .mCloseAfter = mStoppingSince.has_value() });
+                    .mCloseAfter = SendsCallersAway() });
   const RequestId id = aRequest.mArrival.mRequest;
   mRequests.erase(id);
 }
--- a/src/libcranberrywing/gateway/gateway_reach.cpp
+++ b/src/libcranberrywing/gateway/gateway_reach.cpp
@@ -36,16 +36,21 @@
   return !mServerReach.IsCutOff() || HasOpenServerConnections();
 }
 
+bool Gateway::IsOverdue(const Request& aRequest) const
+{
+  const Duration limit = std::max(
+    kMinOverdueTime,
+    Duration(static_cast<Duration::rep>(
+      kOverdueFactor * static_cast<double>(aRequest.mExpectedTotal.count()))));
+  return !aRequest.mBackend.IsEmpty() &&
+         mNow - std::max(aRequest.mSentAt, mLastAnswerAt) > limit;
+}
+
 void Gateway::SuspectOverdueServers()
 {
   std::set<BackendId> overdue;
   for (const auto& [id, request] : mRequests) {
-    const Duration limit = std::max(
-      kMinOverdueTime,
-      Duration(static_cast<Duration::rep>(
-        kOverdueFactor * static_cast<double>(request.mExpectedTotal.count()))));
-    if (!request.mBackend.IsEmpty() &&
-        mNow - std::max(request.mSentAt, mLastAnswerAt) > limit) {
+    if (IsOverdue(request)) {
       overdue.insert(request.mBackend);
     }
   }
@@ -73,6 +78,32 @@
     }
   }
   TellServerReach();
+  GiveUpOverdueRequests();
+}
+
+bool Gateway::SendsCallersAway() const
+{
+  return mStoppingSince ||
+         (mServerReach.IsCutOff() && mFleet.HasReachingPeer(mNow));
+}
+
+void Gateway::GiveUpOverdueRequests()
+{
+  if (!mServerReach.IsCutOff() || !mFleet.HasReachingPeer(mNow)) {
+    return;
+  }
+  std::vector<RequestId> overdue;
+  for (const auto& [id, request] : mRequests) {
+    if (request.mRoute && request.mRoute->mIsIdempotent && IsOverdue(request)) {
+      overdue.push_back(id);
+    }
+  }
+  for (const RequestId id : overdue) {
+    Request& request = mRequests.at(id);
+    mEffects.push_back(effect::CancelDispatch{ id, request.mAttempt });
+    EndAttempt(request, false);
+    RefuseOutcomeUnknown(request, "server_links_lost");
+  }
 }
 
 void Gateway::On(const event::ServerChecked& aEvent)
--- a/src/libcranberrywing/gateway/gateway_test_fleet.h
+++ b/src/libcranberrywing/gateway/gateway_test_fleet.h
@@ -104,7 +104,9 @@
 
   /// Delivers a caller's request and returns its identifier; the effects are in
   /// mLastEffects.
-  RequestId Request(const std::string& aPath, const std::string& aKey = kKey)
+  RequestId Request(const std::string& aPath,
+                    const std::string& aKey = kKey,
+                    const std::string& aObject = "o")
   {
     const RequestId id{ mNextRequest++ };
     Deliver(event::RequestArrived{
@@ -113,7 +115,7 @@
         RequestContent{ .mMethod = "POST", .mTarget = aPath }),
       .mHost = kHost,
       .mKey = aKey,
-      .mObject = "o",
+      .mObject = aObject,
       .mTimeBudget = std::chrono::seconds(3) });
     return id;
   }
--- a/src/libcranberrywing/gateway/server_reach_test.cpp
+++ b/src/libcranberrywing/gateway/server_reach_test.cpp
@@ -1,5 +1,7 @@
 /// \file
 /// A VM that has lost its links to all backend servers.
+#include <set>
+
 #include "gateway_test_fleet.h"
 
 namespace cranberrywing::gateway {
@@ -183,4 +185,64 @@
   CHECK_FALSE(fixture.FindEffect<effect::Dispatch>());
 }
 
+// Guards against callers that keep asking, over open connections, a VM that
+// cannot serve them although others can.
+TEST_CASE("Callers of a cut-off VM are told to open other connections")
+{
+  CutVmFixture fixture;
+  fixture.Request("/prices/1");
+  fixture.Reply(effect::Dispatch(*fixture.FindEffect<effect::Dispatch>()),
+                event::ReplyKind::Answer,
+                200);
+  CHECK_FALSE(fixture.FindEffect<effect::Respond>()->mCloseAfter);
+  fixture.RunCutOff(std::chrono::seconds(3));
+  fixture.Request("/prices/1");
+  CHECK(fixture.FindEffect<effect::Refuse>()->mCloseAfter);
+  fixture.Deliver(event::PeerMessageReceived{
+    { VmId("vm-2"), { 8 } }, message::ServerReachStatus{ true } });
+  fixture.Request("/prices/1");
+  CHECK_FALSE(fixture.FindEffect<effect::Refuse>()->mCloseAfter);
+}
+
+// Guards against callers that wait for their deadline on links that are known
+// to be lost, instead of asking another VM in time; and against giving up
+// requests that only this VM may run.
+TEST_CASE("Requests that hang on lost links end early if they may be repeated")
+{
+  CutVmFixture fixture;
+  std::set<RequestId> hanging;
+  std::set<BackendId> servers;
+  const auto send = [&](const char* aPath) {
+    const RequestId id = fixture.Request(
+      aPath, testing::kKey, "object " + std::to_string(hanging.size()));
+    REQUIRE(fixture.FindEffect<effect::Dispatch>());
+    servers.insert(fixture.FindEffect<effect::Dispatch>()->mBackend);
+    return id;
+  };
+  send("/orders/1");
+  while (servers.size() < 2) {
+    hanging.insert(send("/prices/1"));
+  }
+  std::set<RequestId> refused;
+  const Duration step = std::chrono::milliseconds(50);
+  // The routes' time limit is 1 s.
+  for (Duration passed{}; passed < std::chrono::milliseconds(900);
+       passed += step) {
+    fixture.HearPeer();
+    fixture.Advance(step);
+    const EffectList effects = fixture.mLastEffects;
+    for (const Effect& effect : effects) {
+      if (const auto* const refuse = std::get_if<effect::Refuse>(&effect)) {
+        refused.insert(refuse->mRequest);
+        CHECK(refuse->mRefusal.mExecution == Execution::Unknown);
+      } else if (const auto* const check =
+                   std::get_if<effect::CheckServer>(&effect)) {
+        fixture.Deliver(event::ServerChecked{ .mBackend = check->mBackend });
+      }
+    }
+  }
+  REQUIRE(fixture.mGateway.IsCutOff());
+  CHECK(refused == hanging);
+}
+
 } // namespace cranberrywing::gateway
