Plan the regions' shares before a started VM takes requests

A VM that had just said that it is ready refused every request with 'no usable backend server' until the next periodic update of the regions' shares: 21 of the first 23 requests in a run over loopback, 0.2 s and more, after each start of a process. The first server of a service met the same, for up to 0.25 s.

Cause: shares are computed every 250 ms, and a service without them has no region to send to. They are computed now when the registrations are complete, and when a service without shares gets a server.

--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -171,6 +171,10 @@
              std::to_string(
                std::chrono::duration_cast<Milliseconds>(entry.mColdTimeLeft)
                  .count()) } });
+  if (mHasRegistrations && !mRegionPlan.Shares(entry.mService)) {
+    mNextPlan = mNow;
+    UpdatePlan();
+  }
 }
 
 void Gateway::On(const event::BackendRemoved& aEvent)
@@ -219,6 +223,9 @@
     Record("registrations_complete",
            { { "backends", std::to_string(mPool.All().size()) },
              { "vms", std::to_string(mFleet.SharingVmCount()) } });
+    // Requests may come at once, and without a plan they have no server.
+    mNextPlan = mNow;
+    UpdatePlan();
   }
 }
 
--- a/src/libcranberrywing/gateway/gateway_test.cpp
+++ b/src/libcranberrywing/gateway/gateway_test.cpp
@@ -200,6 +200,32 @@
   CHECK(fixture.FindEffect<effect::Exit>());
 }
 
+// Guards against refusals until the next periodic update of the regions' shares
+// when a service gets its first server, or when all registrations are known.
+TEST_CASE("The first server of a service gets requests at once")
+{
+  GatewayFixture fixture;
+  PolicyContent content = fixture.Content(2);
+  content.mServices.push_back({ .mService = ServiceId("billing") });
+  for (RoutePolicy& route : content.mRoutes) {
+    route.mServices = { { ServiceId("billing"), 1 } };
+  }
+  fixture.SetPolicy(content);
+  fixture.Request("/prices/1");
+  CHECK(fixture.FindEffect<effect::Refuse>());
+  fixture.Deliver(
+    event::BackendRegistered{ { .mBackend = BackendId("b0"),
+                                .mService = ServiceId("billing"),
+                                .mAddress = "10.1.0.9",
+                                .mPort = 9100,
+                                .mFailureDomain = FailureDomainId("near-a"),
+                                .mRegion = RegionId("near"),
+                                .mSlots = 4 } });
+  fixture.Request("/prices/2");
+  REQUIRE(fixture.FindEffect<effect::Dispatch>());
+  CHECK(fixture.FindEffect<effect::Dispatch>()->mBackend == BackendId("b0"));
+}
+
 // Guards against the failure LOST: a stopping VM takes a request that may last
 // longer than the process, and cuts it at the end of the grace time.
 TEST_CASE("A stopping VM takes no request that it may not finish")
