Tell callers how long all servers of a service wait

A refusal while all servers of a service have asked for a time without requests carried that time times 0.75 to 1.5, at most 2 s: callers came back too early and were refused again. Now it carries the whole time and a random delay after it. The test asked for more than 1 s of 1.8 s; it asks for all of 4.8 s now and fails with the old code.

--- a/src/libcranberrywing/gateway/gateway_requests.cpp
+++ b/src/libcranberrywing/gateway/gateway_requests.cpp
@@ -301,8 +301,8 @@
       { .mCode = ResultCode::NoBackend,
         .mDetail = wait ? "the service's backend servers have asked to wait"
                         : "no usable backend server for the service",
-        .mRetryAfter =
-          JitterRetryDelay(wait.value_or(2 * kDefaultRetryDelay)) });
+        .mRetryAfter = wait ? *wait + JitterRetryDelay(kDefaultRetryDelay)
+                            : JitterRetryDelay(2 * kDefaultRetryDelay) });
     return;
   }
   const AdmissionDecision decision = Admit(aRequest, *aSelection);
--- a/src/libcranberrywing/gateway/server_notices_test.cpp
+++ b/src/libcranberrywing/gateway/server_notices_test.cpp
@@ -267,13 +267,14 @@
 TEST_CASE("Callers are told at once when all servers ask to wait")
 {
   NoticeFixture fixture;
-  fixture.LetAllWait(std::chrono::milliseconds(1800));
+  constexpr Duration kWait = std::chrono::milliseconds(4800);
+  fixture.LetAllWait(kWait);
   fixture.Request("/orders/1");
   const auto* const refuse = fixture.FindEffect<effect::Refuse>();
   REQUIRE(refuse);
   CHECK(refuse->mRefusal.mExecution == Execution::NotRun);
-  CHECK(refuse->mRefusal.mRetryAfter > std::chrono::seconds(1));
-  fixture.Advance(std::chrono::milliseconds(1900));
+  CHECK(refuse->mRefusal.mRetryAfter >= kWait);
+  fixture.Advance(kWait + std::chrono::milliseconds(100));
   fixture.Request("/orders/2");
   CHECK(fixture.FindEffect<effect::Dispatch>());
 }
