Show operators what each backend server asks for

Metrics had only counts of leaving and waiting servers, so that 'the server asked us to wait' could not be told from 'we do not trust it'. The metrics page now names each server that is leaving, asks to wait, names a rate limit or is ejected, with since when or for how long and where it was read; docs/OPERATIONS.md says how to tell them apart.

TCP_KEEPCNT is no longer set: with TCP_USER_TIMEOUT it has no effect.

--- a/src/cranberrywingd/gateway_daemon.cpp
+++ b/src/cranberrywingd/gateway_daemon.cpp
@@ -66,6 +66,90 @@
   return options;
 }
 
+/// Value of a metric of one server, with the source of what it shows.
+struct ServerSample
+{
+  double mValue = 0;
+  std::string mSource;
+};
+
+/// Writes one sample for each server that has one.
+void WriteServerGauge(
+  const gateway::BackendPool& aPool,
+  std::string_view aName,
+  std::string_view aHelp,
+  const std::function<std::optional<ServerSample>(const gateway::Backend&)>&
+    aSample,
+  MetricsWriter& aWriter)
+{
+  for (const auto& [id, backend] : aPool.All()) {
+    if (const auto sample = aSample(*backend)) {
+      std::vector<MetricLabel> labels{ { "backend", id.mName } };
+      if (!sample->mSource.empty()) {
+        labels.push_back({ "source", sample->mSource });
+      }
+      aWriter.Gauge(aName, aHelp, sample->mValue, labels);
+    }
+  }
+}
+
+/// Writes why servers get no requests, or fewer: what they said of themselves,
+/// and what this VM has concluded from its own failures.
+void WriteServerStates(const gateway::BackendPool& aPool,
+                       TimePoint aNow,
+                       MetricsWriter& aWriter)
+{
+  using Sample = std::optional<ServerSample>;
+  const auto seconds = [](Duration aDuration) {
+    return std::chrono::duration<double>(aDuration).count();
+  };
+  WriteServerGauge(
+    aPool,
+    "cranberrywing_backend_leaving_seconds",
+    "Time since a server is known to have said that it is leaving.",
+    [&](const gateway::Backend& aBackend) -> Sample {
+      const gateway::Notice* const notice =
+        aPool.Notices().FindLeaving(aBackend.mLifetimeHash);
+      return notice ? Sample({ seconds(aNow - notice->mTime),
+                               std::string(ToString(notice->mSource)) })
+                    : std::nullopt;
+    },
+    aWriter);
+  WriteServerGauge(
+    aPool,
+    "cranberrywing_backend_wait_seconds",
+    "Time left for which a server has asked this VM to send nothing.",
+    [&](const gateway::Backend& aBackend) -> Sample {
+      const gateway::Notice* const notice =
+        aPool.Notices().FindWait(aBackend.mLifetimeHash);
+      return notice ? Sample({ seconds(notice->mTime - aNow),
+                               std::string(ToString(notice->mSource)) })
+                    : std::nullopt;
+    },
+    aWriter);
+  WriteServerGauge(
+    aPool,
+    "cranberrywing_backend_rate_limit",
+    "Requests per second that a server accepts from all VMs together.",
+    [&](const gateway::Backend& aBackend) -> Sample {
+      return aPool.IsRateLimited(aBackend, aNow)
+               ? Sample({ aBackend.mRateLimit.mPerSecond.value_or(0), {} })
+               : std::nullopt;
+    },
+    aWriter);
+  WriteServerGauge(
+    aPool,
+    "cranberrywing_backend_ejected_seconds",
+    "Time left until a server that failed requests of this VM gets a health "
+    "check; negative while that is due.",
+    [&](const gateway::Backend& aBackend) -> Sample {
+      return aBackend.mNeedsProbe
+               ? Sample({ seconds(aBackend.mEjectedUntil - aNow), {} })
+               : std::nullopt;
+    },
+    aWriter);
+}
+
 } // namespace
 
 gateway::VmRecord GatewayDaemon::MakeRecord(const Options& aOptions)
@@ -362,12 +446,7 @@
   writer.Gauge("cranberrywing_servers_reached",
                "0 while the links to all backend servers are lost, or else 1.",
                mGateway.IsCutOff() ? 0 : 1);
-  writer.Gauge("cranberrywing_backends_leaving",
-               "Backend servers that have said that they are leaving.",
-               static_cast<double>(mGateway.Pool().Notices().LeavingCount()));
-  writer.Gauge("cranberrywing_backends_waiting",
-               "Backend servers that have asked this VM to send nothing.",
-               static_cast<double>(mGateway.Pool().Notices().WaitingCount()));
+  WriteServerStates(mGateway.Pool(), ReadClock(), writer);
   writer.Counter("cranberrywing_policy_problems_total",
                  "Parts of configurations that could not be read.",
                  static_cast<double>(counters.mPolicyProblems));
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -202,13 +202,13 @@
   void TellServerReach();
 
   // gateway_notices.cpp
-  /// Heeds what a server said of itself. aSource says where it was read.
+  /// Heeds what a server said of itself.
   void HeedNotices(const Backend& aBackend,
                    bool aIsLeaving,
                    std::optional<Duration> aWait,
-                   std::string_view aSource);
+                   NoticeSource aSource);
   /// Returns false if it was known that the server is leaving.
-  bool MarkLeaving(const Backend& aBackend, std::string_view aSource);
+  bool MarkLeaving(const Backend& aBackend, NoticeSource aSource);
   /// Time until the first server of the service that has asked to wait can be
   /// used; nullopt if none waits.
   std::optional<Duration> ShortestWait(const ServiceId& aService) const;
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -268,7 +268,8 @@
   if (aEvent.mRateLimit) {
     LearnRateLimit(*backend, aEvent.mRateLimit, mNow, "probe");
   }
-  HeedNotices(*backend, aEvent.mIsLeaving, aEvent.mWait, "probe");
+  HeedNotices(
+    *backend, aEvent.mIsLeaving, aEvent.mWait, NoticeSource::HealthCheck);
   if (!aEvent.mHasAnswered) {
     backend->mIsProbing = false;
     OnUnreachable(aEvent.mBackend);
--- a/src/libcranberrywing/gateway/gateway_notices.cpp
+++ b/src/libcranberrywing/gateway/gateway_notices.cpp
@@ -8,7 +8,7 @@
 void Gateway::HeedNotices(const Backend& aBackend,
                           bool aIsLeaving,
                           std::optional<Duration> aWait,
-                          std::string_view aSource)
+                          NoticeSource aSource)
 {
   if (aIsLeaving && MarkLeaving(aBackend, aSource)) {
     for (const auto& [id, peer] : mFleet.Peers()) {
@@ -18,17 +18,18 @@
       }
     }
   }
-  if (aWait && mPool.Notices().OnWait(aBackend.mLifetimeHash, *aWait, mNow)) {
+  if (aWait &&
+      mPool.Notices().OnWait(aBackend.mLifetimeHash, *aWait, aSource, mNow)) {
     Record("backend_waits",
            { { "backend", aBackend.mEntry.mBackend.mName },
              { "wait_ms", ToMs(*aWait) },
-             { "source", std::string(aSource) } });
+             { "source", std::string(ToString(aSource)) } });
   }
 }
 
-bool Gateway::MarkLeaving(const Backend& aBackend, std::string_view aSource)
+bool Gateway::MarkLeaving(const Backend& aBackend, NoticeSource aSource)
 {
-  if (!mPool.Notices().OnLeaving(aBackend.mLifetimeHash, mNow)) {
+  if (!mPool.Notices().OnLeaving(aBackend.mLifetimeHash, aSource, mNow)) {
     return false;
   }
   mEffects.push_back(effect::CloseBackendConnections{ aBackend.mEntry.mAddress,
@@ -36,7 +37,7 @@
   Record("backend_leaving",
          { { "backend", aBackend.mEntry.mBackend.mName },
            { "draining", aBackend.mEntry.mIsDraining ? "1" : "0" },
-           { "source", std::string(aSource) } });
+           { "source", std::string(ToString(aSource)) } });
   return true;
 }
 
@@ -44,7 +45,7 @@
 {
   for (const std::uint64_t lifetime : aMessage.mBackends) {
     if (const Backend* const backend = mPool.FindLifetime(lifetime)) {
-      MarkLeaving(*backend, "peer");
+      MarkLeaving(*backend, NoticeSource::OtherVm);
     }
   }
 }
--- a/src/libcranberrywing/gateway/gateway_outcomes.cpp
+++ b/src/libcranberrywing/gateway/gateway_outcomes.cpp
@@ -83,7 +83,8 @@
   if (backend) {
     LearnRateLimit(*backend, aEvent);
     if (aEvent.mKind != event::ReplyKind::WrongServer) {
-      HeedNotices(*backend, aEvent.mIsLeaving, aEvent.mWait, "answer");
+      HeedNotices(
+        *backend, aEvent.mIsLeaving, aEvent.mWait, NoticeSource::Answer);
     }
   }
   const std::uint32_t status = aEvent.mAnswer ? aEvent.mAnswer->mStatus : 0;
@@ -236,10 +237,9 @@
       { "expected_ms", ToMs(aRequest.mExpectedTotal) },
       { "took_ms", ToMs(mNow - aRequest.mArrivedAt) },
       { "policy", std::to_string(aRequest.mPolicy->GetRevision().mNumber) } });
-  mEffects.push_back(
-    effect::Respond{ .mRequest = aRequest.mArrival.mRequest,
-                     .mAnswer = std::move(aAnswer),
-                     .mCloseAfter = SendsCallersAway() });
+  mEffects.push_back(effect::Respond{ .mRequest = aRequest.mArrival.mRequest,
+                                      .mAnswer = std::move(aAnswer),
+                                      .mCloseAfter = SendsCallersAway() });
   const RequestId id = aRequest.mArrival.mRequest;
   mRequests.erase(id);
 }
@@ -268,10 +268,9 @@
       { "retry_after_ms", ToMs(aRefusal.mRetryAfter) },
       { "policy",
         mPolicy ? std::to_string(mPolicy->GetRevision().mNumber) : "" } });
-  mEffects.push_back(
-    effect::Refuse{ .mRequest = aRequest.mArrival.mRequest,
-                    .mRefusal = std::move(aRefusal),
-                    .mCloseAfter = SendsCallersAway() });
+  mEffects.push_back(effect::Refuse{ .mRequest = aRequest.mArrival.mRequest,
+                                     .mRefusal = std::move(aRefusal),
+                                     .mCloseAfter = SendsCallersAway() });
   const RequestId id = aRequest.mArrival.mRequest;
   mRequests.erase(id);
 }
--- a/src/libcranberrywing/gateway/server_notices_test.cpp
+++ b/src/libcranberrywing/gateway/server_notices_test.cpp
@@ -246,6 +246,28 @@
   }
 }
 
+// Guards against an operator who cannot tell since when, until when and from
+// where a VM knows what a server asks for.
+TEST_CASE("Notices say when and where they were read")
+{
+  ServerNotices notices(ServerNotices::Options{});
+  const TimePoint now{ std::chrono::seconds(100) };
+  const Duration second = std::chrono::seconds(1);
+  CHECK(notices.OnLeaving(4, NoticeSource::HealthCheck, now));
+  CHECK_FALSE(notices.OnLeaving(4, NoticeSource::Answer, now + second));
+  REQUIRE(notices.FindLeaving(4));
+  CHECK(notices.FindLeaving(4)->mTime == now);
+  CHECK(notices.FindLeaving(4)->mSource == NoticeSource::HealthCheck);
+  CHECK(notices.OnWait(9, 5 * second, NoticeSource::Answer, now));
+  CHECK_FALSE(notices.OnWait(9, second, NoticeSource::HealthCheck, now));
+  REQUIRE(notices.FindWait(9));
+  CHECK(notices.FindWait(9)->mTime == now + 5 * second);
+  CHECK(notices.FindWait(9)->mSource == NoticeSource::Answer);
+  CHECK_FALSE(notices.FindWait(4));
+  notices.Tick(now + 5 * second);
+  CHECK_FALSE(notices.FindWait(9));
+}
+
 // Guards against the failure BUDGET: a server that wants nothing for some time
 // gets requests and health checks all the same.
 TEST_CASE("A server that asks to wait gets nothing until then")
--- a/src/netutil/http_client.cpp
+++ b/src/netutil/http_client.cpp
@@ -22,7 +22,8 @@
 /// TCP_KEEPIDLE and TCP_KEEPINTVL are in whole seconds; one second is the
 /// minimum.
 constexpr int kKeepAliveIntervalSeconds = 1;
-constexpr int kKeepAliveProbeCount = 2;
+/// Also the time after which unanswered keep-alive probes close a connection,
+/// whatever their number (tcp(7)).
 constexpr int kTcpUserTimeoutMs = 2500;
 
 void AppendHeader(std::string& aHead, const Header& aHeader)
@@ -186,14 +187,12 @@
   using Idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
   using Interval =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
-  using Count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
   using UserTimeout =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
   boost::system::error_code ec;
   mSocket.set_option(asio::socket_base::keep_alive(true), ec);
   mSocket.set_option(Idle(kKeepAliveIntervalSeconds), ec);
   mSocket.set_option(Interval(kKeepAliveIntervalSeconds), ec);
-  mSocket.set_option(Count(kKeepAliveProbeCount), ec);
   mSocket.set_option(UserTimeout(kTcpUserTimeoutMs), ec);
 }
 
