Do not name a cut-off VM in the lookups of VMs that just started

The region's two other VMs were stopping or restarting, so that lookups named edge-plains-a-1 alone in the 0.84 s until it noticed its loss, and some callers use an answer for 3.9 s; then edge-plains-a-2 started, counted edge-plains-a-1 as usable as soon as it heard it, and named it until the next statement of its loss, up to a second later.

A VM that is cut off now says so before each message by which it counts as usable. An answer that names a single VM holds for a third of the time. The first test fails with the old code.

--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -87,7 +87,8 @@
   /// VMs that callers of a region should use.
   std::vector<VmRecord> CallerTargets(const RegionId& aRegion,
                                       TimePoint aNow) const;
-  Duration LookupLifetime() const { return mOptions.mLookupLifetime; }
+  /// Time for which callers may use a lookup's answer with so many VMs.
+  Duration LookupLifetime(std::size_t aTargets) const;
 
   const GatewayCounters& Counters() const { return mCounters; }
   const BackendPool& Pool() const { return mPool; }
@@ -238,6 +239,10 @@
   /// store.
   void RelayStoreChanges();
   void SendTo(const RelayEndpoint& aReceiver, Message aMessage);
+  /// Sends a message that makes this VM count as usable, after the one that
+  /// says that it reaches no backend server, if so: a VM that has just started
+  /// must not learn the first without the second.
+  void SendStatusTo(const RelayEndpoint& aReceiver, Message aMessage);
   void UpdatePlan();
   RegionalLoad ComputeRegionalLoad(const ServiceId& aService) const;
   /// Logs the service's region shares if they changed noticeably.
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -10,6 +10,9 @@
 /// ms.
 constexpr Duration kMaxTokenWait = std::chrono::milliseconds(90);
 
+/// Callers of a lookup that names a single VM ask again so many times earlier.
+constexpr int kSingleTargetDivisor = 3;
+
 } // namespace
 
 Gateway::Gateway(Options aOptions)
@@ -86,6 +89,13 @@
     aNow);
 }
 
+Duration Gateway::LookupLifetime(std::size_t aTargets) const
+{
+  // Callers that know a single VM have no other if that one cannot serve them.
+  return aTargets > 1 ? mOptions.mLookupLifetime
+                      : mOptions.mLookupLifetime / kSingleTargetDivisor;
+}
+
 void Gateway::Record(std::string aName,
                      std::vector<cranberrywing::effect::Field> aFields)
 {
--- a/src/libcranberrywing/gateway/gateway_upkeep.cpp
+++ b/src/libcranberrywing/gateway/gateway_upkeep.cpp
@@ -129,6 +129,14 @@
   return demands;
 }
 
+void Gateway::SendStatusTo(const RelayEndpoint& aReceiver, Message aMessage)
+{
+  if (mServerReach.IsCutOff()) {
+    SendTo(aReceiver, message::ServerReachStatus{ true });
+  }
+  SendTo(aReceiver, std::move(aMessage));
+}
+
 void Gateway::SendStatus()
 {
   SendSameRegionStatus();
@@ -159,7 +167,7 @@
       const RelayEndpoint receiver{ id,
                                     peer.mRecord.mAddress,
                                     peer.mRecord.mPeerPort };
-      SendTo(receiver, status);
+      SendStatusTo(receiver, status);
       if (!limits.mLimits.empty()) {
         SendTo(receiver, limits);
       }
@@ -191,8 +199,9 @@
   const std::size_t count = std::min(kCrossRegionPeers, receivers.size());
   for (std::size_t n = 0; n < count; ++n) {
     const Peer& peer = *receivers[mNextDemandReceiver++ % receivers.size()];
-    SendTo({ peer.mRecord.mVm, peer.mRecord.mAddress, peer.mRecord.mPeerPort },
-           message);
+    SendStatusTo(
+      { peer.mRecord.mVm, peer.mRecord.mAddress, peer.mRecord.mPeerPort },
+      message);
   }
   SendRegionRateLimits(receivers);
 }
--- a/src/libcranberrywing/gateway/server_reach_test.cpp
+++ b/src/libcranberrywing/gateway/server_reach_test.cpp
@@ -185,6 +185,44 @@
   CHECK_FALSE(fixture.FindEffect<effect::Dispatch>());
 }
 
+// Guards against a VM that has just started, hears that this one runs, and
+// names it to callers until the next periodic statement that it is cut off.
+TEST_CASE("A VM that starts learns at once that another one is cut off")
+{
+  CutVmFixture fixture;
+  fixture.RunCutOff(std::chrono::seconds(5));
+  fixture.Deliver(event::VmRegistered{ { .mVm = VmId("vm-3"),
+                                         .mIncarnation = { 9 },
+                                         .mRegion = RegionId("near"),
+                                         .mAddress = "10.0.0.3" } });
+  bool isToldCutOff = false;
+  bool isToldStatus = false;
+  while (!isToldStatus) {
+    fixture.HearPeer();
+    fixture.Advance(std::chrono::milliseconds(20));
+    for (const Effect& effect : fixture.mLastEffects) {
+      const auto* const sent = std::get_if<effect::SendMessage>(&effect);
+      if (sent && sent->mTo == VmId("vm-3")) {
+        isToldCutOff = isToldCutOff ||
+                       std::get_if<message::ServerReachStatus>(&sent->mMessage);
+        isToldStatus =
+          isToldStatus || std::get_if<message::GatewayStatus>(&sent->mMessage);
+        CHECK((isToldCutOff || !isToldStatus));
+      }
+    }
+  }
+}
+
+// Guards against callers that keep the only VM of an answer for seconds after
+// it was cut off.
+TEST_CASE("An answer that names a single VM is asked for again sooner")
+{
+  CutVmFixture fixture;
+  const Duration usual = fixture.mGateway.LookupLifetime(2);
+  CHECK(fixture.mGateway.LookupLifetime(1) <= usual / 3);
+  CHECK(fixture.mGateway.LookupLifetime(9) == usual);
+}
+
 // Guards against callers that keep asking, over open connections, a VM that
 // cannot serve them although others can.
 TEST_CASE("Callers of a cut-off VM are told to open other connections")
