Name all VMs of a region with more than 64 VMs in lookups

An answer holds 64 addresses, and the first 64 by name were taken: the others of a region of 92 VMs, the size to design for, got callers only from their own lookups. The choice now differs from VM to VM and changes once a minute, so that callers seldom have to close connections.

--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -84,8 +84,11 @@
   /// Whether the links to all backend servers are lost.
   bool IsCutOff() const { return mServerReach.IsCutOff(); }
   bool IsStopping() const { return mStoppingSince.has_value(); }
-  /// VMs that callers of a region should use.
+  /// At most aMaxCount of the VMs that callers of a region should use. If there
+  /// are more, the choice differs from VM to VM and changes with time, so that
+  /// all of them get callers.
   std::vector<VmRecord> CallerTargets(const RegionId& aRegion,
+                                      std::size_t aMaxCount,
                                       TimePoint aNow) const;
   /// Time for which callers may use a lookup's answer with so many VMs.
   Duration LookupLifetime(std::size_t aTargets) const;
--- a/src/libcranberrywing/gateway/gateway_test.cpp
+++ b/src/libcranberrywing/gateway/gateway_test.cpp
@@ -200,6 +200,39 @@
   CHECK(fixture.FindEffect<effect::Exit>());
 }
 
+// Guards against VMs of a large region that get no callers, since their names
+// come after those of as many others as fit into a lookup's answer.
+TEST_CASE("All VMs of a large region are named in lookups")
+{
+  GatewayFixture fixture;
+  const std::size_t count = 92;
+  for (std::size_t n = 1; n < count; ++n) {
+    const VmId vm("vm-" + std::to_string(100 + n));
+    fixture.Deliver(event::VmRegistered{ { .mVm = vm,
+                                           .mIncarnation = { 8 },
+                                           .mRegion = RegionId("near"),
+                                           .mAddress = "10.0.0.2" } });
+    fixture.Deliver(
+      event::PeerMessageReceived{ { vm, { 8 } }, message::GatewayStatus{} });
+  }
+  constexpr std::size_t kMaxCount = 64;
+  constexpr int kAnswers = 50;
+  std::map<VmId, int> named;
+  for (int n = 0; n < kAnswers; ++n) {
+    fixture.mNow += std::chrono::minutes(1);
+    const auto targets =
+      fixture.mGateway.CallerTargets(RegionId("near"), kMaxCount, fixture.mNow);
+    CHECK(targets.size() == kMaxCount);
+    for (const VmRecord& target : targets) {
+      ++named[target.mVm];
+    }
+  }
+  CHECK(named.size() == count);
+  for (const auto& [vm, times] : named) {
+    CHECK(times >= kAnswers / 4);
+  }
+}
+
 // Guards against refusals until the next periodic update of the regions' shares
 // when a service gets its first server, or when all registrations are known.
 TEST_CASE("The first server of a service gets requests at once")
--- a/src/libcranberrywing/gateway/server_reach_test.cpp
+++ b/src/libcranberrywing/gateway/server_reach_test.cpp
@@ -87,7 +87,8 @@
   std::vector<VmId> Targets() const
   {
     std::vector<VmId> vms;
-    for (const VmRecord& vm : mGateway.CallerTargets(RegionId("near"), mNow)) {
+    for (const VmRecord& vm :
+         mGateway.CallerTargets(RegionId("near"), 64, mNow)) {
       vms.push_back(vm.mVm);
     }
     return vms;
