Tell VMs that start which servers are leaving

After a restart a VM used servers again that had said to the process before that they are leaving, until it heard so itself or the store said so. A VM that hears another one for the first time now sends it the leaving servers that it knows; they are kept by server lifetime also if their registrations have not been read yet. The test fails with the old code: no message is sent.

Also counts a server that two services share once in a round of checks of cranberrywingd, which would not have ended.

--- a/src/include/cranberrywing/gateway/fleet_view.h
+++ b/src/include/cranberrywing/gateway/fleet_view.h
@@ -89,6 +89,8 @@
   void OnServerReach(const VmIncarnation& aFrom,
                      const message::ServerReachStatus& aStatus,
                      TimePoint aNow);
+  /// Whether the process is known and a status message of it has arrived.
+  bool HasHeard(const VmIncarnation& aProcess) const;
   /// Erases VMs that are not heard and whose entries expired longer ago than
   /// the retention time.
   void Tick(TimePoint aNow);
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -211,6 +211,8 @@
                    bool aIsLeaving,
                    std::optional<Duration> aWait,
                    NoticeSource aSource);
+  /// Tells a VM that has just started which servers are leaving.
+  void TellLeavingServers(const VmId& aVm);
   /// Returns false if it was known that the server is leaving.
   bool MarkLeaving(const Backend& aBackend, NoticeSource aSource);
   /// Time until the first server of the service that has asked to wait can be
--- a/src/libcranberrywing/gateway/fleet_view.cpp
+++ b/src/libcranberrywing/gateway/fleet_view.cpp
@@ -115,6 +115,14 @@
   }
 }
 
+bool FleetView::HasHeard(const VmIncarnation& aProcess) const
+{
+  const auto it = mPeers.find(aProcess.mVm);
+  return it != mPeers.end() &&
+         it->second.mRecord.mIncarnation == aProcess.mIncarnation &&
+         it->second.mHasStatus;
+}
+
 void FleetView::Tick(TimePoint aNow)
 {
   const auto expired =
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -327,12 +327,20 @@
 {
   if (const auto* const status =
         std::get_if<message::GatewayStatus>(&aEvent.mMessage)) {
+    const bool isNew = !mFleet.HasHeard(aEvent.mFrom);
     mFleet.OnStatus(aEvent.mFrom, *status, mNow);
+    if (isNew) {
+      TellLeavingServers(aEvent.mFrom.mVm);
+    }
     return;
   }
   if (const auto* const demand =
         std::get_if<message::RegionDemand>(&aEvent.mMessage)) {
+    const bool isNew = !mFleet.HasHeard(aEvent.mFrom);
     mFleet.OnRegionDemand(aEvent.mFrom, *demand, mNow);
+    if (isNew) {
+      TellLeavingServers(aEvent.mFrom.mVm);
+    }
     return;
   }
   if (const auto* const beacon =
--- a/src/libcranberrywing/gateway/gateway_notices.cpp
+++ b/src/libcranberrywing/gateway/gateway_notices.cpp
@@ -5,6 +5,13 @@
 
 using detail::ToMs;
 
+namespace {
+
+/// Bounds a message to a datagram of about 1 KB.
+constexpr std::size_t kMaxServersPerMessage = 120;
+
+} // namespace
+
 void Gateway::HeedNotices(const Backend& aBackend,
                           bool aIsLeaving,
                           std::optional<Duration> aWait,
@@ -27,6 +34,22 @@
   }
 }
 
+void Gateway::TellLeavingServers(const VmId& aVm)
+{
+  message::BackendsLeaving leaving;
+  for (const auto& [id, backend] : mPool.All()) {
+    if (mPool.Notices().IsLeaving(backend->mLifetimeHash) &&
+        leaving.mBackends.size() < kMaxServersPerMessage) {
+      leaving.mBackends.push_back(backend->mLifetimeHash);
+    }
+  }
+  const auto it = mFleet.Peers().find(aVm);
+  if (it != mFleet.Peers().end() && !leaving.mBackends.empty()) {
+    const VmRecord& record = it->second.mRecord;
+    SendTo({ aVm, record.mAddress, record.mPeerPort }, std::move(leaving));
+  }
+}
+
 bool Gateway::MarkLeaving(const Backend& aBackend, NoticeSource aSource)
 {
   if (!mPool.Notices().OnLeaving(aBackend.mLifetimeHash, aSource, mNow)) {
@@ -46,6 +69,9 @@
   for (const std::uint64_t lifetime : aMessage.mBackends) {
     if (const Backend* const backend = mPool.FindLifetime(lifetime)) {
       MarkLeaving(*backend, NoticeSource::OtherVm);
+    } else {
+      // The registration may not have been read yet.
+      mPool.Notices().OnLeaving(lifetime, NoticeSource::OtherVm, mNow);
     }
   }
 }
--- a/src/libcranberrywing/gateway/server_notices_test.cpp
+++ b/src/libcranberrywing/gateway/server_notices_test.cpp
@@ -246,6 +246,44 @@
   }
 }
 
+// Guards against a restart after which a VM uses a server that is leaving,
+// since only the process before had heard so.
+TEST_CASE("A VM that starts learns which servers are leaving")
+{
+  NoticeFixture fixture;
+  fixture.Request("/prices/1");
+  const BackendId leaving = fixture.Answer({ .mIsLeaving = true });
+  const VmIncarnation started{ VmId("vm-2"), { 8 } };
+  fixture.Deliver(event::VmRegistered{ { .mVm = started.mVm,
+                                         .mIncarnation = started.mIncarnation,
+                                         .mRegion = RegionId("near"),
+                                         .mAddress = "10.0.0.2" } });
+  fixture.Deliver(
+    event::PeerMessageReceived{ started, message::GatewayStatus{} });
+  const auto* const sent = fixture.FindEffect<effect::SendMessage>();
+  REQUIRE(sent);
+  CHECK(sent->mTo == started.mVm);
+  REQUIRE(std::get_if<message::BackendsLeaving>(&sent->mMessage));
+  const Message told = sent->mMessage;
+  fixture.Deliver(
+    event::PeerMessageReceived{ started, message::GatewayStatus{} });
+  CHECK_FALSE(fixture.FindEffect<effect::SendMessage>());
+
+  NoticeFixture restarted;
+  const VmIncarnation sender{ VmId("vm-1"), { 7 } };
+  SECTION("that it knows already")
+  {
+    restarted.Deliver(event::PeerMessageReceived{ sender, told });
+  }
+  SECTION("before it has read their registrations")
+  {
+    restarted.Deliver(event::BackendRemoved{ leaving });
+    restarted.Deliver(event::PeerMessageReceived{ sender, told });
+    restarted.Register(leaving.mName);
+  }
+  CHECK_FALSE(restarted.ServersUsed(std::chrono::seconds(5)).contains(leaving));
+}
+
 // Guards against an operator who cannot tell since when, until when and from
 // where a VM knows what a server asks for.
 TEST_CASE("Notices say when and where they were read")
--- a/src/libcranberrywing/reducer_reach.cpp
+++ b/src/libcranberrywing/reducer_reach.cpp
@@ -65,9 +65,9 @@
     }
     const std::vector<BackendId> servers =
       SelectServersToCheck(std::move(candidates));
-    mReach.StartRound(servers.size(), aNow);
     mPendingReachChecks = { servers.begin(), servers.end() };
-    for (const BackendId& id : servers) {
+    mReach.StartRound(mPendingReachChecks.size(), aNow);
+    for (const BackendId& id : mPendingReachChecks) {
       const BackendSettings& backend = mHealth.Find(id)->mSettings;
       aOut.push_back(
         effect::ProbeBackend{ id, backend.mAddress, backend.mPort });
