Serve callers as soon as a server is reached again

A VM whose links were back refused every request until these had held for 0.5 s, or up to 8 s after losses in a row: that time is for lookups, not for callers who come anyway. Now a VM serves from the first check that succeeds, and is named as before.

The test fails with the old code.

--- a/src/include/cranberrywing/server_reach.h
+++ b/src/include/cranberrywing/server_reach.h
@@ -84,6 +84,9 @@
   bool TakeStatementDue(TimePoint aNow);
 
   bool IsCutOff() const { return mIsCutOff; }
+  /// Whether the last round of checks has succeeded, although the VM still
+  /// counts as cut off.
+  bool IsReturning() const { return mIsCutOff && mReachedSince.has_value(); }
   /// Time of the first evidence for the current suspicion or loss; nullopt if
   /// there is none.
   std::optional<TimePoint> SuspectSince() const { return mSuspectSince; }
--- a/src/libcranberrywing/gateway/gateway_reach.cpp
+++ b/src/libcranberrywing/gateway/gateway_reach.cpp
@@ -33,7 +33,8 @@
 
 bool Gateway::CanSendToServers() const
 {
-  return !mServerReach.IsCutOff() || HasOpenServerConnections();
+  return !mServerReach.IsCutOff() || mServerReach.IsReturning() ||
+         HasOpenServerConnections();
 }
 
 bool Gateway::IsOverdue(const Request& aRequest) const
--- a/src/libcranberrywing/gateway/server_reach_test.cpp
+++ b/src/libcranberrywing/gateway/server_reach_test.cpp
@@ -161,6 +161,26 @@
   CHECK(fixture.FindEffect<effect::Dispatch>());
 }
 
+// Guards against refusals of requests that a VM could serve again, until its
+// links have held long enough for it to be named in lookups.
+TEST_CASE("A VM serves callers as soon as it reaches a server again")
+{
+  CutVmFixture fixture;
+  fixture.RunCutOff(std::chrono::seconds(5));
+  for (int n = 0; n < 10 && !fixture.FindEffect<effect::CheckServer>(); ++n) {
+    fixture.HearPeer();
+    fixture.Advance(std::chrono::milliseconds(100));
+  }
+  REQUIRE(fixture.FindEffect<effect::CheckServer>());
+  const BackendId checked = fixture.FindEffect<effect::CheckServer>()->mBackend;
+  fixture.Deliver(
+    event::ServerChecked{ .mBackend = checked, .mIsReached = true });
+  REQUIRE(fixture.mGateway.IsCutOff());
+  CHECK(fixture.Targets() == std::vector<VmId>{ VmId("vm-2") });
+  fixture.Request("/prices/1");
+  CHECK(fixture.FindEffect<effect::Dispatch>());
+}
+
 // Guards against the loss of one server, or of most, being taken for the loss
 // of the VM's own links.
 TEST_CASE("A VM that reaches one of its servers is not cut off")
