--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -176,6 +176,7 @@
   /// VMs that may lend tokens of the account, those of the own region first.
   std::vector<VmId> TokenPeers(const AccountId& aAccount);
 
+  // gateway_lookups.cpp
   /// IsReady without regard to the links to backend servers.
   bool HasStarted() const;
 
@@ -253,13 +254,20 @@
   /// Logs the service's region shares if they changed noticeably.
   void RecordShares(const ServiceId& aService, const RegionalLoad& aLoad);
   void ProbeServers();
-  /// Closes caller connections and exits once the stop's deadlines are reached.
-  void AdvanceShutdown();
   /// Sends fingerprints that the crash guard blocked to all peers.
   void BroadcastRequestBlocks();
   /// Requests per second for the service from this VM's callers.
   double ArrivalRate(const ServiceId& aService) const;
 
+  // gateway_shutdown.cpp
+  /// Whether a request that arrives after the stop request is accepted: it will
+  /// have its answer before the process exits. Precondition: IsStopping.
+  bool MayFinishBeforeExit(const Request& aRequest) const;
+  /// Latest time at which a stopping process exits. Precondition: IsStopping.
+  TimePoint ExitTime() const;
+  /// Closes caller connections and exits once the stop's deadlines are reached.
+  void AdvanceShutdown();
+
   // gateway_requests.cpp
   void On(const event::RequestArrived& aEvent);
   void On(const event::RequestCancelled& aEvent);
@@ -267,11 +275,6 @@
   void On(const event::BackendFailed& aEvent);
   /// Sets the request's policy, route and account, or returns why not.
   std::optional<Refusal> ResolveRouteAndAccount(Request& aRequest);
-  /// Whether a request that arrives after the stop request is accepted: it will
-  /// have its answer before the process exits. Precondition: IsStopping.
-  bool MayFinishBeforeExit(const Request& aRequest) const;
-  /// Latest time at which a stopping process exits. Precondition: IsStopping.
-  TimePoint ExitTime() const;
   /// Applies the account's rate limit: the request is dispatched, refused, or
   /// held until tokens arrive.
   void AdmitByRate(Request& aRequest);
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -11,14 +11,6 @@
 /// ms.
 constexpr Duration kMaxTokenWait = std::chrono::milliseconds(90);
 
-/// Time for which lookups of a region with more VMs than an answer holds name
-/// the same ones, since callers close connections to a VM that a later answer
-/// leaves out.
-constexpr Duration kTargetChoiceTime = std::chrono::minutes(1);
-
-/// Callers of a lookup that names a single VM ask again so many times earlier.
-constexpr int kSingleTargetDivisor = 3;
-
 } // namespace
 
 Gateway::Gateway(Options aOptions)
@@ -75,55 +67,6 @@
   return std::exchange(mEffects, {});
 }
 
-bool Gateway::HasStarted() const
-{
-  return mPolicy && mHasRegistrations && !mStoppingSince;
-}
-
-bool Gateway::IsReady() const
-{
-  return HasStarted() &&
-         (!mServerReach.IsCutOff() || !mFleet.HasReachingPeer(mNow));
-}
-
-std::vector<VmRecord> Gateway::CallerTargets(const RegionId& aRegion,
-                                             std::size_t aMaxCount,
-                                             TimePoint aNow) const
-{
-  std::vector<VmRecord> targets = mFleet.CallerTargets(
-    aRegion,
-    { .mIsReady = HasStarted(), .mIsCutOff = mServerReach.IsCutOff() },
-    aNow);
-  if (targets.size() > aMaxCount) {
-    const std::string item =
-      mOptions.mSelf.mVm.mName + '\n' +
-      std::to_string(aNow.time_since_epoch() / kTargetChoiceTime);
-    std::vector<std::pair<std::uint64_t, VmRecord>> ranked;
-    for (VmRecord& target : targets) {
-      const std::uint64_t weight = RendezvousWeight(item, target.mVm.mName);
-      ranked.emplace_back(weight, std::move(target));
-    }
-    std::nth_element(ranked.begin(),
-                     ranked.begin() + static_cast<std::ptrdiff_t>(aMaxCount),
-                     ranked.end(),
-                     [](const auto& aLeft, const auto& aRight) {
-                       return aLeft.first > aRight.first;
-                     });
-    targets.clear();
-    for (std::size_t n = 0; n < aMaxCount; ++n) {
-      targets.push_back(std::move(ranked[n].second));
-    }
-  }
-  return targets;
-}
-
-Duration Gateway::LookupLifetime(std::size_t aTargets) const
-{
-  // Callers that know a single VM have no other if that one cannot serve them.
-  return aTargets > 1 ? mOptions.mLookupLifetime
-                      : mOptions.mLookupLifetime / kSingleTargetDivisor;
-}
-
 void Gateway::Record(std::string aName,
                      std::vector<cranberrywing::effect::Field> aFields)
 {
@@ -325,23 +268,16 @@
 
 void Gateway::On(const event::PeerMessageReceived& aEvent)
 {
+  const bool wasHeard = mFleet.HasHeard(aEvent.mFrom);
   if (const auto* const status =
         std::get_if<message::GatewayStatus>(&aEvent.mMessage)) {
-    const bool isNew = !mFleet.HasHeard(aEvent.mFrom);
     mFleet.OnStatus(aEvent.mFrom, *status, mNow);
-    if (isNew) {
-      TellLeavingServers(aEvent.mFrom.mVm);
-    }
-    return;
-  }
-  if (const auto* const demand =
-        std::get_if<message::RegionDemand>(&aEvent.mMessage)) {
-    const bool isNew = !mFleet.HasHeard(aEvent.mFrom);
+  } else if (const auto* const demand =
+               std::get_if<message::RegionDemand>(&aEvent.mMessage)) {
     mFleet.OnRegionDemand(aEvent.mFrom, *demand, mNow);
-    if (isNew) {
-      TellLeavingServers(aEvent.mFrom.mVm);
-    }
-    return;
+  }
+  if (!wasHeard && mFleet.HasHeard(aEvent.mFrom)) {
+    TellLeavingServers(aEvent.mFrom.mVm);
   }
   if (const auto* const beacon =
         std::get_if<message::StoreBeacon>(&aEvent.mMessage)) {
--- a/src/libcranberrywing/gateway/gateway_requests.cpp
+++ b/src/libcranberrywing/gateway/gateway_requests.cpp
@@ -17,13 +17,6 @@
 /// Minimum time before the deadline for a retry to be worthwhile.
 constexpr Duration kMinTimeForRetry = std::chrono::milliseconds(60);
 
-/// The process exits at the latest this fraction of the stop limit before it
-/// would be killed, which would cut answers that are being sent.
-constexpr int kStopMarginDivisor = 8;
-
-/// Multiple of a route's tail latency that a repeatable request needs at most.
-constexpr int kUsualTimeFactor = 2;
-
 /// Retry delay of requests that another VM can serve at once.
 constexpr Duration kCutOffRetryDelay = std::chrono::milliseconds(50);
 
@@ -128,32 +121,6 @@
   AdmitByRate(request);
 }
 
-bool Gateway::MayFinishBeforeExit(const Request& aRequest) const
-{
-  if (mNow - *mStoppingSince >= mOptions.mAcceptTimeAfterStop) {
-    return false;
-  }
-  // The outcome of a request that must not be repeated may not remain unknown,
-  // so its whole time has to be left. Others need the usual time only.
-  TimePoint end = aRequest.mDeadline;
-  if (aRequest.mRoute->mIsIdempotent) {
-    Duration usual{};
-    for (const WeightedService& each : aRequest.mRoute->mServices) {
-      usual = std::max(
-        usual,
-        mServiceTimes.Estimate(*aRequest.mRoute, each.mService).mTailLatency);
-    }
-    end = std::min(end, mNow + kUsualTimeFactor * usual);
-  }
-  return end <= ExitTime();
-}
-
-TimePoint Gateway::ExitTime() const
-{
-  return *mStoppingSince + mOptions.mStopLimit -
-         mOptions.mStopLimit / kStopMarginDivisor;
-}
-
 void Gateway::AdmitByRate(Request& aRequest)
 {
   if (!aRequest.mAccount || aRequest.mAccount->mRate <= 0) {
--- /dev/null
+++ b/src/libcranberrywing/gateway/gateway_shutdown.cpp
@@ -0,0 +1,64 @@
+// The planned stop of a VM.
+#include <algorithm>
+
+#include "cranberrywing/gateway/gateway.h"
+
+namespace cranberrywing::gateway {
+
+namespace {
+
+/// The process exits at the latest this fraction of the stop limit before it
+/// would be killed, which would cut answers that are being sent.
+constexpr int kStopMarginDivisor = 8;
+
+/// Multiple of a route's tail latency that a repeatable request needs at most.
+constexpr int kUsualTimeFactor = 2;
+
+} // namespace
+
+bool Gateway::MayFinishBeforeExit(const Request& aRequest) const
+{
+  if (mNow - *mStoppingSince >= mOptions.mAcceptTimeAfterStop) {
+    return false;
+  }
+  // The outcome of a request that must not be repeated may not remain unknown,
+  // so its whole time has to be left. Others need the usual time only.
+  TimePoint end = aRequest.mDeadline;
+  if (aRequest.mRoute->mIsIdempotent) {
+    Duration usual{};
+    for (const WeightedService& each : aRequest.mRoute->mServices) {
+      usual = std::max(
+        usual,
+        mServiceTimes.Estimate(*aRequest.mRoute, each.mService).mTailLatency);
+    }
+    end = std::min(end, mNow + kUsualTimeFactor * usual);
+  }
+  return end <= ExitTime();
+}
+
+TimePoint Gateway::ExitTime() const
+{
+  return *mStoppingSince + mOptions.mStopLimit -
+         mOptions.mStopLimit / kStopMarginDivisor;
+}
+
+void Gateway::AdvanceShutdown()
+{
+  if (!mStoppingSince || mHasExited) {
+    return;
+  }
+  const Duration age = mNow - *mStoppingSince;
+  const bool isQuiet =
+    age >= mOptions.mAcceptTimeAfterStop && mRequests.empty();
+  if (age >= mOptions.mAcceptTimeAfterStop && !mHasClosedCallerConnections) {
+    mHasClosedCallerConnections = true;
+    mEffects.push_back(effect::CloseCallerConnections{});
+  }
+  if (isQuiet || mNow >= ExitTime()) {
+    mHasExited = true;
+    Record("stopped", { { "in_flight", std::to_string(mRequests.size()) } });
+    mEffects.push_back(effect::Exit{});
+  }
+}
+
+} // namespace cranberrywing::gateway
--- a/src/libcranberrywing/gateway/gateway_test_fleet.h
+++ b/src/libcranberrywing/gateway/gateway_test_fleet.h
@@ -75,7 +75,9 @@
     Deliver(event::PolicyReceived{ Policy::Make(std::move(aContent)) });
   }
 
-  void Register(const std::string& aName, bool aIsDraining = false)
+  void Register(const std::string& aName,
+                bool aIsDraining = false,
+                std::int64_t aStartedMs = 0)
   {
     Deliver(event::BackendRegistered{
       { .mBackend = BackendId(aName),
@@ -85,7 +87,8 @@
         .mFailureDomain = FailureDomainId("near-a"),
         .mRegion = RegionId("near"),
         .mSlots = 4,
-        .mIsDraining = aIsDraining } });
+        .mIsDraining = aIsDraining,
+        .mStartedMs = aStartedMs } });
   }
 
   /// Delivers an event and returns its effects.
--- a/src/libcranberrywing/gateway/gateway_upkeep.cpp
+++ b/src/libcranberrywing/gateway/gateway_upkeep.cpp
@@ -319,23 +319,4 @@
   }
 }
 
-void Gateway::AdvanceShutdown()
-{
-  if (!mStoppingSince || mHasExited) {
-    return;
-  }
-  const Duration age = mNow - *mStoppingSince;
-  const bool isQuiet =
-    age >= mOptions.mAcceptTimeAfterStop && mRequests.empty();
-  if (age >= mOptions.mAcceptTimeAfterStop && !mHasClosedCallerConnections) {
-    mHasClosedCallerConnections = true;
-    mEffects.push_back(effect::CloseCallerConnections{});
-  }
-  if (isQuiet || mNow >= ExitTime()) {
-    mHasExited = true;
-    Record("stopped", { { "in_flight", std::to_string(mRequests.size()) } });
-    mEffects.push_back(effect::Exit{});
-  }
-}
-
 } // namespace cranberrywing::gateway
--- a/src/libcranberrywing/gateway/server_notices_test.cpp
+++ b/src/libcranberrywing/gateway/server_notices_test.cpp
@@ -56,19 +56,6 @@
       }
     }
   }
-
-  void RegisterStarted(const std::string& aName, std::int64_t aStartedMs)
-  {
-    Deliver(event::BackendRegistered{
-      { .mBackend = BackendId(aName),
-        .mService = ServiceId("ordering"),
-        .mAddress = "10.1.0.1",
-        .mPort = static_cast<std::uint16_t>(9000 + aName.back()),
-        .mFailureDomain = FailureDomainId("near-a"),
-        .mRegion = RegionId("near"),
-        .mSlots = 4,
-        .mStartedMs = aStartedMs } });
-  }
 };
 
 /// Random requests, notices, failures, restarts and lapsed registrations;
@@ -168,7 +155,7 @@
         std::erase_if(open, [&](const effect::Dispatch& aSent) {
           return aSent.mBackend == backend;
         });
-        fixture.RegisterStarted(backend.mName, ++started);
+        fixture.Register(backend.mName, false, ++started);
       }
     }
     inspect();
@@ -196,7 +183,7 @@
   }
   SECTION("but a later process with its identifier does")
   {
-    fixture.RegisterStarted(leaving.mName, 77);
+    fixture.Register(leaving.mName, false, 77);
     CHECK(fixture.ServersUsed(std::chrono::seconds(5)).contains(leaving));
   }
 }
@@ -240,7 +227,7 @@
   }
   SECTION("of a process that has ended")
   {
-    other.RegisterStarted(leaving.mName, 77);
+    other.Register(leaving.mName, false, 77);
     other.Deliver(event::PeerMessageReceived{ sender, told });
     CHECK(other.ServersUsed(std::chrono::seconds(5)).contains(leaving));
   }
