Log where requests are planned to run and where they are sent

A change of the serving region could come from the plan or from what requests meet after it; logs could not tell. Each VM now logs both per window of 2 s and service, with the reasons for which requests left the plan, and each request's line names the region of its server.

--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -23,6 +23,7 @@
 #include "cranberrywing/gateway/fleet_view.h"
 #include "cranberrywing/gateway/object_selector.h"
 #include "cranberrywing/gateway/region_plan.h"
+#include "cranberrywing/gateway/region_traffic.h"
 #include "cranberrywing/gateway/retry_budget.h"
 #include "cranberrywing/gateway/service_split.h"
 #include "cranberrywing/gateway/service_times.h"
@@ -132,6 +133,10 @@
     Duration mExpectedWait{};
     /// Selection::mRank of the current attempt, for the log.
     std::size_t mRank = 0;
+    /// Region of the current attempt's server, and why it is not the planned
+    /// one.
+    RegionId mServerRegion;
+    PlanExit mPlanExit = PlanExit::None;
     bool mWasWarm = false;
     bool mWaitsForTokens = false;
     /// Whether any server may have run the request.
@@ -253,6 +258,8 @@
   RegionalLoad ComputeRegionalLoad(const ServiceId& aService) const;
   /// Logs the service's region shares if they changed noticeably.
   void RecordShares(const ServiceId& aService, const RegionalLoad& aLoad);
+  /// Logs where requests of the last window were planned and sent.
+  void RecordRegionTraffic();
   void ProbeServers();
   /// Sends fingerprints that the crash guard blocked to all peers.
   void BroadcastRequestBlocks();
@@ -303,6 +310,8 @@
   AdmissionDecision Admit(const Request& aRequest,
                           const Selection& aSelection) const;
   void Dispatch(Request& aRequest, const Selection& aSelection);
+  /// Counts where the request is sent and sets mServerRegion and mPlanExit.
+  void CountRegion(Request& aRequest, const RegionId& aRegion);
   /// Selects the server for another attempt and charges the retry budget.
   /// Returns nullopt if no retry is permitted.
   std::optional<Selection> SelectRetry(const Request& aRequest);
@@ -362,6 +371,7 @@
   StoreRelay mStoreRelay;
   StoreFollowing mStoreFollowing = StoreFollowing::Eager;
   RegionPlan mRegionPlan;
+  RegionTraffic mRegionTraffic;
   ObjectSelector mSelector;
   ServiceSplit mServiceSplit;
   ServiceTimes mServiceTimes;
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -22,6 +22,7 @@
   , mStoreRelay(StoreRelay::Options{ .mSelf = mOptions.mSelf })
   , mRegionPlan(RegionPlan::Options{ .mOwnRegion = mOptions.mSelf.mRegion,
                                      .mMaxShift = mOptions.mMaxShift })
+  , mRegionTraffic(RegionTraffic::Options{})
   , mSelector(ObjectSelector::Options{})
   , mColdStart(mOptions.mColdStart)
   , mRetries(mOptions.mRetries)
@@ -350,6 +351,7 @@
   BroadcastRequestBlocks();
   RelayStoreChanges();
   UpdatePlan();
+  RecordRegionTraffic();
   ProbeServers();
   SendStatus();
   AdvanceShutdown();
--- a/src/libcranberrywing/gateway/gateway_outcomes.cpp
+++ b/src/libcranberrywing/gateway/gateway_outcomes.cpp
@@ -228,6 +228,8 @@
       { "account",
         aRequest.mAccount ? aRequest.mAccount->mAccount.mName : std::string() },
       { "backend", aRequest.mTriedBackends.back().mName },
+      { "region", aRequest.mServerRegion.mName },
+      { "plan_exit", std::string(ToString(aRequest.mPlanExit)) },
       { "status", std::to_string(aAnswer->mStatus) },
       { "attempts", std::to_string(aRequest.mAttempt) },
       { "object", std::to_string(aRequest.mObject) },
@@ -262,6 +264,8 @@
         aRequest.mTriedBackends.empty()
           ? std::string()
           : aRequest.mTriedBackends.back().mName },
+      { "region", aRequest.mServerRegion.mName },
+      { "plan_exit", std::string(ToString(aRequest.mPlanExit)) },
       { "expected_wait_ms", ToMs(aRequest.mExpectedWait) },
       { "expected_ms", ToMs(aRequest.mExpectedTotal) },
       { "after_ms", ToMs(mNow - aRequest.mArrivedAt) },
--- a/src/libcranberrywing/gateway/gateway_requests.cpp
+++ b/src/libcranberrywing/gateway/gateway_requests.cpp
@@ -301,10 +301,23 @@
   });
 }
 
+void Gateway::CountRegion(Request& aRequest, const RegionId& aRegion)
+{
+  const auto ranked = mRegionPlan.Rank(aRequest.mService, aRequest.mPosition);
+  const RegionId& planned = ranked.empty() ? aRegion : ranked.front();
+  aRequest.mServerRegion = aRegion;
+  aRequest.mPlanExit = planned == aRegion             ? PlanExit::None
+                       : IsAllowed(aRequest, planned) ? PlanExit::NoServer
+                                                      : PlanExit::NotAllowed;
+  mRegionTraffic.OnSent(
+    aRequest.mService, planned, aRegion, aRequest.mPlanExit);
+}
+
 void Gateway::Dispatch(Request& aRequest, const Selection& aSelection)
 {
   const Duration timeLeft = aRequest.mDeadline - mNow;
   Backend& backend = *aSelection.mBackend;
+  CountRegion(aRequest, backend.mEntry.mRegion);
   ++aRequest.mAttempt;
   aRequest.mBackend = backend.mEntry.mBackend;
   aRequest.mTriedBackends.push_back(backend.mEntry.mBackend);
--- a/src/libcranberrywing/gateway/gateway_upkeep.cpp
+++ b/src/libcranberrywing/gateway/gateway_upkeep.cpp
@@ -299,6 +299,25 @@
   Record("region_shares", std::move(fields));
 }
 
+void Gateway::RecordRegionTraffic()
+{
+  for (const RegionTrafficWindow& window : mRegionTraffic.TakeEnded(mNow)) {
+    std::vector<cranberrywing::effect::Field> fields{
+      { "service", window.mService.mName }
+    };
+    for (const auto& [region, count] : window.mPlanned) {
+      fields.push_back({ "planned_" + region.mName, std::to_string(count) });
+    }
+    for (const auto& [region, count] : window.mSent) {
+      fields.push_back({ "sent_" + region.mName, std::to_string(count) });
+    }
+    for (const auto& [exit, count] : window.mExits) {
+      fields.push_back({ std::string(ToString(exit)), std::to_string(count) });
+    }
+    Record("region_traffic", std::move(fields));
+  }
+}
+
 void Gateway::ProbeServers()
 {
   if (!mPolicy || mServerReach.IsCutOff()) {
