Tell VMs of other regions which servers of a region are busy

A VM knew the queue at a server of another region only from its own few requests there, so that whatever may run in one region only was sent to the longest queues, with an expected wait of 0 ms. Each VM is now told the busy servers of each other region twice a second, at most 80 of them.

--- a/src/include/cranberrywing/gateway/backend_pool.h
+++ b/src/include/cranberrywing/gateway/backend_pool.h
@@ -15,6 +15,7 @@
 #include "cranberrywing/gateway/backend_rate_limit.h"
 #include "cranberrywing/gateway/policy.h"
 #include "cranberrywing/gateway/server_notices.h"
+#include "cranberrywing/messages/gateway.h"
 #include "cranberrywing/types.h"
 
 namespace cranberrywing::gateway {
@@ -66,6 +67,10 @@
   /// Requests of other VMs at the server, from their status messages.
   double mPeerInFlight = 0;
   TimePoint mPeerInFlightAt{};
+  /// Requests of all VMs at the server, as a VM of its region told it; only for
+  /// servers of other regions.
+  double mToldLoad = 0;
+  TimePoint mToldLoadAt{};
   /// Minimum of the last ratios of observed to expected service time; 1 is
   /// normal. The minimum is not affected by answers that were queued at the
   /// server or that missed its object cache, so that a server of normal speed
@@ -130,6 +135,9 @@
     Duration mSlownessHalfLife = std::chrono::seconds(4);
     /// Half-life of the load estimate for requests of other VMs.
     Duration mLoadHalfLife = std::chrono::milliseconds(600);
+    /// Time for which Backend::mToldLoad is used; several times the interval at
+    /// which VMs of another region are told.
+    Duration mToldLoadValidity = std::chrono::milliseconds(1500);
     /// Time after its last request for which an object counts as cached at a
     /// server. With 60 s, an object that a burst had spread over several
     /// servers stayed spread, and the servers had to handle more objects than
@@ -205,6 +213,16 @@
   /// be taken as responsive.
   void OnAttemptEnded(Backend& aBackend, bool aHasAnswered, TimePoint aNow);
   void OnLoadSample(Backend& aBackend, const LoadSample& aLoad, TimePoint aNow);
+  /// Records what a VM of the region told about its servers: those that are not
+  /// listed are not busy.
+  void OnRegionLoads(const RegionId& aRegion,
+                     const std::vector<BusyBackend>& aBusy,
+                     TimePoint aNow);
+  /// At most aMaxCount of the region's servers that have no free slot, the
+  /// busiest first.
+  std::vector<BusyBackend> BusiestOf(const RegionId& aRegion,
+                                     std::size_t aMaxCount,
+                                     TimePoint aNow) const;
   /// Records a rate limit that the server stated at aStatedAt, or nullopt if it
   /// stated none. Ignored if a later statement is known. Returns whether the
   /// limit has changed.
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -169,6 +169,8 @@
   void On(const event::ServerChecked& aEvent);
   void OnMessage(const message::BackendRateLimits& aMessage);
   void OnMessage(const message::BackendsLeaving& aMessage);
+  void OnMessage(const VmIncarnation& aFrom,
+                 const message::RegionServerLoads& aMessage);
   /// Moves the effects of modules that are shared with the daemon's reducer to
   /// mEffects; adds the peers' addresses to messages.
   void ForwardCoreEffects(cranberrywing::EffectList& aEffects);
@@ -230,6 +232,9 @@
   void SendStatus();
   void SendSameRegionStatus();
   void SendRegionDemand();
+  /// Tells some of the given VMs of other regions, in turn, which servers of
+  /// the own region are busy.
+  void SendServerLoads(const std::vector<const Peer*>& aReceivers);
   /// Rate limits that servers stated to this VM since the last call.
   message::BackendRateLimits TakeStatedRateLimits();
   /// All known rate limits of the own region's servers.
@@ -399,6 +404,9 @@
   /// Position in the list of VMs of other regions.
   std::size_t mNextDemandReceiver = 0;
   std::size_t mNextLimitReceiver = 0;
+  /// Starts at a different position on each VM, so that a receiver does not
+  /// hear from all VMs of a region at one time and then from none.
+  std::size_t mNextLoadReceiver;
 };
 
 } // namespace cranberrywing::gateway
--- a/src/include/cranberrywing/message.h
+++ b/src/include/cranberrywing/message.h
@@ -50,7 +50,8 @@
                              message::StoreBeacon,
                              message::StoreChanges,
                              message::ServerReachStatus,
-                             message::BackendsLeaving>;
+                             message::BackendsLeaving,
+                             message::RegionServerLoads>;
 
 /// A message with its sender, as sent over the network.
 struct Envelope
--- a/src/include/cranberrywing/messages/gateway.h
+++ b/src/include/cranberrywing/messages/gateway.h
@@ -40,6 +40,23 @@
   }
 };
 
+/// A backend server with a queue.
+struct BusyBackend
+{
+  /// Hash of the server's identifier and start time.
+  std::uint64_t mBackend = 0;
+  /// Requests of all VMs that it runs or queues.
+  std::uint16_t mRequests = 0;
+
+  bool operator==(const BusyBackend&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mBackend, mRequests);
+  }
+};
+
 /// A rate limit that a backend server stated to some VM.
 struct StatedRateLimit
 {
@@ -308,6 +325,20 @@
   }
 };
 
+/// The busiest backend servers of the sender's region. Sent to VMs of other
+/// regions in turn, which send too little to a server to know its queue. The
+/// region's servers that are not listed are not busy.
+struct RegionServerLoads
+{
+  std::vector<BusyBackend> mBusy;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mBusy);
+  }
+};
+
 /// Sent several times per second to the VMs of the own region.
 struct GatewayStatus
 {
--- a/src/libcranberrywing/gateway/backend_pool.cpp
+++ b/src/libcranberrywing/gateway/backend_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace cranberrywing::gateway {
 
@@ -207,6 +208,9 @@
   others = std::max(others,
                     aBackend.mPeerInFlight *
                       HalfLifeDecay(peerAge, mOptions.mLoadHalfLife));
+  if (aNow - aBackend.mToldLoadAt <= mOptions.mToldLoadValidity) {
+    others = std::max(others, aBackend.mToldLoad - aBackend.mInFlight);
+  }
   return aBackend.mInFlight + others;
 }
 
@@ -289,6 +293,49 @@
   aBackend.mOtherVmLoadAt = aNow;
 }
 
+void BackendPool::OnRegionLoads(const RegionId& aRegion,
+                                const std::vector<BusyBackend>& aBusy,
+                                TimePoint aNow)
+{
+  for (const auto& [id, backend] : mBackends) {
+    if (backend->mEntry.mRegion == aRegion) {
+      backend->mToldLoad = 0;
+      backend->mToldLoadAt = aNow;
+    }
+  }
+  for (const BusyBackend& busy : aBusy) {
+    Backend* const backend = FindLifetime(busy.mBackend);
+    if (backend && backend->mEntry.mRegion == aRegion) {
+      backend->mToldLoad = busy.mRequests;
+    }
+  }
+}
+
+std::vector<BusyBackend> BackendPool::BusiestOf(const RegionId& aRegion,
+                                                std::size_t aMaxCount,
+                                                TimePoint aNow) const
+{
+  constexpr double kMaxRequests = std::numeric_limits<std::uint16_t>::max();
+  std::vector<BusyBackend> busy;
+  for (const auto& [id, backend] : mBackends) {
+    const double load = Load(*backend, aNow);
+    if (backend->mEntry.mRegion == aRegion && load >= backend->mEntry.mSlots) {
+      busy.push_back(
+        { backend->mLifetimeHash,
+          static_cast<std::uint16_t>(std::min(load, kMaxRequests)) });
+    }
+  }
+  const std::size_t count = std::min(aMaxCount, busy.size());
+  std::partial_sort(busy.begin(),
+                    busy.begin() + static_cast<std::ptrdiff_t>(count),
+                    busy.end(),
+                    [](const BusyBackend& aLeft, const BusyBackend& aRight) {
+                      return aLeft.mRequests > aRight.mRequests;
+                    });
+  busy.resize(count);
+  return busy;
+}
+
 void BackendPool::AddServiceTimeRatio(Backend& aBackend,
                                       double aRatio,
                                       TimePoint aNow)
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -40,6 +40,7 @@
       .mCrashThreshold = 3,
       .mBlockTime = std::chrono::seconds(60),
     })
+  , mNextLoadReceiver(HashBytes(mOptions.mSelf.mVm.mName))
 {
 }
 
@@ -307,6 +308,11 @@
     OnMessage(*leaving);
     return;
   }
+  if (const auto* const loads =
+        std::get_if<message::RegionServerLoads>(&aEvent.mMessage)) {
+    OnMessage(aEvent.mFrom, *loads);
+    return;
+  }
   cranberrywing::EffectList effects;
   if (const auto* const tokenRequest =
         std::get_if<message::TokenRequest>(&aEvent.mMessage)) {
--- a/src/libcranberrywing/gateway/gateway_upkeep.cpp
+++ b/src/libcranberrywing/gateway/gateway_upkeep.cpp
@@ -25,6 +25,11 @@
 /// one at a time.
 constexpr Duration kCrossRegionInterval = std::chrono::milliseconds(1000);
 constexpr std::size_t kCrossRegionPeers = 12;
+/// Times per kCrossRegionInterval that a VM is told the busy servers of another
+/// region, by all its VMs together.
+constexpr std::size_t kLoadReportsPerReceiver = 2;
+/// Bounds such a message to a datagram of about 1 KB.
+constexpr std::size_t kMaxBusyServers = 80;
 
 /// Demand of the own region, in server slots, below which its shares are set
 /// without a limit on the rate of change.
@@ -204,6 +209,36 @@
       message);
   }
   SendRegionRateLimits(receivers);
+  SendServerLoads(receivers);
+}
+
+void Gateway::SendServerLoads(const std::vector<const Peer*>& aReceivers)
+{
+  if (mServerReach.IsCutOff()) {
+    return;
+  }
+  const RegionId& own = mOptions.mSelf.mRegion;
+  const message::RegionServerLoads message{ mPool.BusiestOf(
+    own, kMaxBusyServers, mNow) };
+  const std::size_t senders = mFleet.VmsOfRegion(own).size();
+  const std::size_t count = std::min(
+    aReceivers.size(),
+    (kLoadReportsPerReceiver * aReceivers.size() + senders - 1) / senders);
+  for (std::size_t n = 0; n < count; ++n) {
+    const VmRecord& vm =
+      aReceivers[mNextLoadReceiver++ % aReceivers.size()]->mRecord;
+    SendTo({ vm.mVm, vm.mAddress, vm.mPeerPort }, message);
+  }
+}
+
+void Gateway::OnMessage(const VmIncarnation& aFrom,
+                        const message::RegionServerLoads& aMessage)
+{
+  const auto it = mFleet.Peers().find(aFrom.mVm);
+  if (it != mFleet.Peers().end() &&
+      it->second.mRecord.mRegion != mOptions.mSelf.mRegion) {
+    mPool.OnRegionLoads(it->second.mRecord.mRegion, aMessage.mBusy, mNow);
+  }
 }
 
 RegionalLoad Gateway::ComputeRegionalLoad(const ServiceId& aService) const
--- a/src/libcranberrywing/message_test.cpp
+++ b/src/libcranberrywing/message_test.cpp
@@ -40,6 +40,8 @@
   CHECK(Message(message::StoreBeaconWithoutEpoch{}).index() == 23);
   CHECK(Message(message::StoreChangesWithoutEpoch{}).index() == 24);
   CHECK(Message(message::RegionDemand{}).index() == 25);
+  CHECK(Message(message::BackendsLeaving{}).index() == 30);
+  CHECK(Message(message::RegionServerLoads{}).index() == 31);
 }
 
 TEST_CASE("messages of the gateway round-trip")
@@ -66,6 +68,10 @@
   CHECK(std::get<message::StoreBeacon>(beacon).mCarriedDigest == 8);
   const auto reach = roundTrip(message::ServerReachStatus{ true });
   CHECK(std::get<message::ServerReachStatus>(reach).mIsCutOff);
+  const auto loads =
+    roundTrip(message::RegionServerLoads{ { { 4, 9 }, { 5, 1 } } });
+  CHECK(std::get<message::RegionServerLoads>(loads).mBusy ==
+        std::vector<BusyBackend>{ { 4, 9 }, { 5, 1 } });
   const auto leaving = roundTrip(message::BackendsLeaving{ { 4, 9 } });
   CHECK(std::get<message::BackendsLeaving>(leaving).mBackends ==
         std::vector<std::uint64_t>{ 4, 9 });
--- a/src/libcranberrywing/reducer_delivery.h
+++ b/src/libcranberrywing/reducer_delivery.h
@@ -241,6 +241,7 @@
   void OnMessage(const VmIncarnation&, const message::RegionDemand&) {}
   void OnMessage(const VmIncarnation&, const message::BackendRateLimits&) {}
   void OnMessage(const VmIncarnation&, const message::BackendsLeaving&) {}
+  void OnMessage(const VmIncarnation&, const message::RegionServerLoads&) {}
 
   VmId mFrom{};
 };
