Divide requests that may run in some regions among those

A request that may not run in the region that the plan chose for it went to the region with the largest share, or, without a share, to the one whose name comes first. All requests of such an account went to one region, however small. They are now divided in proportion to the shares of the regions that may serve them, or to the capacities if none has a share. Both new tests fail on the old order.

--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -321,6 +321,8 @@
   void CountDemand(const Request& aRequest);
   /// Whether both route and account may be served by the region.
   bool IsAllowed(const Request& aRequest, const RegionId& aRegion) const;
+  /// Regions that may serve the request, in order of preference.
+  std::vector<RegionId> RankRegions(const Request& aRequest) const;
   /// Selects a server from the first region, in order of preference, that has
   /// one; nullopt if no region has.
   std::optional<Selection> Select(const Request& aRequest);
--- a/src/include/cranberrywing/gateway/region_plan.h
+++ b/src/include/cranberrywing/gateway/region_plan.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <unordered_map>
 #include <vector>
@@ -93,10 +94,17 @@
               const RegionalLoad& aLoad,
               TimePoint aNow);
 
-  /// Returns the regions in order of preference for a request. aPosition is in
-  /// [0, 1) and equal for all requests of one object, so that a change of
-  /// shares moves few objects. Regions without a share come last. Empty if the
-  /// service is unknown.
+  /// Returns the regions in order of preference for a request, of those for
+  /// which aMayServe returns true. aPosition is in [0, 1) and equal for all
+  /// requests of one object, so that a change of shares moves few objects.
+  /// Requests are divided in proportion to the shares, or to the capacities if
+  /// no such region has a share. Regions without a share come last, the largest
+  /// first. Empty if the service is unknown.
+  std::vector<RegionId> Rank(
+    const ServiceId& aService,
+    double aPosition,
+    const std::function<bool(const RegionId&)>& aMayServe) const;
+  /// The same for requests that all regions may serve.
   std::vector<RegionId> Rank(const ServiceId& aService, double aPosition) const;
 
   /// Returns null if the service is unknown.
--- a/src/libcranberrywing/gateway/gateway_requests.cpp
+++ b/src/libcranberrywing/gateway/gateway_requests.cpp
@@ -134,15 +134,20 @@
   if (!isBound) {
     return;
   }
-  for (const RegionId& region :
-       mRegionPlan.Rank(aRequest.mService, aRequest.mPosition)) {
-    if (IsAllowed(aRequest, region)) {
-      CountArrival(mBoundArrivals[aRequest.mService][region]);
-      return;
-    }
+  const std::vector<RegionId> ranked = RankRegions(aRequest);
+  if (!ranked.empty()) {
+    CountArrival(mBoundArrivals[aRequest.mService][ranked.front()]);
   }
 }
 
+std::vector<RegionId> Gateway::RankRegions(const Request& aRequest) const
+{
+  return mRegionPlan.Rank(
+    aRequest.mService, aRequest.mPosition, [&](const RegionId& aRegion) {
+      return IsAllowed(aRequest, aRegion);
+    });
+}
+
 void Gateway::AdmitByRate(Request& aRequest)
 {
   if (!aRequest.mAccount || aRequest.mAccount->mRate <= 0) {
@@ -251,11 +256,7 @@
     mServiceTimes.Estimate(*aRequest.mRoute, aRequest.mService);
   const std::uint64_t requestHash =
     aRequest.mObject == 0 ? HashBytes(aRequest.mArrival.mTrace) : 0;
-  for (const RegionId& region :
-       mRegionPlan.Rank(aRequest.mService, aRequest.mPosition)) {
-    if (!IsAllowed(aRequest, region)) {
-      continue;
-    }
+  for (const RegionId& region : RankRegions(aRequest)) {
     const auto selection = mSelector.Choose(mPool,
                                             Candidates(aRequest, region),
                                             aRequest.mObject,
--- a/src/libcranberrywing/gateway/region_plan.cpp
+++ b/src/libcranberrywing/gateway/region_plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <numeric>
 
 #include "duration_math.h"
@@ -74,6 +75,35 @@
   }
 }
 
+using Segments = std::vector<std::pair<RegionId, double>>;
+
+/// Moves the segment that contains the position to the front; the others
+/// follow, the largest first. The segments together stand for [0, 1).
+void MoveChosenToFront(Segments& aSegments, double aPosition)
+{
+  double sum = 0;
+  for (const auto& [region, size] : aSegments) {
+    sum += size;
+  }
+  double end = 0;
+  const auto chosen =
+    std::find_if(aSegments.begin(), aSegments.end(), [&](const auto& aSegment) {
+      end += aSegment.second;
+      return aPosition * sum < end;
+    });
+  if (aSegments.empty()) {
+    return;
+  }
+  const auto first =
+    chosen == aSegments.end() ? std::prev(aSegments.end()) : chosen;
+  std::rotate(aSegments.begin(), first, std::next(first));
+  std::stable_sort(std::next(aSegments.begin()),
+                   aSegments.end(),
+                   [](const auto& aLeft, const auto& aRight) {
+                     return aLeft.second > aRight.second;
+                   });
+}
+
 } // namespace
 
 RegionShares PlanShares(const RegionalLoad& aLoad,
@@ -214,6 +244,14 @@
 
 std::vector<RegionId> RegionPlan::Rank(const ServiceId& aService,
                                        double aPosition) const
+{
+  return Rank(aService, aPosition, [](const RegionId&) { return true; });
+}
+
+std::vector<RegionId> RegionPlan::Rank(
+  const ServiceId& aService,
+  double aPosition,
+  const std::function<bool(const RegionId&)>& aMayServe) const
 {
   std::vector<RegionId> ranked;
   const auto it = mServices.find(aService);
@@ -221,41 +259,27 @@
     return ranked;
   }
   const RegionShares& shares = it->second.mShares;
-  // The own region comes first in the segments of shares, so that its objects
-  // stay in the region while its share does not shrink.
-  std::vector<std::pair<RegionId, double>> segments;
-  const auto own = shares.find(mOptions.mOwnRegion);
-  if (own != shares.end()) {
-    segments.emplace_back(*own);
-  }
+  Segments planned;
+  Segments others;
   for (const auto& entry : shares) {
-    if (entry.first != mOptions.mOwnRegion) {
-      segments.emplace_back(entry);
+    if (aMayServe(entry.first)) {
+      planned.push_back(entry);
     }
   }
-  double end = 0;
-  std::size_t chosen = segments.empty() ? 0 : segments.size() - 1;
-  for (std::size_t n = 0; n < segments.size(); ++n) {
-    end += segments[n].second;
-    if (aPosition < end) {
-      chosen = n;
-      break;
+  for (const auto& entry : it->second.mEligibleCapacity) {
+    if (!shares.contains(entry.first) && aMayServe(entry.first)) {
+      others.push_back(entry);
     }
   }
-  if (!segments.empty()) {
-    ranked.push_back(segments[chosen].first);
-    segments.erase(segments.begin() + static_cast<std::ptrdiff_t>(chosen));
-  }
-  std::stable_sort(segments.begin(),
-                   segments.end(),
-                   [](const auto& aLeft, const auto& aRight) {
-                     return aLeft.second > aRight.second;
-                   });
-  for (const auto& [region, share] : segments) {
-    ranked.push_back(region);
-  }
-  for (const auto& [region, slots] : it->second.mEligibleCapacity) {
-    if (!shares.contains(region)) {
+  // The own region comes first in the segments of shares, so that its objects
+  // stay in the region while its share does not shrink.
+  std::stable_partition(
+    planned.begin(), planned.end(), [&](const auto& aEntry) {
+      return aEntry.first == mOptions.mOwnRegion;
+    });
+  MoveChosenToFront(planned.empty() ? others : planned, aPosition);
+  for (const Segments* const segments : { &planned, &others }) {
+    for (const auto& [region, size] : *segments) {
       ranked.push_back(region);
     }
   }
--- a/src/libcranberrywing/gateway/region_plan_test.cpp
+++ b/src/libcranberrywing/gateway/region_plan_test.cpp
@@ -74,6 +74,44 @@
   CHECK(shares.at(kThird) == Approx(0.5));
 }
 
+// Guards against requests of an account that may run in several other regions
+// all going to the one whose name comes first.
+TEST_CASE("Requests that may not run in the plan's regions go by capacity")
+{
+  RegionalLoad load = Load(48, 10);
+  load.mCapacity[kThird] = 144;
+  load.mEligibleCapacity = load.mCapacity;
+  RegionPlan plan({ .mOwnRegion = kNear });
+  plan.Update(kService, load, TimePoint{ std::chrono::seconds(10) });
+  REQUIRE(ShareOf(plan, kNear) == Approx(1));
+  const auto isElsewhere = [](const RegionId& aRegion) {
+    return aRegion != kNear;
+  };
+  CHECK(plan.Rank(kService, 0.24, isElsewhere).front() == kFar);
+  CHECK(plan.Rank(kService, 0.26, isElsewhere).front() == kThird);
+  CHECK(plan.Rank(kService, 0.99, isElsewhere) ==
+        std::vector<RegionId>{ kThird, kFar });
+}
+
+// Guards against the same if the plan gives several of them a share.
+TEST_CASE("Requests that may run in some of the plan's regions go by shares")
+{
+  RegionPlan plan({ .mOwnRegion = kNear });
+  plan.Update(kService, Load(8, 16), TimePoint{ std::chrono::seconds(10) });
+  const double own = ShareOf(plan, kNear);
+  const double far = ShareOf(plan, kFar);
+  REQUIRE(own == Approx(0.35));
+  REQUIRE(far == Approx(0.325));
+  const auto isAllowed = [](const RegionId& aRegion) {
+    return aRegion != kThird;
+  };
+  const double border = own / (own + far);
+  CHECK(plan.Rank(kService, border - 0.01, isAllowed) ==
+        std::vector<RegionId>{ kNear, kFar });
+  CHECK(plan.Rank(kService, border + 0.01, isAllowed) ==
+        std::vector<RegionId>{ kFar, kNear });
+}
+
 // Guards against traffic oscillating between regions: without a limit on the
 // rate of change, 39 of 100 requests changed their region within two seconds
 // where 15 are allowed.
