Let a slow server finish when a second one is asked

An idempotent request at a server that had sent nothing for 1.5 times the usual tail of answers was cancelled there and sent to another server. The tail is learned from a VM's usual servers, which have the objects cached; work for an object that is not cached takes longer than that. The server lost the request after most of its work and never got the object, the second one did not have it either, and the request ended at its deadline.

The first attempt now goes on, the first answer counts, and if the second attempt fails the first one is waited for.

--- a/src/cranberrywingd/gateway_daemon.h
+++ b/src/cranberrywingd/gateway_daemon.h
@@ -59,9 +59,8 @@
   struct Exchange
   {
     netutil::ExchangeId mId;
-    /// Connection of the attempt in progress; null if there is none.
-    netutil::HttpClientConnectionPtr mBackend;
-    AttemptNumber mAttempt = 0;
+    /// Connections of the attempts in progress.
+    std::map<AttemptNumber, netutil::HttpClientConnectionPtr> mAttempts;
   };
 
   static gateway::VmRecord MakeRecord(const Options& aOptions);
--- a/src/cranberrywingd/gateway_daemon_effects.cpp
+++ b/src/cranberrywingd/gateway_daemon_effects.cpp
@@ -35,8 +35,7 @@
   ++mMetrics.mBackendExchanges;
   const TimePoint sentAt = ReadClock();
   const RequestContentPtr content = aEffect.mContent;
-  it->second.mAttempt = aEffect.mAttempt;
-  it->second.mBackend = mBackends.Start(
+  it->second.mAttempts[aEffect.mAttempt] = mBackends.Start(
     { aEffect.mAddress, aEffect.mPort },
     content,
     mOptions.mDialect.mBackendFields(aEffect),
@@ -75,8 +74,8 @@
                                     netutil::ExchangeResult aResult)
 {
   const auto it = mExchanges.find(aRequest);
-  if (it != mExchanges.end() && it->second.mAttempt == aAttempt) {
-    it->second.mBackend.reset();
+  if (it != mExchanges.end()) {
+    it->second.mAttempts.erase(aAttempt);
   }
   if (aResult) {
     const TimePoint now = ReadClock();
@@ -102,10 +101,14 @@
 void GatewayDaemon::Execute(gateway::effect::CancelDispatch& aEffect)
 {
   const auto it = mExchanges.find(aEffect.mRequest);
-  if (it != mExchanges.end() && it->second.mAttempt == aEffect.mAttempt &&
-      it->second.mBackend) {
-    it->second.mBackend->Close();
-    it->second.mBackend.reset();
+  if (it == mExchanges.end()) {
+    return;
+  }
+  auto& attempts = it->second.mAttempts;
+  const auto attempt = attempts.find(aEffect.mAttempt);
+  if (attempt != attempts.end()) {
+    attempt->second->Close();
+    attempts.erase(attempt);
   }
 }
 
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -107,6 +107,23 @@
   std::size_t InFlight() const { return mRequests.size(); }
 
 private:
+  /// One attempt at a backend server.
+  struct Attempt
+  {
+    AttemptNumber mNumber = 0;
+    /// Empty once the attempt has ended.
+    BackendId mBackend;
+    TimePoint mSentAt{};
+    Duration mExpectedTotal{};
+    Duration mExpectedWait{};
+    /// Selection::mRank, for the log.
+    std::size_t mRank = 0;
+    bool mWasWarm = false;
+    /// Region of the server, and why it is not the planned one.
+    RegionId mRegion;
+    PlanExit mPlanExit = PlanExit::None;
+  };
+
   /// A request that has no final answer yet.
   struct Request
   {
@@ -124,20 +141,12 @@
     TimePoint mArrivedAt{};
     /// Time at which the final answer is due.
     TimePoint mDeadline{};
-    AttemptNumber mAttempt = 0;
+    /// Servers of all attempts, in their order.
     std::vector<BackendId> mTriedBackends;
-    /// Server of the current attempt; empty if none is in progress.
-    BackendId mBackend;
-    TimePoint mSentAt{};
-    Duration mExpectedTotal{};
-    Duration mExpectedWait{};
-    /// Selection::mRank of the current attempt, for the log.
-    std::size_t mRank = 0;
-    /// Region of the current attempt's server, and why it is not the planned
-    /// one.
-    RegionId mServerRegion;
-    PlanExit mPlanExit = PlanExit::None;
-    bool mWasWarm = false;
+    Attempt mCurrent;
+    /// A second attempt in progress. The first answer counts, so that a server
+    /// that was only slow has not worked in vain.
+    std::optional<Attempt> mOther;
     bool mWaitsForTokens = false;
     /// Whether any server may have run the request.
     bool mMayHaveRun = false;
@@ -332,7 +341,7 @@
   AdmissionDecision Admit(const Request& aRequest,
                           const Selection& aSelection) const;
   void Dispatch(Request& aRequest, const Selection& aSelection);
-  /// Counts where the request is sent and sets mServerRegion and mPlanExit.
+  /// Counts where the request is sent and sets Attempt::mRegion and mPlanExit.
   void CountRegion(Request& aRequest, const RegionId& aRegion);
   /// Selects the server for another attempt and charges the retry budget.
   /// Returns nullopt if no retry is permitted.
@@ -341,7 +350,8 @@
   /// aReason is the outcome of the last attempt, for the log.
   bool Retry(Request& aRequest, std::string_view aReason);
   void RecordRetry(const Request& aRequest, std::string_view aReason);
-  /// Returns the request if aAttempt is its attempt in progress, or null.
+  /// Returns the request and makes the attempt its current one; null if it is
+  /// not in progress.
   Request* FindAttempt(RequestId aRequest, AttemptNumber aAttempt);
 
   // gateway_outcomes.cpp
@@ -349,6 +359,14 @@
   /// BackendPool::OnAttemptEnded. Returns the attempt's server, or null if it
   /// is no longer registered.
   Backend* EndAttempt(Request& aRequest, bool aHasAnswered);
+  /// Cancels the current attempt, if it is in progress.
+  void CancelAttempt(Request& aRequest, bool aHasAnswered);
+  /// Cancels the other attempt, if any. If it is the earlier one, its server
+  /// was silent for longer than another one took for the whole request.
+  void CancelOtherAttempt(Request& aRequest);
+  /// After the current attempt has ended without an answer for the caller,
+  /// waits for the other one; false if there is none.
+  bool AwaitOtherAttempt(Request& aRequest);
   /// Logs a change of the server's rate limit.
   void RecordRateLimit(const Backend& aBackend,
                        std::optional<double> aBefore,
@@ -371,7 +389,8 @@
   void RefuseOutcomeUnknown(Request& aRequest, std::string aReason);
   /// Refuses requests whose deadline is reached.
   void ExpireRequests();
-  /// Retries idempotent requests whose servers have stopped answering.
+  /// Sends idempotent requests whose servers have stopped answering to a second
+  /// server as well.
   void RetryFromSilentServers();
   /// Applies random jitter and bounds to a retry delay.
   Duration JitterRetryDelay(Duration aBase);
--- a/src/libcranberrywing/gateway/gateway_outcomes.cpp
+++ b/src/libcranberrywing/gateway/gateway_outcomes.cpp
@@ -28,20 +28,60 @@
                                        AttemptNumber aAttempt)
 {
   const auto it = mRequests.find(aRequest);
-  if (it == mRequests.end() || it->second.mAttempt != aAttempt ||
-      it->second.mBackend.IsEmpty()) {
+  if (it == mRequests.end()) {
     return nullptr;
   }
-  return &it->second;
+  Request& request = it->second;
+  if (request.mOther && request.mOther->mNumber == aAttempt) {
+    std::swap(request.mCurrent, *request.mOther);
+  }
+  const bool isInProgress = request.mCurrent.mNumber == aAttempt &&
+                            !request.mCurrent.mBackend.IsEmpty();
+  return isInProgress ? &request : nullptr;
+}
+
+void Gateway::CancelAttempt(Request& aRequest, bool aHasAnswered)
+{
+  if (!aRequest.mCurrent.mBackend.IsEmpty()) {
+    mEffects.push_back(effect::CancelDispatch{ aRequest.mArrival.mRequest,
+                                               aRequest.mCurrent.mNumber });
+    EndAttempt(aRequest, aHasAnswered);
+  }
+}
+
+void Gateway::CancelOtherAttempt(Request& aRequest)
+{
+  if (!aRequest.mOther) {
+    return;
+  }
+  const Attempt other = *std::exchange(aRequest.mOther, std::nullopt);
+  mEffects.push_back(
+    effect::CancelDispatch{ aRequest.mArrival.mRequest, other.mNumber });
+  if (Backend* const backend = mPool.Find(other.mBackend)) {
+    const bool isLater = other.mNumber > aRequest.mCurrent.mNumber;
+    mPool.OnAttemptEnded(*backend, isLater, mNow);
+    if (!isLater && !mServerReach.IsCutOff()) {
+      mPool.OnFailure(*backend, mNow);
+    }
+  }
+}
+
+bool Gateway::AwaitOtherAttempt(Request& aRequest)
+{
+  if (!aRequest.mOther) {
+    return false;
+  }
+  aRequest.mCurrent = *std::exchange(aRequest.mOther, std::nullopt);
+  return true;
 }
 
 Backend* Gateway::EndAttempt(Request& aRequest, bool aHasAnswered)
 {
-  Backend* const backend = mPool.Find(aRequest.mBackend);
+  Backend* const backend = mPool.Find(aRequest.mCurrent.mBackend);
   if (backend) {
     mPool.OnAttemptEnded(*backend, aHasAnswered, mNow);
   }
-  aRequest.mBackend = BackendId();
+  aRequest.mCurrent.mBackend = BackendId();
   return backend;
 }
 
@@ -55,12 +95,12 @@
                   ToSeconds(aEvent.mLatency) /
                     std::max(1e-3, ToSeconds(times.mWarm)),
                   mNow);
-  const bool hasQueued = aRequest.mExpectedWait > Duration::zero() ||
+  const bool hasQueued = aRequest.mCurrent.mExpectedWait > Duration::zero() ||
                          (aEvent.mLoad && aEvent.mLoad->mWaiting > 0);
   if (!hasQueued && !mPool.IsCold(aBackend, mNow)) {
     mServiceTimes.AddSample(*aRequest.mRoute,
                             aRequest.mService,
-                            aRequest.mObject == 0 || aRequest.mWasWarm,
+                            aRequest.mObject == 0 || aRequest.mCurrent.mWasWarm,
                             aEvent.mLatency);
   }
   mCrashGuard.OnSuccess(aRequest.mFingerprint);
@@ -104,6 +144,9 @@
           mPool.OnFailure(*backend, mNow);
         }
       }
+      if (AwaitOtherAttempt(*request)) {
+        return;
+      }
       if (!Retry(*request,
                  aEvent.mKind == event::ReplyKind::NotRun ? "refused"
                                                           : "wrong_server")) {
@@ -126,6 +169,9 @@
       if (backend) {
         mPool.OnFailure(*backend, mNow);
       }
+      if (AwaitOtherAttempt(*request)) {
+        return;
+      }
       if (!request->mRoute->mIsIdempotent ||
           !Retry(*request, "unproven_answer")) {
         RefuseOutcomeUnknown(*request, "unproven_answer");
@@ -141,7 +187,8 @@
     if (backend) {
       mPool.OnFailure(*backend, mNow);
     }
-    if (request->mRoute->mIsIdempotent && Retry(*request, "failed_answer")) {
+    if (AwaitOtherAttempt(*request) ||
+        (request->mRoute->mIsIdempotent && Retry(*request, "failed_answer"))) {
       return;
     }
   }
@@ -160,7 +207,7 @@
   if (!request) {
     return;
   }
-  const BackendId server = request->mBackend;
+  const BackendId server = request->mCurrent.mBackend;
   Backend* const backend = EndAttempt(*request, false);
   const bool isSent = aEvent.mStage == event::FailureStage::AfterFirstByte;
   request->mMayHaveRun = request->mMayHaveRun || isSent;
@@ -178,6 +225,9 @@
       !mServerReach.IsCutOff()) {
     mCrashGuard.OnReset(request->mFingerprint, server, mNow);
   }
+  if (AwaitOtherAttempt(*request)) {
+    return;
+  }
   const bool mayRepeat = !isSent || request->mRoute->mIsIdempotent;
   if (mayRepeat && Retry(*request, isSent ? "connection_lost" : "not_sent")) {
     return;
@@ -207,11 +257,8 @@
   if (request.mWaitsForTokens) {
     mRateLimiter.Cancel(aEvent.mRequest);
   }
-  if (!request.mBackend.IsEmpty()) {
-    mEffects.push_back(
-      effect::CancelDispatch{ aEvent.mRequest, request.mAttempt });
-    EndAttempt(request, true);
-  }
+  CancelAttempt(request, true);
+  CancelOtherAttempt(request);
   Record("request_cancelled",
          { { "trace", request.mArrival.mTrace },
            { "after_ms", ToMs(mNow - request.mArrivedAt) } });
@@ -221,22 +268,24 @@
 void Gateway::Answer(Request& aRequest, AnswerContentPtr aAnswer)
 {
   ++mCounters.mAnswered;
+  CancelOtherAttempt(aRequest);
   Record(
     "request_answered",
     { { "trace", aRequest.mArrival.mTrace },
       { "route", aRequest.mRoute->mRoute.mName },
       { "account",
         aRequest.mAccount ? aRequest.mAccount->mAccount.mName : std::string() },
-      { "backend", aRequest.mTriedBackends.back().mName },
-      { "region", aRequest.mServerRegion.mName },
-      { "plan_exit", std::string(ToString(aRequest.mPlanExit)) },
+      { "backend",
+        aRequest.mTriedBackends[aRequest.mCurrent.mNumber - 1].mName },
+      { "region", aRequest.mCurrent.mRegion.mName },
+      { "plan_exit", std::string(ToString(aRequest.mCurrent.mPlanExit)) },
       { "status", std::to_string(aAnswer->mStatus) },
-      { "attempts", std::to_string(aRequest.mAttempt) },
+      { "attempts", std::to_string(aRequest.mTriedBackends.size()) },
       { "object", std::to_string(aRequest.mObject) },
-      { "rank", std::to_string(aRequest.mRank) },
-      { "warm", aRequest.mWasWarm ? "1" : "0" },
-      { "expected_wait_ms", ToMs(aRequest.mExpectedWait) },
-      { "expected_ms", ToMs(aRequest.mExpectedTotal) },
+      { "rank", std::to_string(aRequest.mCurrent.mRank) },
+      { "warm", aRequest.mCurrent.mWasWarm ? "1" : "0" },
+      { "expected_wait_ms", ToMs(aRequest.mCurrent.mExpectedWait) },
+      { "expected_ms", ToMs(aRequest.mCurrent.mExpectedTotal) },
       { "took_ms", ToMs(mNow - aRequest.mArrivedAt) },
       { "policy", std::to_string(aRequest.mPolicy->GetRevision().mNumber) } });
   mEffects.push_back(effect::Respond{ .mRequest = aRequest.mArrival.mRequest,
@@ -249,6 +298,7 @@
 void Gateway::RefuseRequest(Request& aRequest, Refusal aRefusal)
 {
   ++mCounters.mRefused[aRefusal.mCode];
+  CancelOtherAttempt(aRequest);
   Record(
     "request_refused",
     { { "trace", aRequest.mArrival.mTrace },
@@ -259,15 +309,15 @@
       { "code", std::string(ToString(aRefusal.mCode)) },
       { "execution", std::string(ToString(aRefusal.mExecution)) },
       { "reason", aRefusal.mDetail },
-      { "attempts", std::to_string(aRequest.mAttempt) },
+      { "attempts", std::to_string(aRequest.mTriedBackends.size()) },
       { "backend",
         aRequest.mTriedBackends.empty()
           ? std::string()
           : aRequest.mTriedBackends.back().mName },
-      { "region", aRequest.mServerRegion.mName },
-      { "plan_exit", std::string(ToString(aRequest.mPlanExit)) },
-      { "expected_wait_ms", ToMs(aRequest.mExpectedWait) },
-      { "expected_ms", ToMs(aRequest.mExpectedTotal) },
+      { "region", aRequest.mCurrent.mRegion.mName },
+      { "plan_exit", std::string(ToString(aRequest.mCurrent.mPlanExit)) },
+      { "expected_wait_ms", ToMs(aRequest.mCurrent.mExpectedWait) },
+      { "expected_ms", ToMs(aRequest.mCurrent.mExpectedTotal) },
       { "after_ms", ToMs(mNow - aRequest.mArrivedAt) },
       { "retry_after_ms", ToMs(aRefusal.mRetryAfter) },
       { "policy",
@@ -294,10 +344,11 @@
   }
   std::vector<RequestId> unanswered;
   for (const auto& [id, request] : mRequests) {
-    const Backend* const backend =
-      request.mBackend.IsEmpty() ? nullptr : mPool.Find(request.mBackend);
-    if (!backend || !request.mRoute->mIsIdempotent ||
-        mNow - request.mSentAt < kMinAttemptTime) {
+    const Backend* const backend = request.mCurrent.mBackend.IsEmpty()
+                                     ? nullptr
+                                     : mPool.Find(request.mCurrent.mBackend);
+    if (!backend || request.mOther || !request.mRoute->mIsIdempotent ||
+        mNow - request.mCurrent.mSentAt < kMinAttemptTime) {
       continue;
     }
     const Duration longest =
@@ -308,18 +359,13 @@
   }
   for (const RequestId id : unanswered) {
     Request& request = mRequests.at(id);
-    // Cancel the attempt only if a retry is certain, since its server may still
-    // answer.
     const auto selection = SelectRetry(request);
     if (!selection) {
       continue;
     }
     RecordRetry(request, "silent_server");
-    mEffects.push_back(effect::CancelDispatch{ id, request.mAttempt });
     request.mMayHaveRun = true;
-    if (Backend* const backend = EndAttempt(request, false)) {
-      mPool.OnFailure(*backend, mNow);
-    }
+    request.mOther = std::exchange(request.mCurrent, {});
     DispatchOrRefuse(request, selection);
   }
 }
@@ -337,15 +383,16 @@
     if (request.mWaitsForTokens) {
       mRateLimiter.Cancel(id);
     }
-    if (!request.mBackend.IsEmpty()) {
+    if (!request.mCurrent.mBackend.IsEmpty()) {
       request.mMayHaveRun = true;
-      mEffects.push_back(effect::CancelDispatch{ id, request.mAttempt });
+      mEffects.push_back(
+        effect::CancelDispatch{ id, request.mCurrent.mNumber });
       Backend* const backend = EndAttempt(request, false);
       if (backend && !mServerReach.IsCutOff()) {
         const Duration usual =
           mServiceTimes.Estimate(*request.mRoute, request.mService).mWarm;
         mPool.OnTimeout(*backend,
-                        ToSeconds(mNow - request.mSentAt) /
+                        ToSeconds(mNow - request.mCurrent.mSentAt) /
                           std::max(1e-3, ToSeconds(usual)),
                         mNow);
       }
--- a/src/libcranberrywing/gateway/gateway_reach.cpp
+++ b/src/libcranberrywing/gateway/gateway_reach.cpp
@@ -39,12 +39,13 @@
 
 bool Gateway::IsOverdue(const Request& aRequest) const
 {
-  const Duration limit = std::max(
-    kMinOverdueTime,
-    Duration(static_cast<Duration::rep>(
-      kOverdueFactor * static_cast<double>(aRequest.mExpectedTotal.count()))));
-  return !aRequest.mBackend.IsEmpty() &&
-         mNow - std::max(aRequest.mSentAt, mLastAnswerAt) > limit;
+  const Duration limit =
+    std::max(kMinOverdueTime,
+             Duration(static_cast<Duration::rep>(
+               kOverdueFactor *
+               static_cast<double>(aRequest.mCurrent.mExpectedTotal.count()))));
+  return !aRequest.mCurrent.mBackend.IsEmpty() &&
+         mNow - std::max(aRequest.mCurrent.mSentAt, mLastAnswerAt) > limit;
 }
 
 void Gateway::SuspectOverdueServers()
@@ -52,7 +53,7 @@
   std::set<BackendId> overdue;
   for (const auto& [id, request] : mRequests) {
     if (IsOverdue(request)) {
-      overdue.insert(request.mBackend);
+      overdue.insert(request.mCurrent.mBackend);
     }
   }
   if (overdue.size() >= kOverdueServers) {
@@ -101,7 +102,7 @@
   }
   for (const RequestId id : overdue) {
     Request& request = mRequests.at(id);
-    mEffects.push_back(effect::CancelDispatch{ id, request.mAttempt });
+    mEffects.push_back(effect::CancelDispatch{ id, request.mCurrent.mNumber });
     EndAttempt(request, false);
     RefuseOutcomeUnknown(request, "server_links_lost");
   }
--- a/src/libcranberrywing/gateway/gateway_requests.cpp
+++ b/src/libcranberrywing/gateway/gateway_requests.cpp
@@ -328,12 +328,13 @@
 {
   const auto ranked = mRegionPlan.Rank(aRequest.mService, aRequest.mPosition);
   const RegionId& planned = ranked.empty() ? aRegion : ranked.front();
-  aRequest.mServerRegion = aRegion;
-  aRequest.mPlanExit = planned == aRegion             ? PlanExit::None
-                       : IsAllowed(aRequest, planned) ? PlanExit::NoServer
-                                                      : PlanExit::NotAllowed;
+  aRequest.mCurrent.mRegion = aRegion;
+  aRequest.mCurrent.mPlanExit = planned == aRegion ? PlanExit::None
+                                : IsAllowed(aRequest, planned)
+                                  ? PlanExit::NoServer
+                                  : PlanExit::NotAllowed;
   mRegionTraffic.OnSent(
-    aRequest.mService, planned, aRegion, aRequest.mPlanExit);
+    aRequest.mService, planned, aRegion, aRequest.mCurrent.mPlanExit);
 }
 
 void Gateway::Dispatch(Request& aRequest, const Selection& aSelection)
@@ -341,19 +342,20 @@
   const Duration timeLeft = aRequest.mDeadline - mNow;
   Backend& backend = *aSelection.mBackend;
   CountRegion(aRequest, backend.mEntry.mRegion);
-  ++aRequest.mAttempt;
-  aRequest.mBackend = backend.mEntry.mBackend;
+  aRequest.mCurrent.mNumber =
+    static_cast<AttemptNumber>(aRequest.mTriedBackends.size() + 1);
+  aRequest.mCurrent.mBackend = backend.mEntry.mBackend;
   aRequest.mTriedBackends.push_back(backend.mEntry.mBackend);
-  aRequest.mSentAt = mNow;
-  aRequest.mExpectedTotal = aSelection.mTotal;
-  aRequest.mExpectedWait = aSelection.mWait;
-  aRequest.mRank = aSelection.mRank;
-  aRequest.mWasWarm = mPool.IsWarm(backend, aRequest.mObject, mNow);
+  aRequest.mCurrent.mSentAt = mNow;
+  aRequest.mCurrent.mExpectedTotal = aSelection.mTotal;
+  aRequest.mCurrent.mExpectedWait = aSelection.mWait;
+  aRequest.mCurrent.mRank = aSelection.mRank;
+  aRequest.mCurrent.mWasWarm = mPool.IsWarm(backend, aRequest.mObject, mNow);
   mPool.OnSent(backend, aRequest.mObject, mNow);
   ++mCounters.mDispatched;
   mEffects.push_back(effect::Dispatch{
     .mRequest = aRequest.mArrival.mRequest,
-    .mAttempt = aRequest.mAttempt,
+    .mAttempt = aRequest.mCurrent.mNumber,
     .mBackend = backend.mEntry.mBackend,
     .mAddress = backend.mEntry.mAddress,
     .mPort = backend.mEntry.mPort,
@@ -366,7 +368,7 @@
 
 std::optional<Selection> Gateway::SelectRetry(const Request& aRequest)
 {
-  if (aRequest.mAttempt >= aRequest.mRoute->mMaxAttempts ||
+  if (aRequest.mTriedBackends.size() >= aRequest.mRoute->mMaxAttempts ||
       aRequest.mDeadline - mNow < kMinTimeForRetry || !CanSendToServers() ||
       mCrashGuard.IsSuspect(aRequest.mFingerprint, mNow)) {
     return std::nullopt;
@@ -397,9 +399,9 @@
          { { "trace", aRequest.mArrival.mTrace },
            { "reason", std::string(aReason) },
            { "backend", aRequest.mTriedBackends.back().mName },
-           { "attempts", std::to_string(aRequest.mAttempt) },
-           { "expected_wait_ms", ToMs(aRequest.mExpectedWait) },
-           { "expected_ms", ToMs(aRequest.mExpectedTotal) },
+           { "attempts", std::to_string(aRequest.mTriedBackends.size()) },
+           { "expected_wait_ms", ToMs(aRequest.mCurrent.mExpectedWait) },
+           { "expected_ms", ToMs(aRequest.mCurrent.mExpectedTotal) },
            { "after_ms", ToMs(mNow - aRequest.mArrivedAt) } });
 }
 
