Tell silent VMs of the store also from a VM that is not elected

A VM that restarts while the store turns it away hears of the store's changes by unasked beacons, which only the elected VM of its group sent. If no other VM of the group is heard, the restarted one counts as usable, may be the elected one itself, and got no beacon but at the next change; a copy of over 48 KB, which is pulled only after a while, was never pulled. Each VM that reads the store now sends these beacons to all VMs that are not heard. The new test failed before: nothing was learnt in 15 s.

--- a/src/libcranberrywing/gateway/store_relay.cpp
+++ b/src/libcranberrywing/gateway/store_relay.cpp
@@ -113,7 +113,9 @@
     if (group == ownGroup) {
       if (isUsable) {
         mates.emplace_back(OrderOf(id), EndpointOf(peer.mRecord));
-      } else {
+      }
+      // While no VM is heard, all count as usable.
+      if (!aFleet.IsHeard(peer, aNow)) {
         groups.mSilentMates.push_back(EndpointOf(peer.mRecord));
       }
     } else if (!peer.mIsExpired && !peer.mIsLeaving) {
@@ -305,7 +307,7 @@
                      mGroups.mOtherElected.begin(),
                      mGroups.mOtherElected.end());
   }
-  if (IsElected() && aNow >= mNextNews) {
+  if (aNow >= mNextNews) {
     mNextNews = aNow + mOptions.mNewsInterval;
     receivers.insert(receivers.end(),
                      mGroups.mSilentMates.begin(),
