--- a/src/libcranberrywing/gateway/fleet_view.cpp
+++ b/src/libcranberrywing/gateway/fleet_view.cpp
@@ -1,6 +1,7 @@
 #include "cranberrywing/gateway/fleet_view.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "cranberrywing/server_reach.h"
 
@@ -22,6 +23,12 @@
   return vms;
 }
 
+/// Number of another VM's message; zero if it is none that makes sense.
+double Sane(float aNumber)
+{
+  return std::isfinite(aNumber) && aNumber > 0 ? aNumber : 0;
+}
+
 /// Median, or zero for no values. Reorders the values.
 double Median(std::vector<double>& aValues)
 {
@@ -41,7 +48,7 @@
   double slots = 0;
   for (const BoundDemand& demand : aDemands) {
     slots += demand.mService == aService && demand.mRegion == aServing
-               ? demand.mSlots
+               ? Sane(demand.mSlots)
                : 0;
   }
   return slots;
@@ -285,7 +292,7 @@
       continue;
     }
     for (const ServiceDemand& demand : peer.mStatus.mDemand) {
-      sum += demand.mService == aService ? demand.*aField : 0;
+      sum += demand.mService == aService ? Sane(demand.*aField) : 0;
     }
   }
   return sum;
@@ -312,7 +319,7 @@
     }
     double slots = 0;
     for (const ServiceDemand& demand : peer.mRegionDemand.mDemand) {
-      slots += demand.mService == aService ? demand.mSlots : 0;
+      slots += demand.mService == aService ? Sane(demand.mSlots) : 0;
     }
     reports.push_back(slots);
   }
--- a/src/libcranberrywing/gateway/fleet_view_test.cpp
+++ b/src/libcranberrywing/gateway/fleet_view_test.cpp
@@ -1,6 +1,7 @@
 #include "cranberrywing/gateway/fleet_view.h"
 
 #include <catch2/catch.hpp>
+#include <limits>
 #include <set>
 
 using namespace cranberrywing;
@@ -98,6 +99,27 @@
   CHECK(fixture.TargetCount() == 2);
 }
 
+// Guards against a plan that one VM's message makes meaningless.
+TEST_CASE("Demand that is no number or negative is ignored")
+{
+  Fixture fixture;
+  const ServiceId service("ordering");
+  const VmIncarnation sender{ VmId("vm-1"), { 1 } };
+  for (const float odd : { std::numeric_limits<float>::quiet_NaN(),
+                           std::numeric_limits<float>::infinity(),
+                           -1e30F }) {
+    const ServiceDemand demand{ service, odd, odd };
+    fixture.mView.OnStatus(sender, { .mDemand = { demand } }, fixture.mNow);
+    fixture.mView.OnBoundDemands(
+      sender,
+      { .mDemand = { { service, RegionId("south"), odd } } },
+      fixture.mNow);
+    CHECK(fixture.mView.OwnRegionRate(service, fixture.mNow) == 0);
+    CHECK(fixture.mView.OwnBoundDemand(
+            RegionId("south"), service, fixture.mNow) == 0);
+  }
+}
+
 // Pattern: 95 VMs, each of which hears a VM of another region only every few
 // seconds. Their demand was once the sum of what had arrived in time, so that
 // busy regions seemed idle.
--- a/src/netutil/json.h
+++ b/src/netutil/json.h
@@ -18,6 +18,11 @@
 /// Malformed.
 Result<boost::json::object> ParseObject(std::string_view aText);
 
+/// The same for text with strings of any bytes: sequences that are not UTF-8
+/// are kept, and escapes of surrogates that form no character are replaced by
+/// U+FFFD. Thread-safe.
+Result<boost::json::object> ParseObjectOfAnyBytes(std::string_view aText);
+
 /// Returns the member if it is an object, else null.
 const boost::json::object* FindObject(const boost::json::object& aObject,
                                       std::string_view aName);
