Start telling other regions at a different VM on each VM

VMs tell VMs of other regions in turn, and all began with the same one, so that VMs which start together told one receiver all at once and then none for a while. Found while busy servers were told the same way.

--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -440,11 +440,11 @@
   TimePoint mNextPlan{};
   TimePoint mNextSameRegionStatus{};
   TimePoint mNextCrossRegionStatus{};
-  /// Position in the list of VMs of other regions.
-  std::size_t mNextDemandReceiver = 0;
-  std::size_t mNextLimitReceiver = 0;
-  /// Starts at a different position on each VM, so that a receiver does not
-  /// hear from all VMs of a region at one time and then from none.
+  /// Positions in the list of VMs of other regions. They start at a different
+  /// one on each VM, so that a receiver does not hear from all VMs of a region
+  /// at one time and then from none.
+  std::size_t mNextDemandReceiver;
+  std::size_t mNextLimitReceiver;
   std::size_t mNextLoadReceiver;
 };
 
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -40,7 +40,9 @@
       .mCrashThreshold = 3,
       .mBlockTime = std::chrono::seconds(60),
     })
-  , mNextLoadReceiver(HashBytes(mOptions.mSelf.mVm.mName))
+  , mNextDemandReceiver(HashBytes(mOptions.mSelf.mVm.mName))
+  , mNextLimitReceiver(mNextDemandReceiver)
+  , mNextLoadReceiver(mNextDemandReceiver)
 {
 }
 
--- a/src/libcranberrywing/gateway/region_bound_test.cpp
+++ b/src/libcranberrywing/gateway/region_bound_test.cpp
@@ -95,3 +95,14 @@
 {
   CheckMixAfterTheEnd(kManyObjects);
 }
+
+// Guards against VMs that start together and then tell the same receivers at
+// the same time: in a fleet of 96 VMs the demand of a region was unknown for a
+// quarter of the time.
+TEST_CASE("VMs are told the demand of other regions at even intervals")
+{
+  RegionFleet fleet({ .mRequestsPerSecond = 2, .mVmsPerRegion = 32 });
+  fleet.Run(std::chrono::seconds(20), 1);
+  // FleetView counts demand that it was told in the last 4 s.
+  CHECK(fleet.mLongestDemandGap < std::chrono::seconds(4));
+}
--- a/src/libcranberrywing/gateway/region_test_fleet.h
+++ b/src/libcranberrywing/gateway/region_test_fleet.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cranberrywing/gateway/gateway.h"
@@ -173,6 +174,9 @@
   /// By region of the callers and start of the window.
   std::map<RegionId, std::map<TimePoint, RegionWindow>> mWindows;
 
+  /// Longest time for which a VM was not told the demand of another region.
+  Duration mLongestDemandGap{};
+
 private:
   struct Server
   {
@@ -463,6 +467,12 @@
     }
     const auto to = static_cast<std::size_t>(vm - mVms.begin());
     const VmRecord& sender = mVms[aFrom].mRecord;
+    if (std::holds_alternative<message::RegionDemand>(aSend.mMessage)) {
+      const auto [it, isFirst] =
+        mDemandToldAt.try_emplace({ to, sender.mRegion }, mNow);
+      mLongestDemandGap =
+        std::max(mLongestDemandGap, mNow - std::exchange(it->second, mNow));
+    }
     const event::PeerMessageReceived received{
       .mFrom = { sender.mVm, sender.mIncarnation }, .mMessage = aSend.mMessage
     };
@@ -474,6 +484,8 @@
   std::mt19937_64 mRandom;
   std::map<BackendId, Server> mServers;
   std::vector<Vm> mVms;
+  /// By receiver and region of the sender.
+  std::map<std::pair<std::size_t, RegionId>, TimePoint> mDemandToldAt;
   std::map<RegionId, double> mDue;
   std::map<RequestId, Caller> mCallers;
   std::multimap<TimePoint, std::function<void()>> mEvents;
