Split the gateway's demand and attempts from its longest files

Moves only: what VMs tell each other of demand, and the handling of attempts, have files of their own.

--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -178,8 +178,6 @@
   void On(const event::ServerChecked& aEvent);
   void OnMessage(const message::BackendRateLimits& aMessage);
   void OnMessage(const message::BackendsLeaving& aMessage);
-  void OnMessage(const VmIncarnation& aFrom,
-                 const message::RegionServerLoads& aMessage);
   /// Moves the effects of modules that are shared with the daemon's reducer to
   /// mEffects; adds the peers' addresses to messages.
   void ForwardCoreEffects(cranberrywing::EffectList& aEffects);
@@ -240,10 +238,6 @@
   /// Sends the messages to the own region and to others that are due.
   void SendStatus();
   void SendSameRegionStatus();
-  void SendRegionDemand();
-  /// Tells some of the given VMs of other regions, in turn, which servers of
-  /// the own region are busy.
-  void SendServerLoads(const std::vector<const Peer*>& aReceivers);
   /// Rate limits that servers stated to this VM since the last call.
   message::BackendRateLimits TakeStatedRateLimits();
   /// All known rate limits of the own region's servers.
@@ -258,21 +252,6 @@
   void UpdateRateWeights(const ServiceId& aService);
   /// Whether status messages are sent to the peer.
   bool IsReceiver(const Peer& aPeer) const;
-  /// Demand of this VM's callers, by service, without what is bound to regions.
-  std::vector<ServiceDemand> OwnDemand() const;
-  /// Demand of this VM's callers that is bound to regions, or of all callers of
-  /// the own region.
-  std::vector<BoundDemand> OwnBoundDemand() const;
-  std::vector<BoundDemand> RegionBoundDemand() const;
-  /// Mean time that a server takes for a request of the service, in seconds;
-  /// zero if unknown.
-  double MeanSeconds(const ServiceId& aService) const;
-  /// Server slots that requests of this VM's callers keep busy which may run in
-  /// any region.
-  double UnboundSlots(const ServiceId& aService) const;
-  /// Arrivals per second, decayed to the present.
-  double RateOf(const Arrivals& aArrivals) const;
-  void CountArrival(Arrivals& aArrivals);
   /// Sends queries and beacons, starts pulls and sets how this VM follows the
   /// store.
   void RelayStoreChanges();
@@ -282,16 +261,11 @@
   /// must not learn the first without the second.
   void SendStatusTo(const RelayEndpoint& aReceiver, Message aMessage);
   void UpdatePlan();
-  RegionalLoad ComputeRegionalLoad(const ServiceId& aService) const;
   /// Logs the service's region shares if they changed noticeably.
   void RecordShares(const ServiceId& aService, const RegionalLoad& aLoad);
-  /// Logs where requests of the last window were planned and sent.
-  void RecordRegionTraffic();
   void ProbeServers();
   /// Sends fingerprints that the crash guard blocked to all peers.
   void BroadcastRequestBlocks();
-  /// Requests per second for the service from this VM's callers.
-  double ArrivalRate(const ServiceId& aService) const;
 
   // gateway_shutdown.cpp
   /// Whether a request that arrives after the stop request is accepted: it will
@@ -326,12 +300,8 @@
   /// Whether this VM's quota for a cold server of its own region permits
   /// another request.
   bool MaySendCold(const Request& aRequest, Backend& aBackend) const;
-  /// Counts a new request in mArrivals and mBoundArrivals.
-  void CountDemand(const Request& aRequest);
   /// Whether both route and account may be served by the region.
   bool IsAllowed(const Request& aRequest, const RegionId& aRegion) const;
-  /// Regions that may serve the request, in order of preference.
-  std::vector<RegionId> RankRegions(const Request& aRequest) const;
   /// Selects a server from the first region, in order of preference, that has
   /// one; nullopt if no region has.
   std::optional<Selection> Select(const Request& aRequest);
@@ -340,21 +310,11 @@
   std::optional<Selection> SelectSpareLimited(const Request& aRequest);
   AdmissionDecision Admit(const Request& aRequest,
                           const Selection& aSelection) const;
-  void Dispatch(Request& aRequest, const Selection& aSelection);
-  /// Counts where the request is sent and sets Attempt::mRegion and mPlanExit.
-  void CountRegion(Request& aRequest, const RegionId& aRegion);
-  /// Selects the server for another attempt and charges the retry budget.
-  /// Returns nullopt if no retry is permitted.
-  std::optional<Selection> SelectRetry(const Request& aRequest);
-  /// Retries the request at another server if permitted; returns false if not.
-  /// aReason is the outcome of the last attempt, for the log.
-  bool Retry(Request& aRequest, std::string_view aReason);
-  void RecordRetry(const Request& aRequest, std::string_view aReason);
+
+  // gateway_attempts.cpp
   /// Returns the request and makes the attempt its current one; null if it is
   /// not in progress.
   Request* FindAttempt(RequestId aRequest, AttemptNumber aAttempt);
-
-  // gateway_outcomes.cpp
   /// Marks the current attempt as ended; aHasAnswered as in
   /// BackendPool::OnAttemptEnded. Returns the attempt's server, or null if it
   /// is no longer registered.
@@ -367,6 +327,53 @@
   /// After the current attempt has ended without an answer for the caller,
   /// waits for the other one; false if there is none.
   bool AwaitOtherAttempt(Request& aRequest);
+  /// Sends idempotent requests whose servers have stopped answering to a second
+  /// server as well.
+  void RetryFromSilentServers();
+  void Dispatch(Request& aRequest, const Selection& aSelection);
+  /// Selects the server for another attempt and charges the retry budget.
+  /// Returns nullopt if no retry is permitted.
+  std::optional<Selection> SelectRetry(const Request& aRequest);
+  /// Retries the request at another server if permitted; returns false if not.
+  /// aReason is the outcome of the last attempt, for the log.
+  bool Retry(Request& aRequest, std::string_view aReason);
+  void RecordRetry(const Request& aRequest, std::string_view aReason);
+
+  // gateway_demand.cpp
+  void OnMessage(const VmIncarnation& aFrom,
+                 const message::RegionServerLoads& aMessage);
+  void SendRegionDemand();
+  /// Tells some of the given VMs of other regions, in turn, which servers of
+  /// the own region are busy.
+  void SendServerLoads(const std::vector<const Peer*>& aReceivers);
+  /// Demand of this VM's callers, by service, without what is bound to regions.
+  std::vector<ServiceDemand> OwnDemand() const;
+  /// Demand of this VM's callers that is bound to regions, or of all callers of
+  /// the own region.
+  std::vector<BoundDemand> OwnBoundDemand() const;
+  std::vector<BoundDemand> RegionBoundDemand() const;
+  /// Mean time that a server takes for a request of the service, in seconds;
+  /// zero if unknown.
+  double MeanSeconds(const ServiceId& aService) const;
+  /// Server slots that requests of this VM's callers keep busy which may run in
+  /// any region.
+  double UnboundSlots(const ServiceId& aService) const;
+  /// Arrivals per second, decayed to the present.
+  double RateOf(const Arrivals& aArrivals) const;
+  void CountArrival(Arrivals& aArrivals);
+  /// Requests per second for the service from this VM's callers.
+  double ArrivalRate(const ServiceId& aService) const;
+  RegionalLoad ComputeRegionalLoad(const ServiceId& aService) const;
+  /// Logs where requests of the last window were planned and sent.
+  void RecordRegionTraffic();
+  /// Counts a new request in mArrivals and mBoundArrivals.
+  void CountDemand(const Request& aRequest);
+  /// Regions that may serve the request, in order of preference.
+  std::vector<RegionId> RankRegions(const Request& aRequest) const;
+  /// Counts where the request is sent and sets Attempt::mRegion and mPlanExit.
+  void CountRegion(Request& aRequest, const RegionId& aRegion);
+
+  // gateway_outcomes.cpp
   /// Logs a change of the server's rate limit.
   void RecordRateLimit(const Backend& aBackend,
                        std::optional<double> aBefore,
@@ -389,9 +396,6 @@
   void RefuseOutcomeUnknown(Request& aRequest, std::string aReason);
   /// Refuses requests whose deadline is reached.
   void ExpireRequests();
-  /// Sends idempotent requests whose servers have stopped answering to a second
-  /// server as well.
-  void RetryFromSilentServers();
   /// Applies random jitter and bounds to a retry delay.
   Duration JitterRetryDelay(Duration aBase);
 
--- a/src/libcranberrywing/gateway/gateway_outcomes.cpp
+++ b/src/libcranberrywing/gateway/gateway_outcomes.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-/// Minimum time without an answer before a request leaves a silent server.
-constexpr Duration kMinAttemptTime = std::chrono::milliseconds(500);
 constexpr Duration kMaxRetryDelay = std::chrono::seconds(2);
 
 /// Whether callers take the status as a guarantee that the request has not run.
@@ -24,67 +22,6 @@
 
 } // namespace
 
-Gateway::Request* Gateway::FindAttempt(RequestId aRequest,
-                                       AttemptNumber aAttempt)
-{
-  const auto it = mRequests.find(aRequest);
-  if (it == mRequests.end()) {
-    return nullptr;
-  }
-  Request& request = it->second;
-  if (request.mOther && request.mOther->mNumber == aAttempt) {
-    std::swap(request.mCurrent, *request.mOther);
-  }
-  const bool isInProgress = request.mCurrent.mNumber == aAttempt &&
-                            !request.mCurrent.mBackend.IsEmpty();
-  return isInProgress ? &request : nullptr;
-}
-
-void Gateway::CancelAttempt(Request& aRequest, bool aHasAnswered)
-{
-  if (!aRequest.mCurrent.mBackend.IsEmpty()) {
-    mEffects.push_back(effect::CancelDispatch{ aRequest.mArrival.mRequest,
-                                               aRequest.mCurrent.mNumber });
-    EndAttempt(aRequest, aHasAnswered);
-  }
-}
-
-void Gateway::CancelOtherAttempt(Request& aRequest)
-{
-  if (!aRequest.mOther) {
-    return;
-  }
-  const Attempt other = *std::exchange(aRequest.mOther, std::nullopt);
-  mEffects.push_back(
-    effect::CancelDispatch{ aRequest.mArrival.mRequest, other.mNumber });
-  if (Backend* const backend = mPool.Find(other.mBackend)) {
-    const bool isLater = other.mNumber > aRequest.mCurrent.mNumber;
-    mPool.OnAttemptEnded(*backend, isLater, mNow);
-    if (!isLater && !mServerReach.IsCutOff()) {
-      mPool.OnFailure(*backend, mNow);
-    }
-  }
-}
-
-bool Gateway::AwaitOtherAttempt(Request& aRequest)
-{
-  if (!aRequest.mOther) {
-    return false;
-  }
-  aRequest.mCurrent = *std::exchange(aRequest.mOther, std::nullopt);
-  return true;
-}
-
-Backend* Gateway::EndAttempt(Request& aRequest, bool aHasAnswered)
-{
-  Backend* const backend = mPool.Find(aRequest.mCurrent.mBackend);
-  if (backend) {
-    mPool.OnAttemptEnded(*backend, aHasAnswered, mNow);
-  }
-  aRequest.mCurrent.mBackend = BackendId();
-  return backend;
-}
-
 void Gateway::LearnFromSuccess(Request& aRequest,
                                Backend& aBackend,
                                const event::BackendReplied& aEvent)
@@ -337,39 +274,6 @@
                   .mDetail = std::move(aReason) });
 }
 
-void Gateway::RetryFromSilentServers()
-{
-  if (mStoppingSince || !CanSendToServers()) {
-    return;
-  }
-  std::vector<RequestId> unanswered;
-  for (const auto& [id, request] : mRequests) {
-    const Backend* const backend = request.mCurrent.mBackend.IsEmpty()
-                                     ? nullptr
-                                     : mPool.Find(request.mCurrent.mBackend);
-    if (!backend || request.mOther || !request.mRoute->mIsIdempotent ||
-        mNow - request.mCurrent.mSentAt < kMinAttemptTime) {
-      continue;
-    }
-    const Duration longest =
-      mServiceTimes.Estimate(*request.mRoute, request.mService).mTailLatency;
-    if (mPool.IsSilent(*backend, longest, mNow)) {
-      unanswered.push_back(id);
-    }
-  }
-  for (const RequestId id : unanswered) {
-    Request& request = mRequests.at(id);
-    const auto selection = SelectRetry(request);
-    if (!selection) {
-      continue;
-    }
-    RecordRetry(request, "silent_server");
-    request.mMayHaveRun = true;
-    request.mOther = std::exchange(request.mCurrent, {});
-    DispatchOrRefuse(request, selection);
-  }
-}
-
 void Gateway::ExpireRequests()
 {
   std::vector<RequestId> due;
--- a/src/libcranberrywing/gateway/gateway_requests.cpp
+++ b/src/libcranberrywing/gateway/gateway_requests.cpp
@@ -8,15 +8,11 @@
 namespace cranberrywing::gateway {
 
 using detail::kAnswerMargin;
-using detail::kArrivalTimeConstantSeconds;
 using detail::kDefaultRetryDelay;
 using detail::ToMs;
 
 namespace {
 
-/// Minimum time before the deadline for a retry to be worthwhile.
-constexpr Duration kMinTimeForRetry = std::chrono::milliseconds(60);
-
 /// Retry delay of requests that another VM can serve at once.
 constexpr Duration kCutOffRetryDelay = std::chrono::milliseconds(50);
 
@@ -118,36 +114,6 @@
   AdmitByRate(request);
 }
 
-void Gateway::CountArrival(Arrivals& aArrivals)
-{
-  aArrivals = { .mPerSecond =
-                  RateOf(aArrivals) + 1 / kArrivalTimeConstantSeconds,
-                .mAt = mNow };
-}
-
-void Gateway::CountDemand(const Request& aRequest)
-{
-  CountArrival(mArrivals[aRequest.mService]);
-  const bool isBound =
-    !aRequest.mRoute->mAllowedRegions.empty() ||
-    (aRequest.mAccount && !aRequest.mAccount->mAllowedRegions.empty());
-  if (!isBound) {
-    return;
-  }
-  const std::vector<RegionId> ranked = RankRegions(aRequest);
-  if (!ranked.empty()) {
-    CountArrival(mBoundArrivals[aRequest.mService][ranked.front()]);
-  }
-}
-
-std::vector<RegionId> Gateway::RankRegions(const Request& aRequest) const
-{
-  return mRegionPlan.Rank(
-    aRequest.mService, aRequest.mPosition, [&](const RegionId& aRegion) {
-      return IsAllowed(aRequest, aRegion);
-    });
-}
-
 void Gateway::AdmitByRate(Request& aRequest)
 {
   if (!aRequest.mAccount || aRequest.mAccount->mRate <= 0) {
@@ -324,85 +290,4 @@
   });
 }
 
-void Gateway::CountRegion(Request& aRequest, const RegionId& aRegion)
-{
-  const auto ranked = mRegionPlan.Rank(aRequest.mService, aRequest.mPosition);
-  const RegionId& planned = ranked.empty() ? aRegion : ranked.front();
-  aRequest.mCurrent.mRegion = aRegion;
-  aRequest.mCurrent.mPlanExit = planned == aRegion ? PlanExit::None
-                                : IsAllowed(aRequest, planned)
-                                  ? PlanExit::NoServer
-                                  : PlanExit::NotAllowed;
-  mRegionTraffic.OnSent(
-    aRequest.mService, planned, aRegion, aRequest.mCurrent.mPlanExit);
-}
-
-void Gateway::Dispatch(Request& aRequest, const Selection& aSelection)
-{
-  const Duration timeLeft = aRequest.mDeadline - mNow;
-  Backend& backend = *aSelection.mBackend;
-  CountRegion(aRequest, backend.mEntry.mRegion);
-  aRequest.mCurrent.mNumber =
-    static_cast<AttemptNumber>(aRequest.mTriedBackends.size() + 1);
-  aRequest.mCurrent.mBackend = backend.mEntry.mBackend;
-  aRequest.mTriedBackends.push_back(backend.mEntry.mBackend);
-  aRequest.mCurrent.mSentAt = mNow;
-  aRequest.mCurrent.mExpectedTotal = aSelection.mTotal;
-  aRequest.mCurrent.mExpectedWait = aSelection.mWait;
-  aRequest.mCurrent.mRank = aSelection.mRank;
-  aRequest.mCurrent.mWasWarm = mPool.IsWarm(backend, aRequest.mObject, mNow);
-  mPool.OnSent(backend, aRequest.mObject, mNow);
-  ++mCounters.mDispatched;
-  mEffects.push_back(effect::Dispatch{
-    .mRequest = aRequest.mArrival.mRequest,
-    .mAttempt = aRequest.mCurrent.mNumber,
-    .mBackend = backend.mEntry.mBackend,
-    .mAddress = backend.mEntry.mAddress,
-    .mPort = backend.mEntry.mPort,
-    .mContent = aRequest.mArrival.mContent,
-    .mAccount = aRequest.mAccount ? aRequest.mAccount->mAccount : AccountId(),
-    .mTimeBudget = timeLeft,
-    .mTimeout = timeLeft + kAnswerMargin,
-  });
-}
-
-std::optional<Selection> Gateway::SelectRetry(const Request& aRequest)
-{
-  if (aRequest.mTriedBackends.size() >= aRequest.mRoute->mMaxAttempts ||
-      aRequest.mDeadline - mNow < kMinTimeForRetry || !CanSendToServers() ||
-      mCrashGuard.IsSuspect(aRequest.mFingerprint, mNow)) {
-    return std::nullopt;
-  }
-  const auto selection = Select(aRequest);
-  if (!selection ||
-      !mRetries.TryRetry(aRequest.mService, mFleet.SharingVmCount(), mNow)) {
-    return std::nullopt;
-  }
-  return selection;
-}
-
-bool Gateway::Retry(Request& aRequest, std::string_view aReason)
-{
-  const auto selection = SelectRetry(aRequest);
-  if (!selection) {
-    return false;
-  }
-  RecordRetry(aRequest, aReason);
-  DispatchOrRefuse(aRequest, selection);
-  return true;
-}
-
-void Gateway::RecordRetry(const Request& aRequest, std::string_view aReason)
-{
-  ++mCounters.mRetries;
-  Record("request_retried",
-         { { "trace", aRequest.mArrival.mTrace },
-           { "reason", std::string(aReason) },
-           { "backend", aRequest.mTriedBackends.back().mName },
-           { "attempts", std::to_string(aRequest.mTriedBackends.size()) },
-           { "expected_wait_ms", ToMs(aRequest.mCurrent.mExpectedWait) },
-           { "expected_ms", ToMs(aRequest.mCurrent.mExpectedTotal) },
-           { "after_ms", ToMs(mNow - aRequest.mArrivedAt) } });
-}
-
 } // namespace cranberrywing::gateway
