--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -885,14 +885,18 @@
       return false;
     }
     Beat();
+    mNextBeat = NowMs() + kBeatMs;
     std::thread([this] {
       for (;;) {
-        SleepMs(1500);
+        SleepUntil(mNextBeat);
         const std::lock_guard lock(mBeatMutex);
         if (!mIsRunning) {
           return;
         }
-        BeatLocked();
+        mNextBeat += kBeatMs;
+        if (!mLosesBeat.exchange(false)) {
+          BeatLocked();
+        }
       }
     }).detach();
     return true;
@@ -922,10 +926,13 @@
     BeatLocked();
   }
 
-  /// Takes the number of the next write without writing it.
-  std::string TakeEntry()
+  std::int64_t NextBeatMs() const { return mNextBeat; }
+
+  /// The store does not carry out the next regular report, which is returned.
+  std::string LoseNextBeat()
   {
     const std::lock_guard lock(mBeatMutex);
+    mLosesBeat = true;
     return Entry(mIsDraining);
   }
 
@@ -1060,6 +1067,9 @@
   Options mOptions;
   Server mServer;
   std::mutex mBeatMutex;
+  static constexpr std::int64_t kBeatMs = 1500;
+  std::atomic<std::int64_t> mNextBeat{ 0 };
+  std::atomic<bool> mLosesBeat{ false };
   std::int64_t mBorn = 0;
   std::int64_t mSequence = 0;
   std::int64_t mColdUntil = 0;
