Review case 1: a storm of large configurations stops all VMs from following the store

A watch answer of more than 8 MB is taken for an outage and asked for again from the same revision, so all VMs stay on an old version until the store drops its history.

--- a/review/rig/deployment.h
+++ b/review/rig/deployment.h
@@ -16,6 +16,7 @@
   std::string mOrderTimeout = "3000ms";
   int mBodyBytes = 67108864;
   const char* mPayService = "ledger";
+  int mFurtherRoutes = 0;
   json::array mTenants{
     json::array{ "kaje80", json::array{ kKey }, 1, 193, 193, json::array{} },
     json::array{ "molu31", json::array{ kOtherKey }, 1, 193, 193, json::array{} },
@@ -34,6 +35,18 @@
                           2,       false,            false,   json::array{},
                           nullptr };
     };
+    json::array routes{
+      route("r-order", "/pufi791/", "non_idempotent", mOrderTimeout, 1,
+            "shopdesk"),
+      route("r-lookup", "/lohu930/", "idempotent", "2500ms", 2, "shopdesk"),
+      route("r-pay", "/leda220/", "non_idempotent", "1500ms", 0, mPayService),
+    };
+    for (int n = 0; n < mFurtherRoutes; ++n) {
+      const std::string name = std::to_string(100000 + n);
+      routes.push_back(route(("r-shop" + name).c_str(),
+                             ("/shop" + name + "/").c_str(), "idempotent",
+                             "2500ms", 2, "shopdesk"));
+    }
     const json::object content{
       { "version", "r" + std::to_string(mVersion) },
       { "routes",
@@ -43,13 +56,7 @@
                          "target_latency", "priority", "service",
                          "max_attempts", "public", "sticky",
                          "allowed_regions", "weighted_services" } },
-          { "rows",
-            json::array{ route("r-order", "/pufi791/", "non_idempotent",
-                               mOrderTimeout, 1, "shopdesk"),
-                         route("r-lookup", "/lohu930/", "idempotent",
-                               "2500ms", 2, "shopdesk"),
-                         route("r-pay", "/leda220/", "non_idempotent",
-                               "1500ms", 0, mPayService) } } } },
+          { "rows", routes } } },
       { "services",
         json::object{
           { "columns",
