Write a VM's own store entry again when it is replaced or removed

What happens: a write of a VM's former process is carried out late and replaces the record of the running one. Other VMs then take its messages for those of an unknown process: it is left out of lookups and does not count as usable. The record is bound to the former process's lease and goes away with it within 4 s, and after 5 to 15 s the VM's parts of accounts' rates are divided among others while it uses them.

Cause: the record was written once, and afterwards only its lease was renewed.

The test fails without the change (the record is not written again).

Change: the follower compares what it reads under its own key with what it wrote, and writes again. The revision of its own write tells earlier values from later ones. A renewal in progress no longer delays that.

--- a/src/include/cranberrywing/gateway/store_follower.h
+++ b/src/include/cranberrywing/gateway/store_follower.h
@@ -93,6 +93,8 @@
   bool mHasMore = false;
   std::int64_t mLease = 0;
   Milliseconds mTtl{};
+  /// Revision of a write.
+  std::int64_t mWrittenRevision = 0;
 };
 
 /// Whether and how a VM reads changes from the store itself.
@@ -137,8 +139,9 @@
   /// The store became reachable or unreachable.
   std::function<void(bool)> mOnReachabilityChange;
   std::function<void(const StoreRestore&)> mOnRestored;
-  /// The store holds an item that is older than the state in force of its key;
-  /// the latter stays in force.
+  /// The store holds an item that is older than the state in force of its key,
+  /// which stays in force, or another one than this VM wrote under its own key,
+  /// which is written again.
   std::function<void(const StoreItem&)> mOnOutdatedWrite;
   /// Whether a key's entry is bound to a lease: it may expire during an outage
   /// of the store and be written again soon after.
@@ -289,6 +292,10 @@
   void ForgetOwnEntries(TimePoint aNow);
   void ContinueLease(TimePoint aNow);
   void OnLeaseReply(const StoreReply& aReply, TimePoint aNow);
+  /// Writes the own entry again if it was removed or replaced: by a write of
+  /// this VM or of its former process that was carried out late, or because it
+  /// was bound to the former process's lease.
+  void RestoreOwnEntry(const StoreChange& aChange, TimePoint aNow);
   /// Brings a lease call forward that waits to be repeated after a failure.
   void HastenLeaseCall(TimePoint aNow);
 
@@ -331,6 +338,8 @@
   bool mHasLeaseCallFailed = false;
   std::int64_t mLease = 0;
   bool mIsOwnWritten = false;
+  /// Revision with which the own entry was written.
+  std::int64_t mOwnRevision = 0;
   bool mIsRosterWritten = false;
   StoreCall mLeaseCall;
   /// mEpoch when the call was started.
--- a/src/libcranberrywing/gateway/store_follower.cpp
+++ b/src/libcranberrywing/gateway/store_follower.cpp
@@ -313,6 +313,7 @@
   }
   const bool isInForce = mCarried.Accept(aChange, mMirror, aNow);
   mMirror.Apply(aChange);
+  RestoreOwnEntry(aChange, aNow);
   if (!isInForce) {
     mHooks.mOnOutdatedWrite(item);
     return;
--- a/src/libcranberrywing/gateway/store_follower_lease.cpp
+++ b/src/libcranberrywing/gateway/store_follower_lease.cpp
@@ -64,12 +64,29 @@
     mIsRosterWritten = true;
   } else if (put) {
     mIsOwnWritten = put->mValue == mOptions.mOwnValue;
-    mNextLeaseCall = mIsOwnWritten ? aNow + renewInterval : aNow;
-  } else {
+    mOwnRevision = aReply.mWrittenRevision;
+  }
+  if (mIsOwnWritten) {
     mNextLeaseCall = aNow + renewInterval;
   }
 }
 
+void StoreFollower::RestoreOwnEntry(const StoreChange& aChange, TimePoint aNow)
+{
+  const StoreItem& item = aChange.mItem;
+  const bool isOwnWrite = item.mRevision <= mOwnRevision;
+  const bool isUnchanged =
+    !aChange.mIsRemoved && item.mValue == mOptions.mOwnValue;
+  if (item.mKey != mOptions.mOwnKey || !mIsOwnWritten || isOwnWrite ||
+      isUnchanged) {
+    return;
+  }
+  mIsOwnWritten = false;
+  mNextLeaseCall = aNow;
+  mHooks.mOnOutdatedWrite(item);
+  ContinueLease(aNow);
+}
+
 void StoreFollower::ForgetOwnEntries(TimePoint aNow)
 {
   // The lease's number may have been given to another VM since the restore.
--- a/src/libcranberrywing/gateway/store_order_test.cpp
+++ b/src/libcranberrywing/gateway/store_order_test.cpp
@@ -238,3 +238,41 @@
   follower.Write("13", "config");
   CHECK(follower.Value("config") == "13");
 }
+
+// Guards against a VM that is out of use, or whose parts of rates are given to
+// others, because a write of its former process replaced its entry and was
+// removed with that process's lease.
+TEST_CASE("A VM's own entry that is replaced or removed is written again")
+{
+  for (const bool isRemoved : { false, true }) {
+    Follower follower("5.7");
+    const auto written = [&](std::int64_t aRevision) {
+      const auto* const put = std::get_if<store_call::Put>(&*follower.mLease);
+      const bool isOwn = put && put->mKey == "vms/a" && put->mLease == 5;
+      follower.Reply({ .mStatus = StoreStatus::Ok,
+                       .mLease = 5,
+                       .mWrittenRevision = aRevision },
+                     StoreChannel::Lease);
+      return isOwn;
+    };
+    while (!written(20)) {
+    }
+    follower.mRevision = 18;
+    // An earlier value that is reported late is no reason to write again.
+    follower.Report(
+      { { .mItem = { .mKey = "vms/a", .mValue = "former process" } },
+        { .mItem = { .mKey = "vms/a", .mValue = "me" } } });
+    follower.Advance(seconds(1));
+    CHECK(follower.mOutdated == 0);
+    follower.Report(
+      { { .mItem = { .mKey = "vms/a", .mValue = isRemoved ? "" : "other" },
+          .mIsRemoved = isRemoved } });
+    CHECK(follower.mOutdated == 1);
+    if (follower.mLease &&
+        std::holds_alternative<store_call::RenewLease>(*follower.mLease)) {
+      follower.Reply({ .mStatus = StoreStatus::Ok }, StoreChannel::Lease);
+    }
+    REQUIRE(follower.mLease);
+    CHECK(written(22));
+  }
+}
