--- a/src/netutil/http_client.cpp
+++ b/src/netutil/http_client.cpp
@@ -348,6 +348,8 @@
   }
   response.mBody = std::move(message.body());
   if (mFilter && !mFilter(response, mUse)) {
+    // Further responses may be repeated ones as well.
+    mUse = ConnectionUse::Repeated;
     return false;
   }
   mIsKeepAlive = message.keep_alive() && mIsSendComplete && mBuffer.size() == 0;
--- a/src/netutil/http_client.h
+++ b/src/netutil/http_client.h
@@ -94,7 +94,8 @@
   double mKeepAliveFraction = 0.75;
 };
 
-/// Whether a connection has carried other exchanges before the current one.
+/// Whether a connection has carried other exchanges before the current one, or
+/// responses to other requests.
 enum class ConnectionUse : std::uint8_t
 {
   First,
@@ -103,8 +104,7 @@
 
 /// Returns whether a response belongs to the exchange in progress. Other
 /// responses, such as a late second response to an earlier request, are
-/// discarded, and reading continues. On the first use of a connection there is
-/// no earlier request.
+/// discarded, and reading continues.
 using ResponseFilter = std::function<bool(const AnswerContent&, ConnectionUse)>;
 
 /// Serializes the request line and header fields up to and including the empty
