Do not give up an exchange that was sent for an earlier time limit

What callers see: a VM was paused while a connection to a server was being opened. When it runs again, the request is sent and given up at once: the server may run it, and the caller of an order gets 502. And a request whose whole time had passed meanwhile was still sent.

Cause: both the connection and the limit for opening it are due when the event loop runs again. The connection comes first, sends the request and extends the timer; but the handler of the reached limit is queued already and ends the exchange, now as 'sent'.

That a request of which a part was written counts as sent was shown to hold.

Change: the handler checks that the limit in force is reached, and a connection that opens after the exchange's own limit is not used, which is known not to have sent anything. Connections know their local port, for logs.

--- a/src/netutil/http_client.cpp
+++ b/src/netutil/http_client.cpp
@@ -105,7 +105,12 @@
   mTimer.expires_after(aTimeout);
   mTimer.async_wait([self = shared_from_this(), exchange = mExchangeNumber](
                       boost::system::error_code aError) {
-    if (!aError && self->mExchangeNumber == exchange && self->mIsActive) {
+    // The limit may have been extended after it was reached but before this
+    // handler runs, which is usual after a pause of the process.
+    const bool isReached =
+      std::chrono::steady_clock::now() >= self->mTimer.expiry();
+    if (!aError && isReached && self->mExchangeNumber == exchange &&
+        self->mIsActive) {
       self->Fail(self->mWasSent ? ExchangeFailureKind::Timeout
                                 : ExchangeFailureKind::Connect,
                  "exchange timed out");
@@ -169,10 +174,15 @@
     Fail(ExchangeFailureKind::Connect, aError.message());
     return;
   }
+  if (std::chrono::steady_clock::now() - mStartedAt >= mTimeout) {
+    Fail(ExchangeFailureKind::Connect, "connected after the time limit");
+    return;
+  }
   mIsConnected = true;
   boost::system::error_code ec;
   mSocket.set_option(asio::ip::tcp::no_delay(true), ec);
   mSocket.non_blocking(true, ec);
+  mLocalPort = mSocket.local_endpoint(ec).port();
   if (mOptions.mEnableTcpKeepAlive) {
     EnableTcpKeepAlive();
   }
--- a/src/netutil/http_client.h
+++ b/src/netutil/http_client.h
@@ -146,6 +146,10 @@
   bool IsReusable();
 
   const Endpoint& Peer() const { return mEndpoint; }
+  /// Port of this end; zero before the connection was first open.
+  std::uint16_t LocalPort() const { return mLocalPort; }
+  /// Number of the current or last exchange; the first is 1.
+  std::uint64_t ExchangeNumber() const { return mExchangeNumber; }
 
 private:
   using Parser =
@@ -191,6 +195,7 @@
   /// Idle timeout from the server's Keep-Alive header; zero if it sent none.
   Duration mKeepAliveTimeout{};
   std::chrono::steady_clock::time_point mIdleSince;
+  std::uint16_t mLocalPort = 0;
   /// Number of the current exchange; lets completion handlers of earlier
   /// exchanges be ignored.
   std::uint64_t mExchangeNumber = 0;
--- a/src/netutil/http_client_test.cpp
+++ b/src/netutil/http_client_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <thread>
 
 #include "netutil/exchange_for_tests.h"
 
@@ -107,6 +108,75 @@
   CHECK(garbage.mKind == ExchangeFailureKind::Malformed);
 }
 
+// Guards against the failure TWICE: a request is sent again although a server
+// has got the first of the parts in which it was written.
+TEST_CASE("a request counts as sent once a part of it is written")
+{
+  boost::asio::io_context context(1);
+  RawServer server(context, "", true);
+  server.mResetsAfter = true;
+  HttpClientPool pool(context, {});
+  const auto request = std::make_shared<const RequestContent>(
+    RequestContent{ .mMethod = "POST",
+                    .mTarget = "/",
+                    .mBody = std::string(32 * 1024 * 1024, 'b') });
+  std::optional<ExchangeResult> result;
+  pool.Start(server.Address(),
+             request,
+             {},
+             std::chrono::seconds(20),
+             [&](ExchangeResult aResult) { result = std::move(aResult); });
+  REQUIRE(RunUntil(context, [&] { return result.has_value(); }));
+  REQUIRE_FALSE(result->has_value());
+  CHECK(result->error().mWasSent);
+}
+
+// Guards against a request that is sent and given up at once: after a pause of
+// the process the connection and its time limit are both due.
+TEST_CASE("a time limit for connecting does not end an exchange that was sent")
+{
+  boost::asio::io_context context(1);
+  RawServer server(
+    context, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false);
+  constexpr Milliseconds kConnectTimeout{ 20 };
+  HttpClientPool pool(context,
+                      { .mClient = { .mConnectTimeout = kConnectTimeout } });
+  std::optional<ExchangeResult> result;
+  pool.Start(server.Address(),
+             std::make_shared<const RequestContent>(
+               RequestContent{ .mMethod = "GET", .mTarget = "/" }),
+             {},
+             std::chrono::seconds(20),
+             [&](ExchangeResult aResult) { result = std::move(aResult); });
+  // The event loop does not run meanwhile, as in a paused process.
+  std::this_thread::sleep_for(3 * kConnectTimeout);
+  REQUIRE(RunUntil(context, [&] { return result.has_value(); }));
+  CHECK(result->has_value());
+}
+
+// Guards against a request that is sent after its time, for which a paused
+// process had the connection opened.
+TEST_CASE("a connection that opens after the exchange's time limit is not used")
+{
+  boost::asio::io_context context(1);
+  RawServer server(
+    context, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false);
+  constexpr Milliseconds kTimeout{ 20 };
+  HttpClientPool pool(context, { .mClient = { .mConnectTimeout = kTimeout } });
+  std::optional<ExchangeResult> result;
+  pool.Start(server.Address(),
+             std::make_shared<const RequestContent>(
+               RequestContent{ .mMethod = "GET", .mTarget = "/" }),
+             {},
+             kTimeout,
+             [&](ExchangeResult aResult) { result = std::move(aResult); });
+  std::this_thread::sleep_for(3 * kTimeout);
+  REQUIRE(RunUntil(context, [&] { return result.has_value(); }));
+  REQUIRE_FALSE(result->has_value());
+  CHECK(result->error().mKind == ExchangeFailureKind::Connect);
+  CHECK_FALSE(result->error().mWasSent);
+}
+
 // Guards against the failure MIXED: a server that stops in the middle of its
 // answer's head and closes, whose answer was passed on with an empty or short
 // body, framed as a whole one.
