Log why a refused request is known not to have run

A refusal with 408, 421, 429 or 503 promises that the request has not run. When operators reported one that had (REFUSED), no log line could tell what the promise rested on.

event=request_refused now has proof (no attempt, nothing written, a server's refusal, another server's answer, or none where the request may have run), and the local port and number of the exchange on which a server refused.

--- a/src/cranberrywingd/gateway_daemon_effects.cpp
+++ b/src/cranberrywingd/gateway_daemon_effects.cpp
@@ -73,9 +73,15 @@
                                     TimePoint aSentAt,
                                     netutil::ExchangeResult aResult)
 {
+  gateway::event::ConnectionTrace trace;
   const auto it = mExchanges.find(aRequest);
   if (it != mExchanges.end()) {
-    it->second.mAttempts.erase(aAttempt);
+    const auto attempt = it->second.mAttempts.find(aAttempt);
+    if (attempt != it->second.mAttempts.end()) {
+      trace = { attempt->second->LocalPort(),
+                attempt->second->ExchangeNumber() };
+      it->second.mAttempts.erase(attempt);
+    }
   }
   if (aResult) {
     const TimePoint now = ReadClock();
@@ -85,6 +91,7 @@
     replied.mRequest = aRequest;
     replied.mAttempt = aAttempt;
     replied.mLatency = now - aSentAt;
+    replied.mConnection = trace;
     Deliver(std::move(replied));
     return;
   }
--- a/src/include/cranberrywing/gateway/event.h
+++ b/src/include/cranberrywing/gateway/event.h
@@ -113,6 +113,15 @@
   Unverified,
 };
 
+/// Which use of which connection carried an answer, for logs.
+struct ConnectionTrace
+{
+  /// Port of this VM's end; zero if not known.
+  std::uint16_t mLocalPort = 0;
+  /// Number of the exchange on the connection; the first is 1.
+  std::uint64_t mUse = 0;
+};
+
 /// A backend server's answer to a Dispatch effect has been read completely.
 struct BackendReplied
 {
@@ -131,6 +140,7 @@
   std::optional<Duration> mWait;
   /// Time from the dispatch to the last byte of the answer.
   Duration mLatency{};
+  ConnectionTrace mConnection;
 };
 
 /// Result of a ProbeBackend effect.
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -50,6 +50,18 @@
   std::map<ResultCode, std::uint64_t> mRefused;
 };
 
+/// Why the last attempt at a request is known not to have run.
+enum class NotRunReason : std::uint8_t
+{
+  NoAttempt,
+  /// No byte was written to the server.
+  NothingWritten,
+  /// The server said so.
+  Refusal,
+  /// Another server at the address said so.
+  WrongServer,
+};
+
 /// Not thread-safe: the driver has to call it from one thread. Equal options,
 /// events and times give equal effects.
 class Gateway
@@ -124,6 +136,13 @@
     PlanExit mPlanExit = PlanExit::None;
   };
 
+  struct NotRunProof
+  {
+    NotRunReason mReason = NotRunReason::NoAttempt;
+    /// Connection on which a server said so.
+    event::ConnectionTrace mConnection;
+  };
+
   /// A request that has no final answer yet.
   struct Request
   {
@@ -150,6 +169,8 @@
     bool mWaitsForTokens = false;
     /// Whether any server may have run the request.
     bool mMayHaveRun = false;
+    /// Holds unless mMayHaveRun.
+    NotRunProof mNotRunProof;
   };
 
   /// Decaying average of the rate at which requests for a service arrive at
--- a/src/libcranberrywing/gateway/gateway_outcomes.cpp
+++ b/src/libcranberrywing/gateway/gateway_outcomes.cpp
@@ -14,6 +14,21 @@
 
 constexpr Duration kMaxRetryDelay = std::chrono::seconds(2);
 
+std::string_view ToString(NotRunReason aReason)
+{
+  switch (aReason) {
+    case NotRunReason::NoAttempt:
+      return "no_attempt";
+    case NotRunReason::NothingWritten:
+      return "nothing_written";
+    case NotRunReason::Refusal:
+      return "refusal";
+    case NotRunReason::WrongServer:
+      break;
+  }
+  return "wrong_server";
+}
+
 /// Whether callers take the status as a guarantee that the request has not run.
 bool ImpliesNotRun(std::uint32_t aStatus)
 {
@@ -74,6 +89,10 @@
       }
       [[fallthrough]];
     case event::ReplyKind::NotRun:
+      request->mNotRunProof = { aEvent.mKind == event::ReplyKind::NotRun
+                                  ? NotRunReason::Refusal
+                                  : NotRunReason::WrongServer,
+                                aEvent.mConnection };
       if (backend && aEvent.mKind == event::ReplyKind::NotRun) {
         const bool isFull =
           !aEvent.mLoad || aEvent.mLoad->mRunning >= backend->mEntry.mSlots;
@@ -148,6 +167,7 @@
   Backend* const backend = EndAttempt(*request, false);
   const bool isSent = aEvent.mStage == event::FailureStage::AfterFirstByte;
   request->mMayHaveRun = request->mMayHaveRun || isSent;
+  request->mNotRunProof = { NotRunReason::NothingWritten, {} };
   if (aEvent.mKind == event::FailureKind::Connect) {
     ++mCounters.mConnectFailures;
     OnUnreachable(server);
@@ -245,6 +265,13 @@
         aRequest.mAccount ? aRequest.mAccount->mAccount.mName : std::string() },
       { "code", std::string(ToString(aRefusal.mCode)) },
       { "execution", std::string(ToString(aRefusal.mExecution)) },
+      { "proof",
+        std::string(aRefusal.mExecution == Execution::NotRun
+                      ? ToString(aRequest.mNotRunProof.mReason)
+                      : "none") },
+      { "connection",
+        std::to_string(aRequest.mNotRunProof.mConnection.mLocalPort) },
+      { "use", std::to_string(aRequest.mNotRunProof.mConnection.mUse) },
       { "reason", aRefusal.mDetail },
       { "attempts", std::to_string(aRequest.mTriedBackends.size()) },
       { "backend",
--- a/src/libcranberrywing/gateway/gateway_test.cpp
+++ b/src/libcranberrywing/gateway/gateway_test.cpp
@@ -79,6 +79,74 @@
   }
 }
 
+// Guards against the failure REFUSED: a refusal of one server stands for a
+// request that another server was sent after it and may run.
+TEST_CASE("A refusal does not hold for a request that was sent on")
+{
+  using Outcome = std::function<void(GatewayFixture&, const effect::Dispatch&)>;
+  const auto failsWith = [](event::FailureKind aKind) -> Outcome {
+    return [aKind](GatewayFixture& aFixture, const effect::Dispatch& aSent) {
+      aFixture.Fail(aSent, event::FailureStage::AfterFirstByte, aKind);
+    };
+  };
+  const auto expires = [](GatewayFixture& aFixture, const effect::Dispatch&) {
+    aFixture.Advance(std::chrono::seconds(2));
+  };
+  for (const Outcome& outcome : { failsWith(event::FailureKind::Reset),
+                                  failsWith(event::FailureKind::Timeout),
+                                  Outcome(expires) }) {
+    GatewayFixture fixture;
+    fixture.Request("/orders/1");
+    const effect::Dispatch first = *fixture.FindEffect<effect::Dispatch>();
+    fixture.Reply(first, event::ReplyKind::NotRun, 503);
+    REQUIRE(fixture.FindEffect<effect::Dispatch>());
+    const effect::Dispatch second = *fixture.FindEffect<effect::Dispatch>();
+    outcome(fixture, second);
+    REQUIRE(fixture.FindEffect<effect::Refuse>());
+    CHECK(fixture.FindEffect<effect::Refuse>()->mRefusal.mExecution ==
+          Execution::Unknown);
+  }
+}
+
+// Guards against a refusal of which nobody can tell later whether its promise
+// was true.
+TEST_CASE("The log of a refusal tells why the request is known not to have run")
+{
+  const auto field = [](const GatewayFixture& aFixture, const char* aName) {
+    std::string value = "-";
+    for (const Effect& effect : aFixture.mLastEffects) {
+      const auto* const record = std::get_if<effect::RecordTimeline>(&effect);
+      if (record && record->mName == "request_refused") {
+        for (const auto& each : record->mFields) {
+          value = each.mName == aName ? each.mValue : value;
+        }
+      }
+    }
+    return value;
+  };
+  GatewayFixture fixture;
+  fixture.Request("/orders/1", "other");
+  CHECK(field(fixture, "proof") == "no_attempt");
+  fixture.Request("/orders/1");
+  fixture.Reply(
+    *fixture.FindEffect<effect::Dispatch>(), event::ReplyKind::NotRun, 503);
+  const effect::Dispatch second = *fixture.FindEffect<effect::Dispatch>();
+  fixture.Deliver(
+    event::BackendReplied{ .mRequest = second.mRequest,
+                           .mAttempt = second.mAttempt,
+                           .mKind = event::ReplyKind::NotRun,
+                           .mAnswer = std::make_shared<const AnswerContent>(),
+                           .mConnection = { .mLocalPort = 4711, .mUse = 3 } });
+  CHECK(field(fixture, "proof") == "refusal");
+  CHECK(field(fixture, "connection") == "4711");
+  CHECK(field(fixture, "use") == "3");
+  fixture.Request("/orders/2");
+  fixture.Fail(*fixture.FindEffect<effect::Dispatch>(),
+               event::FailureStage::AfterFirstByte,
+               event::FailureKind::Reset);
+  CHECK(field(fixture, "proof") == "none");
+}
+
 // Guards against passing on an answer that is corrupt or belongs to another
 // request as a success.
 TEST_CASE("An unverified answer is not passed on")
