Own interface: take a refusal only from an answer that names its attempt

What callers would see: a server writes a 503 with Cranberrywing-Not-Run to a new connection before it reads the request, and runs the request; the daemon sends it to another server, or tells the caller that it was not run.

Cause: as on the platform, an answer without an attempt's identifier was believed on the first use of a connection.

Change: such a refusal leaves the outcome unknown. Servers that refuse have to repeat Cranberrywing-Attempt, which docs/OPERATIONS.md asked for already. The new test is of a new function, DescribeRefusal, in the place where a refusal was taken as it came.

--- a/src/cranberrywingd/backend_client.cpp
+++ b/src/cranberrywingd/backend_client.cpp
@@ -74,6 +74,23 @@
          !ReadShedStatus(aAnswer).mIsShed;
 }
 
+std::optional<event::BackendFailed> DescribeRefusal(
+  const AnswerContent& aAnswer)
+{
+  const ShedStatus shed = ReadShedStatus(aAnswer);
+  if (!shed.mIsShed) {
+    return std::nullopt;
+  }
+  if (!netutil::FindHeader(aAnswer.mHeaders, kAttemptHeader)) {
+    return event::BackendFailed{
+      .mStage = event::FailureStage::AfterFirstByte,
+      .mKind = event::FailureKind::MalformedAnswer,
+    };
+  }
+  return event::BackendFailed{ .mKind = event::FailureKind::Shed,
+                               .mRetryAfter = shed.mRetryAfter };
+}
+
 event::BackendFailed DescribeFailure(const netutil::ExchangeFailure& aFailure)
 {
   using netutil::ExchangeFailureKind;
@@ -148,8 +165,8 @@
   const TimePoint now = ReadClock();
   event::BackendFailed failed;
   if (aResult) {
-    const ShedStatus shed = ReadShedStatus(*aResult);
-    if (!shed.mIsShed) {
+    const auto refusal = DescribeRefusal(*aResult);
+    if (!refusal) {
       mMetrics.mBackendLatency.Add(now - aDispatched, now);
       SanitizeAnswer(*aResult, aIsHead);
       mSink(event::BackendResponded{
@@ -160,8 +177,7 @@
       });
       return;
     }
-    failed.mKind = event::FailureKind::Shed;
-    failed.mRetryAfter = shed.mRetryAfter;
+    failed = *refusal;
   } else {
     failed = DescribeFailure(aResult.error());
   }
--- a/src/cranberrywingd/backend_client.h
+++ b/src/cranberrywingd/backend_client.h
@@ -24,6 +24,13 @@
 /// other answers are for the caller. Thread-safe.
 ShedStatus ReadShedStatus(const AnswerContent& aAnswer);
 
+/// Converts an answer that refuses the request into the core's event, without
+/// request and attempt; nullopt for an answer that is for the caller. A refusal
+/// that names no attempt may be that of another request, so that the outcome is
+/// unknown. Thread-safe.
+std::optional<event::BackendFailed> DescribeRefusal(
+  const AnswerContent& aAnswer);
+
 /// Whether an answer can belong to the attempt with the given identifier. An
 /// answer that names another attempt does not, and neither does a shed answer
 /// that names none, unless the connection has not been used before: it could
--- a/src/cranberrywingd/wire_formats_test.cpp
+++ b/src/cranberrywingd/wire_formats_test.cpp
@@ -111,6 +111,24 @@
   CHECK(IsAnswerToAttempt(plain, "2-1", ConnectionUse::Repeated));
 }
 
+// Guards against work that runs twice: a server writes a refusal to a new
+// connection before it reads the request, which it then runs.
+TEST_CASE("a shed answer that names no attempt leaves the outcome unknown")
+{
+  AnswerContent answer{ .mStatus = 503,
+                        .mHeaders = { { "Cranberrywing-Not-Run", "1" } },
+                        .mBody = {} };
+  const auto unnamed = DescribeRefusal(answer);
+  REQUIRE(unnamed);
+  CHECK(unnamed->mStage == event::FailureStage::AfterFirstByte);
+  CHECK(unnamed->mKind != event::FailureKind::Shed);
+  answer.mHeaders.push_back({ "Cranberrywing-Attempt", "2-1" });
+  REQUIRE(DescribeRefusal(answer));
+  CHECK(DescribeRefusal(answer)->mKind == event::FailureKind::Shed);
+  answer.mStatus = 200;
+  CHECK_FALSE(DescribeRefusal(answer));
+}
+
 // Guards against treating a timeout after sending as safe to retry.
 TEST_CASE("the stage of a failure depends on whether bytes were sent")
 {
