Reject trailers and chunk lines without end instead of ending the process

What callers would see: a server (or a caller) sends a chunked message whose trailer has a field of more than 64 KB. A chunk line or a trailer that never ends is kept without a bound.

Cause: the parser throws std::length_error for a field that it cannot store. For a head the header limit keeps that away, but it does not apply to trailers. And what the parser needs to see at once, a chunk line or a trailer, was not counted at all on the callers' side.

The new tests failed before: the exception left the event loop, and endless lines hung until the time limit.

Change: one function feeds bytes to the parsers of the client, the server and the line stream; it turns the exception into an error and bounds what a parser may keep by the header limit.

--- a/src/netutil/http_client.cpp
+++ b/src/netutil/http_client.cpp
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 
 #include "netutil/headers.h"
+#include "netutil/parse_some.h"
 
 namespace cranberrywing::netutil {
 
@@ -301,7 +302,7 @@
 {
   while (mBuffer.size() > 0) {
     boost::system::error_code ec;
-    mBuffer.consume(mParser->put(mBuffer.data(), ec));
+    detail::ParseSome(*mParser, mBuffer, mOptions.mMaxHeaderBytes, ec);
     if (ec == http::error::need_more) {
       return true;
     }
--- a/src/netutil/http_client_endless_test.cpp
+++ b/src/netutil/http_client_endless_test.cpp
@@ -108,6 +108,28 @@
         ExchangeFailureKind::Malformed);
 }
 
+// Guards against a process that a single server ends: the parser throws for a
+// field value of more than 64 KB, which trailers may have.
+TEST_CASE("a long trailer fails the exchange")
+{
+  const std::string head =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nField: ";
+  const std::string trailer = head + std::string(200'000, 'x') + "\r\n\r\n";
+  CHECK(FailEndless(trailer, kPart, {}).mKind ==
+        ExchangeFailureKind::Malformed);
+}
+
+// Guards against bytes that the parser keeps until a line ends.
+TEST_CASE("a chunk line or trailer without end fails the exchange")
+{
+  const std::string head =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const char* const start : { "4;name=", "0\r\nField: ", "0000000" }) {
+    CHECK(FailEndless(head + start, kPart, {}).mKind ==
+          ExchangeFailureKind::Malformed);
+  }
+}
+
 TEST_CASE("endless bodies fail when their common memory is exhausted")
 {
   HttpClientOptions options;
--- a/src/netutil/http_line_stream.cpp
+++ b/src/netutil/http_line_stream.cpp
@@ -5,6 +5,8 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/none.hpp>
 
+#include "netutil/parse_some.h"
+
 namespace cranberrywing::netutil {
 
 namespace asio = boost::asio;
@@ -102,7 +104,7 @@
 {
   while (mBuffer.size() > 0 && mIsOpen) {
     boost::system::error_code ec;
-    mBuffer.consume(mParser.put(mBuffer.data(), ec));
+    detail::ParseSome(mParser, mBuffer, kMaxLineBytes, ec);
     if (ec && ec != http::error::need_more) {
       Fail(ec.message());
       return false;
--- a/src/netutil/http_server_test.cpp
+++ b/src/netutil/http_server_test.cpp
@@ -129,6 +129,22 @@
           .starts_with("HTTP/1.1 400 "));
 }
 
+// Guards against a process that a single caller ends: the parser throws for a
+// field value of more than 64 KB, which trailers may have. Guards as well
+// against bytes that it keeps until a line ends.
+TEST_CASE("a chunk line or trailer without end is rejected")
+{
+  const std::string head =
+    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string endless(200'000, 'x');
+  CHECK(ReceiveFromLimitedServer(head + "0\r\nField: " + endless + "\r\n\r\n")
+          .starts_with("HTTP/1.1 431 "));
+  CHECK(ReceiveFromLimitedServer(head + "4;name=" + endless)
+          .starts_with("HTTP/1.1 431 "));
+  CHECK(ReceiveFromLimitedServer(head + "0\r\nField: " + endless)
+          .starts_with("HTTP/1.1 431 "));
+}
+
 // Guards against a client that waits indefinitely to send its body, and against
 // an interim response that is taken for the response to an earlier request.
 TEST_CASE("100 Continue is sent after the responses to earlier requests")
--- a/src/netutil/http_session.cpp
+++ b/src/netutil/http_session.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/beast/http/error.hpp>
 
+#include "netutil/parse_some.h"
 #include "netutil/problem.h"
 #include "netutil/target.h"
 
@@ -148,7 +149,7 @@
   }
   const bool hadHeader = mParser->is_header_done();
   boost::system::error_code ec;
-  mBuffer.consume(mParser->put(mBuffer.data(), ec));
+  detail::ParseSome(*mParser, mBuffer, mServer->mOptions.mMaxHeaderBytes, ec);
   if (ec && ec != http::error::need_more) {
     RejectParseError(ec);
     return false;
