Keep the memory of many endless answers within their common bound

What callers would see: many servers in trouble answer with bytes without end. A gateway of 260 MB grows to 600 to 800 MB, is ended by the platform, and the requests of all other callers on it end with it (LOST).

Cause: the common memory for answers, a quarter of the process's, could be exceeded by a sixteenth of it for each connection, so that one endless answer would not end small ones; with 600 connections that bounds nothing.

Change: when the bound is exceeded, the answer that uses the most memory is given up, counted by what its buffers hold. Small and complete answers are never charged.

--- a/src/cranberrywingd/gateway_daemon.cpp
+++ b/src/cranberrywingd/gateway_daemon.cpp
@@ -36,9 +36,9 @@
 netutil::HttpClientPool::Options BackendPoolOptions(std::size_t aMemoryLimit)
 {
   netutil::HttpClientPool::Options options;
-  options.mClient.mBudget = std::make_shared<netutil::ResponseBudget>();
-  options.mClient.mBudget->mMaxBytes = aMemoryLimit / kAnswerMemoryDivisor;
-  options.mClient.mMaxBodyBytes = options.mClient.mBudget->mMaxBytes;
+  const std::size_t maxBytes = aMemoryLimit / kAnswerMemoryDivisor;
+  options.mClient.mBudget = std::make_shared<netutil::ResponseBudget>(maxBytes);
+  options.mClient.mMaxBodyBytes = maxBytes;
   options.mClient.mConnectTimeout = detail::kConnectTimeout;
   options.mClient.mAcceptsCloseDelimitedBody = true;
   options.mIdleTimeout = kBackendIdleTime;
--- a/src/netutil/http_client.cpp
+++ b/src/netutil/http_client.cpp
@@ -119,26 +119,42 @@
   });
 }
 
-bool HttpClientConnection::ChargeBudget(std::size_t aBytes)
+bool HttpClientConnection::ChargeBudget()
 {
-  if (!mOptions.mBudget) {
+  if (!mOptions.mBudget || !mParser) {
     return true;
   }
-  ResponseBudget& budget = *mOptions.mBudget;
-  mChargedBytes += aBytes;
-  budget.mUsedBytes += aBytes;
-  const auto reserved =
-    budget.mReservedFraction * static_cast<double>(budget.mMaxBytes);
-  return budget.mUsedBytes <= budget.mMaxBytes ||
-         static_cast<double>(mChargedBytes) <= reserved;
+  const std::uint64_t exchange = mExchangeNumber;
+  mOptions.mBudget->Charge(
+    *this, mBuffer.capacity() + mParser->get().body().capacity());
+  return mIsActive && mExchangeNumber == exchange;
 }
 
-void HttpClientConnection::ReleaseBudget()
+void ResponseBudget::Charge(HttpClientConnection& aConnection,
+                            std::size_t aBytes)
 {
-  if (mOptions.mBudget) {
-    mOptions.mBudget->mUsedBytes -= mChargedBytes;
+  std::size_t& bytes = mBytes[&aConnection];
+  mUsedBytes = mUsedBytes - bytes + aBytes;
+  bytes = aBytes;
+  while (mUsedBytes > mMaxBytes) {
+    const auto largest = std::max_element(
+      mBytes.begin(), mBytes.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second < aRight.second;
+      });
+    // Releases its bytes.
+    largest->first->shared_from_this()->Fail(
+      ExchangeFailureKind::Malformed,
+      "the response uses the most of the memory for responses");
+  }
+}
+
+void ResponseBudget::Release(HttpClientConnection& aConnection)
+{
+  const auto it = mBytes.find(&aConnection);
+  if (it != mBytes.end()) {
+    mUsedBytes -= it->second;
+    mBytes.erase(it);
   }
-  mChargedBytes = 0;
 }
 
 void HttpClientConnection::ExtendTimer()
@@ -288,12 +304,8 @@
     return;
   }
   mBuffer.commit(aBytes);
-  if (!ChargeBudget(aBytes)) {
-    Fail(ExchangeFailureKind::Malformed, "memory for responses is exhausted");
-    return;
-  }
   ExtendTimer();
-  if (Parse()) {
+  if (Parse() && ChargeBudget()) {
     Read();
   }
 }
@@ -400,7 +412,9 @@
 {
   mIsActive = false;
   mTimer.cancel();
-  ReleaseBudget();
+  if (mOptions.mBudget) {
+    mOptions.mBudget->Release(*this);
+  }
   mParser.reset();
   mRequest.reset();
   const ExchangeHandler handler = std::move(mHandler);
@@ -420,7 +434,9 @@
   mIsKeepAlive = false;
   mHandler = nullptr;
   mTimer.cancel();
-  ReleaseBudget();
+  if (mOptions.mBudget) {
+    mOptions.mBudget->Release(*this);
+  }
   boost::system::error_code ec;
   mSocket.close(ec);
 }
--- a/src/netutil/http_client.h
+++ b/src/netutil/http_client.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 
 #include "cranberrywing/http_types.h"
 #include "netutil/endpoint.h"
@@ -50,15 +51,30 @@
 using ExchangeResult = tl::expected<AnswerContent, ExchangeFailure>;
 using ExchangeHandler = std::function<void(ExchangeResult)>;
 
-/// Memory for the unfinished responses of several connections. Not
-/// thread-safe.
-struct ResponseBudget
+class HttpClientConnection;
+
+/// Bounds the memory of the unfinished responses of several connections. When
+/// it is exceeded, the response that uses the most is given up, so that
+/// responses without end make no room for each other at the expense of small
+/// ones. Not thread-safe.
+class ResponseBudget
 {
-  std::size_t mMaxBytes = 64 * 1024 * 1024;
-  /// Fraction of mMaxBytes that a response may use even if the budget is
-  /// exhausted, so that one endless response does not end the others.
-  double mReservedFraction = 1.0 / 16;
+public:
+  explicit ResponseBudget(std::size_t aMaxBytes)
+    : mMaxBytes(aMaxBytes)
+  {
+  }
+
+  std::size_t UsedBytes() const { return mUsedBytes; }
+  /// Sets the memory that a connection uses, and gives up the largest
+  /// responses, its own perhaps, until the rest fits.
+  void Charge(HttpClientConnection& aConnection, std::size_t aBytes);
+  void Release(HttpClientConnection& aConnection);
+
+private:
+  std::size_t mMaxBytes;
   std::size_t mUsedBytes = 0;
+  std::unordered_map<HttpClientConnection*, std::size_t> mBytes;
 };
 
 /// Limits and options of a connection.
@@ -169,10 +185,10 @@
   bool OnResponseRead();
   void UpdateKeepAlive(const AnswerContent& aResponse);
   void StartTimer(Duration aTimeout);
-  /// Charges the bytes of the response that is being read to the budget.
-  /// Returns false if the response has to be given up.
-  bool ChargeBudget(std::size_t aBytes);
-  void ReleaseBudget();
+  friend class ResponseBudget;
+  /// Charges the memory of the response that is being read to the budget.
+  /// Returns false if the response was given up.
+  bool ChargeBudget();
   /// Extends the time limit as HttpClientOptions::mProgressTime tells.
   void ExtendTimer();
   void Fail(ExchangeFailureKind aKind, std::string aDetail);
@@ -190,7 +206,6 @@
   ResponseFilter mFilter;
   Duration mTimeout{};
   std::chrono::steady_clock::time_point mStartedAt{};
-  std::size_t mChargedBytes = 0;
   std::size_t mSkippedResponses = 0;
   /// Idle timeout from the server's Keep-Alive header; zero if it sent none.
   Duration mKeepAliveTimeout{};
--- a/src/netutil/http_client_endless_test.cpp
+++ b/src/netutil/http_client_endless_test.cpp
@@ -1,5 +1,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <memory>
 #include <optional>
 
 #include "netutil/exchange_for_tests.h"
@@ -134,11 +135,57 @@
 {
   HttpClientOptions options;
   options.mAcceptsCloseDelimitedBody = true;
-  options.mBudget = std::make_shared<ResponseBudget>();
-  options.mBudget->mMaxBytes = 128 * 1024;
+  options.mBudget = std::make_shared<ResponseBudget>(128 * 1024);
   CHECK(FailEndless("HTTP/1.1 200 OK\r\n\r\n", kPart, options).mKind ==
         ExchangeFailureKind::Malformed);
-  CHECK(options.mBudget->mUsedBytes == 0);
+  CHECK(options.mBudget->UsedBytes() == 0);
+}
+
+// Guards against a process that runs out of memory because many servers send
+// bytes without end, and against good answers that are given up for theirs.
+TEST_CASE("many endless bodies fail and others beside them are read")
+{
+  constexpr std::size_t kMaxBytes = 8 * 1024 * 1024;
+  constexpr std::size_t kServers = 60;
+  const std::string good(300'000, 'g');
+  boost::asio::io_context context(1);
+  std::vector<std::unique_ptr<EndlessServer>> servers;
+  for (std::size_t n = 0; n < kServers; ++n) {
+    servers.push_back(std::make_unique<EndlessServer>(
+      context,
+      n % 2 == 0 ? "HTTP/1.1 200 OK\r\n\r\n"
+                 : "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+      n % 2 == 0 ? kPart : "4000\r\n" + kPart + "\r\n"));
+  }
+  EndlessServer complete(
+    context, "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + good, "");
+  HttpClientOptions options;
+  options.mAcceptsCloseDelimitedBody = true;
+  options.mBudget = std::make_shared<ResponseBudget>(kMaxBytes);
+  HttpClientPool pool(context, { .mClient = options });
+  std::size_t failed = 0;
+  std::optional<ExchangeResult> answer;
+  const auto send = [&](const Endpoint& aServer, ExchangeHandler aHandler) {
+    pool.Start(aServer,
+               std::make_shared<const RequestContent>(
+                 RequestContent{ .mMethod = "GET", .mTarget = "/" }),
+               {},
+               std::chrono::seconds(30),
+               std::move(aHandler));
+  };
+  for (const auto& server : servers) {
+    send(server->Address(),
+         [&](const ExchangeResult& aResult) { failed += aResult ? 0 : 1; });
+  }
+  send(complete.Address(), [&](ExchangeResult aResult) { answer = aResult; });
+  std::size_t mostBytes = 0;
+  REQUIRE(RunUntil(context, [&] {
+    mostBytes = std::max(mostBytes, options.mBudget->UsedBytes());
+    return failed == kServers && answer.has_value();
+  }));
+  CHECK(mostBytes <= kMaxBytes);
+  REQUIRE(answer->has_value());
+  CHECK((*answer)->mBody == good);
 }
 
 TEST_CASE("responses without end to other requests fail the exchange")
--- a/src/netutil/http_client_test.cpp
+++ b/src/netutil/http_client_test.cpp
@@ -318,8 +318,7 @@
   RawServer server(
     context, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false);
   HttpClientPool::Options options;
-  options.mClient.mBudget = std::make_shared<ResponseBudget>();
-  options.mClient.mBudget->mUsedBytes = options.mClient.mBudget->mMaxBytes;
+  options.mClient.mBudget = std::make_shared<ResponseBudget>(0);
   HttpClientPool pool(context, options);
   CHECK(Exchange(context, pool, server.Address())->mBody == "ok");
 }
