Release a request with its exchange, not with its connection

An idle connection to a server kept the request that it had carried, with its body, until its next use or for up to 7 s: the filter that tells whether an answer belongs to the request refers to it, and was replaced only then.

The filter is dropped when the exchange ends. The new test failed before.

--- a/src/netutil/http_client.cpp
+++ b/src/netutil/http_client.cpp
@@ -417,6 +417,8 @@
   }
   mParser.reset();
   mRequest.reset();
+  // May refer to the request, which an idle connection must not keep.
+  mFilter = nullptr;
   const ExchangeHandler handler = std::move(mHandler);
   mHandler = nullptr;
   if (!mIsKeepAlive) {
@@ -433,6 +435,8 @@
   mIsConnected = false;
   mIsKeepAlive = false;
   mHandler = nullptr;
+  mFilter = nullptr;
+  mRequest.reset();
   mTimer.cancel();
   if (mOptions.mBudget) {
     mOptions.mBudget->Release(*this);
--- a/src/netutil/http_client_test.cpp
+++ b/src/netutil/http_client_test.cpp
@@ -323,6 +323,33 @@
   CHECK(Exchange(context, pool, server.Address())->mBody == "ok");
 }
 
+// Guards against idle connections that keep the bodies of the requests that
+// they have carried, through the filter that compares answers with the request.
+TEST_CASE("an idle connection does not keep the request")
+{
+  boost::asio::io_context context(1);
+  RawServer server(
+    context, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false);
+  HttpClientPool pool(context, {});
+  auto request = std::make_shared<const RequestContent>(
+    RequestContent{ .mMethod = "GET", .mTarget = "/" });
+  const std::weak_ptr<const RequestContent> kept = request;
+  bool isDone = false;
+  pool.Start(
+    server.Address(),
+    request,
+    {},
+    std::chrono::seconds(20),
+    [&](const ExchangeResult&) { isDone = true; },
+    [request](const AnswerContent&, ConnectionUse) {
+      return request != nullptr;
+    });
+  request.reset();
+  REQUIRE(RunUntil(context, [&] { return isDone; }));
+  CHECK(pool.IdleCount(server.Address()) == 1);
+  CHECK(kept.expired());
+}
+
 // Guards against rejecting complete close-delimited responses when they are
 // allowed, and against accepting one that was truncated by a reset.
 TEST_CASE("a close-delimited response is accepted if allowed")
