Bound the memory of all request bodies together

Cause: each body has a limit, all of them together had none.

Change: bodies that have no answer yet share half of the process's memory. A connection whose body finds no room is not read on, so that its caller waits; bodies of up to 64 KB have a sixteenth for themselves and do not wait for long ones. What waits for more than a second is refused with 503, what can never fit at once. Chunked bodies reserve as they grow, counted threefold, since their buffer is copied when it grows.

--- a/src/cranberrywingd/gateway_daemon.cpp
+++ b/src/cranberrywingd/gateway_daemon.cpp
@@ -20,6 +20,8 @@
 /// Fraction of the process's memory for answers of backend servers that are
 /// being read: 1 / kAnswerMemoryDivisor.
 constexpr std::size_t kAnswerMemoryDivisor = 4;
+/// The same for the bodies of callers' requests that have no answer yet.
+constexpr std::size_t kBodyMemoryDivisor = 2;
 constexpr std::size_t kMaxStoreAnswerBytes = 8 * 1024 * 1024;
 /// Time without a further part of an answer after which the store, or another
 /// VM that passes changes on, counts as unresponsive.
@@ -150,7 +152,9 @@
         .mVersion = mOptions.mDialect.mReadWriterVersion,
       })
   , mCallers(aContext,
-             { .mMaxConnections =
+             { .mMaxBodyMemory =
+                 mOptions.mSettings.mMemoryLimit / kBodyMemoryDivisor,
+               .mMaxConnections =
                  MaxCallerConnections(mOptions.mSettings.mFileLimit) },
              netutil::HttpServerHooks{
                .mOnRequest =
--- a/src/cranberrywingd/gateway_daemon_metrics.cpp
+++ b/src/cranberrywingd/gateway_daemon_metrics.cpp
@@ -136,6 +136,12 @@
   writer.Gauge("cranberrywing_store_revision",
                "Revision of this VM's copy of the store.",
                static_cast<double>(mStore.KnownPosition().mRevision));
+  writer.Gauge("cranberrywing_request_body_bytes",
+               "Memory for the bodies of requests that have no answer yet.",
+               static_cast<double>(mCallers.BodyMemory()));
+  writer.Counter("cranberrywing_request_bodies_refused_total",
+                 "Requests refused since there was no memory for their bodies.",
+                 mCallers.MemoryRejections());
   writer.Gauge("cranberrywing_store_epoch",
                "Number of times that the store was restored from a copy.",
                static_cast<double>(mStore.KnownPosition().mEpoch));
--- a/src/netutil/http_server.cpp
+++ b/src/netutil/http_server.cpp
@@ -16,6 +16,10 @@
 /// Delay before accepting again after an error, which mostly means that no file
 /// descriptor is available.
 constexpr Milliseconds kAcceptRetryDelay{ 100 };
+/// Bodies up to this size do not wait for larger ones.
+constexpr std::size_t kSmallBodyBytes = 64 * 1024;
+/// Part of the memory for bodies that only small ones may use: 1 / this.
+constexpr std::size_t kSmallBodyDivisor = 16;
 
 } // namespace
 
@@ -126,6 +130,61 @@
   }
 }
 
+bool HttpServer::IsBodyPossible(std::size_t aBytes) const
+{
+  const std::size_t max = mOptions.mMaxBodyMemory;
+  return aBytes <= max - max / kSmallBodyDivisor;
+}
+
+bool HttpServer::TryReserveBody(ConnectionId aConnection,
+                                std::size_t aBytes,
+                                bool aHoldsSome)
+{
+  const bool isSmall = aBytes <= kSmallBodyBytes;
+  const std::size_t max = mOptions.mMaxBodyMemory;
+  const std::size_t limit = isSmall ? max : max - max / kSmallBodyDivisor;
+  const bool isNext = aHoldsSome || mAwaitingMemory.empty() ||
+                      mAwaitingMemory.front() == aConnection;
+  if ((!isSmall && !isNext) || mBodyBytes > limit ||
+      aBytes > limit - mBodyBytes) {
+    return false;
+  }
+  mBodyBytes += aBytes;
+  return true;
+}
+
+void HttpServer::ReleaseBody(std::size_t aBytes)
+{
+  if (aBytes == 0) {
+    return;
+  }
+  mBodyBytes -= aBytes;
+  while (!mAwaitingMemory.empty()) {
+    const SessionPtr session = Find(mAwaitingMemory.front());
+    if (session && !session->TryReserveAwaited()) {
+      return;
+    }
+    mAwaitingMemory.pop_front();
+    if (session) {
+      session->ResumeBody();
+    }
+  }
+}
+
+void HttpServer::AwaitBodyMemory(ConnectionId aConnection, bool aHoldsSome)
+{
+  if (aHoldsSome) {
+    mAwaitingMemory.push_front(aConnection);
+  } else {
+    mAwaitingMemory.push_back(aConnection);
+  }
+}
+
+void HttpServer::StopAwaitingMemory(ConnectionId aConnection)
+{
+  std::erase(mAwaitingMemory, aConnection);
+}
+
 HttpServer::SessionPtr HttpServer::Find(ConnectionId aConnection) const
 {
   const auto it = mSessions.find(aConnection);
--- a/src/netutil/http_server.h
+++ b/src/netutil/http_server.h
@@ -8,7 +8,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <deque>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -41,6 +43,13 @@
 {
   std::size_t mMaxHeaderBytes = 16 * 1024;
   std::size_t mMaxBodyBytes = 8 * 1024 * 1024;
+  /// Maximum memory for the bodies of all requests that have no response yet.
+  /// At the limit, reading from a connection pauses before the body, so that
+  /// the caller waits. A sixteenth is left for small bodies.
+  std::size_t mMaxBodyMemory = std::numeric_limits<std::size_t>::max();
+  /// Time for which a body waits for memory; then the request is rejected with
+  /// status 503. One that the limit never permits is rejected at once.
+  Duration mMaxMemoryWait = std::chrono::seconds(1);
   /// Maximum number of requests on one connection that await responses. At the
   /// limit, reading from the connection pauses.
   std::size_t mMaxPipelinedRequests = 64;
@@ -127,6 +136,10 @@
   /// has ended.
   std::string RemoteAddress(ConnectionId aConnection) const;
   std::size_t ConnectionCount() const { return mSessions.size(); }
+  /// Memory reserved for request bodies, in bytes.
+  std::size_t BodyMemory() const { return mBodyBytes; }
+  /// Number of requests rejected since there was no memory for their bodies.
+  std::uint64_t MemoryRejections() const { return mMemoryRejections; }
   /// Sets the body size limit. Applies to requests that start after this call.
   void SetBodyLimit(std::size_t aBytes) { mOptions.mMaxBodyBytes = aBytes; }
   /// Sets the header size limit, which applies to requests that start after
@@ -155,6 +168,20 @@
   /// paused at the connection limit.
   void OnSessionClosed(ConnectionId aConnection);
   SessionPtr Find(ConnectionId aConnection) const;
+  /// Reserves memory for a request body. Small bodies do not wait for large
+  /// ones; these are served in the order in which they began to wait.
+  /// A body that is read in part already, and holds memory, goes first.
+  bool TryReserveBody(ConnectionId aConnection,
+                      std::size_t aBytes,
+                      bool aHoldsSome);
+  /// Reserves memory that is in use already.
+  void ReserveBody(std::size_t aBytes) { mBodyBytes += aBytes; }
+  void ReleaseBody(std::size_t aBytes);
+  /// Lets the session wait until memory is released.
+  void AwaitBodyMemory(ConnectionId aConnection, bool aHoldsSome);
+  void StopAwaitingMemory(ConnectionId aConnection);
+  /// Whether a body of the size can ever be read.
+  bool IsBodyPossible(std::size_t aBytes) const;
 
   boost::asio::io_context& mContext;
   HttpServerOptions mOptions;
@@ -168,6 +195,11 @@
   /// for each request and precise enough for limits in seconds.
   std::chrono::steady_clock::time_point mNow;
   bool mIsAcceptPaused = false;
+  /// Memory reserved for request bodies.
+  std::size_t mBodyBytes = 0;
+  std::uint64_t mMemoryRejections = 0;
+  /// Connections whose next body waits for memory, in order.
+  std::deque<ConnectionId> mAwaitingMemory;
 };
 
 } // namespace cranberrywing::netutil
--- a/src/netutil/http_server_test.cpp
+++ b/src/netutil/http_server_test.cpp
@@ -178,6 +178,99 @@
   fixture.Answer(0, "late");
 }
 
+namespace {
+
+constexpr std::size_t kBodyMemory = 1024 * 1024;
+constexpr std::size_t kLargeBody = 400'000;
+
+std::string Post(std::size_t aBytes)
+{
+  return "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(aBytes) +
+         "\r\n\r\n" + std::string(aBytes, 'b');
+}
+
+HttpServerOptions BodyMemoryOptions(Duration aMaxWait)
+{
+  return { .mMaxBodyMemory = kBodyMemory, .mMaxMemoryWait = aMaxWait };
+}
+
+} // namespace
+
+// Guards against a process that long bodies end for its memory, and that ends
+// the requests of other callers with it (review case 3).
+TEST_CASE("A body waits until there is memory, and small ones go on")
+{
+  Fixture fixture(BodyMemoryOptions(std::chrono::seconds(100)));
+  std::vector<std::unique_ptr<LoopbackClient>> callers;
+  for (int n = 0; n < 3; ++n) {
+    callers.push_back(std::make_unique<LoopbackClient>(fixture.mContext,
+                                                       fixture.mServer.Port()));
+    callers.back()->Send(Post(kLargeBody));
+  }
+  REQUIRE(fixture.WaitForRequests(2));
+  LoopbackClient small(fixture.mContext, fixture.mServer.Port());
+  small.Send(Post(100));
+  REQUIRE(fixture.WaitForRequests(3));
+  CHECK(fixture.mRequests[2].mBody.size() == 100);
+  fixture.Answer(2, "small");
+  REQUIRE(small.ReceiveUntil("small"));
+  CHECK(fixture.mExchanges.size() == 3);
+  fixture.Answer(0, "done");
+  REQUIRE(fixture.WaitForRequests(4));
+  CHECK(fixture.mRequests[3].mBody == std::string(kLargeBody, 'b'));
+  // Memory is released by callers that leave as well.
+  callers[0]->Send(Post(kLargeBody));
+  callers[1]->Close();
+  REQUIRE(fixture.WaitForRequests(5));
+}
+
+TEST_CASE("A body for which there is no memory is refused")
+{
+  const std::string chunk = "4000\r\n" + std::string(0x4000, 'b') + "\r\n";
+  std::string chunks = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int n = 0; n < 30; ++n) {
+    chunks += chunk;
+  }
+  for (const std::string& request :
+       { Post(kBodyMemory), chunks, Post(kLargeBody) }) {
+    Fixture fixture(BodyMemoryOptions(Duration::zero()));
+    std::vector<std::unique_ptr<LoopbackClient>> holders;
+    for (int n = 0; n < 2; ++n) {
+      holders.push_back(std::make_unique<LoopbackClient>(
+        fixture.mContext, fixture.mServer.Port()));
+      holders.back()->Send(Post(kLargeBody));
+    }
+    REQUIRE(fixture.WaitForRequests(2));
+    LoopbackClient caller(fixture.mContext, fixture.mServer.Port());
+    caller.Send(request);
+    REQUIRE(caller.ReceiveUntilClosed());
+    CHECK(caller.Received().starts_with("HTTP/1.1 503 "));
+    CHECK(caller.Received().find("Retry-After: 1\r\n") != std::string::npos);
+    CHECK(fixture.mRequests.size() == 2);
+  }
+}
+
+// Guards against memory that is counted as in use for good.
+TEST_CASE("The memory of bodies is released however their requests end")
+{
+  Fixture fixture(BodyMemoryOptions(std::chrono::seconds(100)));
+  for (std::size_t n = 0; n < 20; ++n) {
+    LoopbackClient caller(fixture.mContext, fixture.mServer.Port());
+    const bool isCut = n % 2 == 0;
+    caller.Send(isCut ? Post(kLargeBody).substr(0, kLargeBody / 2)
+                      : Post(kLargeBody));
+    if (!isCut) {
+      REQUIRE(fixture.WaitForRequests(n / 2 + 1));
+      if (n % 4 == 1) {
+        fixture.Answer(n / 2, "done");
+      }
+    }
+  }
+  LoopbackClient last(fixture.mContext, fixture.mServer.Port());
+  last.Send(Post(kBodyMemory - kBodyMemory / 16));
+  REQUIRE(fixture.WaitForRequests(11));
+}
+
 // Guards against unbounded memory use for a client that sends requests without
 // reading responses.
 TEST_CASE("reading pauses beyond the pipelining limit")
--- a/src/netutil/http_session.cpp
+++ b/src/netutil/http_session.cpp
@@ -21,6 +21,11 @@
 constexpr std::size_t kReadPauseOutputBytes = 1024 * 1024;
 /// Maximum time to wait for the peer to close after the last response.
 constexpr std::chrono::seconds kDrainTimeout{ 2 };
+/// Memory that a body of unknown length uses at most while its buffer grows, as
+/// a multiple of its size.
+constexpr std::size_t kGrowthFactor = 3;
+/// Told to callers whose body found no memory.
+constexpr Milliseconds kMemoryRetryDelay{ 250 };
 
 std::string ToText(boost::beast::string_view aText)
 {
@@ -62,7 +67,7 @@
 
 bool HttpSession::CanRead() const
 {
-  if (mIsReading || mIsClosed) {
+  if (mIsReading || mIsClosed || mAwaitsMemory) {
     return false;
   }
   if (mIsClosing) {
@@ -134,7 +139,7 @@
 
 bool HttpSession::ParseNextRequest()
 {
-  if (mBuffer.size() == 0 ||
+  if (mBuffer.size() == 0 || mAwaitsMemory ||
       mPending.size() >= mServer->mOptions.mMaxPipelinedRequests ||
       mOutput.size() >= kReadPauseOutputBytes) {
     return false;
@@ -161,7 +166,76 @@
   if (!hadHeader && mParser->is_header_done()) {
     OnHeaderRead();
   }
-  return ec != http::error::need_more;
+  return ReserveBody() && ec != http::error::need_more;
+}
+
+std::size_t HttpSession::NeededBodyBytes() const
+{
+  if (!mParser->is_header_done()) {
+    return 0;
+  }
+  const auto length = mParser->content_length();
+  return length ? *length
+                : kGrowthFactor *
+                    std::max(kBodyReadBytes, mParser->get().body().size());
+}
+
+bool HttpSession::ReserveBody()
+{
+  const std::size_t needed = NeededBodyBytes();
+  if (needed <= mReservedBytes) {
+    return true;
+  }
+  if (!mServer->IsBodyPossible(needed)) {
+    RejectForMemory();
+    return false;
+  }
+  if (TryReserveAwaited()) {
+    AppendContinue();
+    return true;
+  }
+  mAwaitsMemory = true;
+  mAwaitsSince = mServer->mNow;
+  mServer->AwaitBodyMemory(mId, mReservedBytes > 0);
+  return false;
+}
+
+bool HttpSession::TryReserveAwaited()
+{
+  const std::size_t needed = NeededBodyBytes();
+  const bool isReserved =
+    mServer->TryReserveBody(mId, needed - mReservedBytes, mReservedBytes > 0);
+  if (isReserved) {
+    mReservedBytes = needed;
+  }
+  return isReserved;
+}
+
+void HttpSession::ResumeBody()
+{
+  mAwaitsMemory = false;
+  // The time limit for sending the request is the caller's.
+  mRequestStart += mServer->mNow - mAwaitsSince;
+  AppendContinue();
+  Advance();
+}
+
+void HttpSession::ReleaseReserved()
+{
+  if (mAwaitsMemory) {
+    mAwaitsMemory = false;
+    mServer->StopAwaitingMemory(mId);
+  }
+  mServer->ReleaseBody(std::exchange(mReservedBytes, 0));
+}
+
+void HttpSession::RejectForMemory()
+{
+  ++mServer->mMemoryRejections;
+  RejectRequest(ResultCode::Overloaded,
+                "no memory for the request body",
+                503,
+                kMemoryRetryDelay);
 }
 
 void HttpSession::OnHeaderRead()
@@ -169,7 +243,6 @@
   const auto expect = mParser->get()[http::field::expect];
   if (boost::beast::iequals(expect, "100-continue")) {
     mIsContinuePending = true;
-    AppendContinue();
   }
 }
 
@@ -214,11 +287,16 @@
       { ToText(field.name_string()), ToText(field.value()) });
   }
   request.mBody = std::move(message.body());
+  if (request.mBody.size() > mReservedBytes) {
+    mServer->ReserveBody(request.mBody.size() - mReservedBytes);
+    mReservedBytes = request.mBody.size();
+  }
   mIsClosing = mIsCloseRequested || !message.keep_alive();
   const ExchangeId exchange{ mId, mNextNumber++ };
   PendingExchange pending;
   pending.mNumber = exchange.mNumber;
   pending.mIsHead = message.method() == http::verb::head;
+  pending.mBodyBytes = std::exchange(mReservedBytes, 0);
   mPending.push_back(std::move(pending));
   mParser.reset();
   mServer->mHooks.mOnRequest(exchange, std::move(request));
@@ -242,13 +320,14 @@
 
 void HttpSession::RejectRequest(ResultCode aCode,
                                 std::string aDetail,
-                                unsigned aStatus)
+                                unsigned aStatus,
+                                Duration aRetryAfter)
 {
   AnswerContent response = *MakeProblemResponse(Refusal{
     .mCode = aCode,
     .mExecution = Execution::NotRun,
     .mDetail = std::move(aDetail),
-    .mRetryAfter = {},
+    .mRetryAfter = aRetryAfter,
   });
   response.mStatus = aStatus;
   PendingExchange pending;
@@ -259,6 +338,7 @@
   mIsClosing = true;
   mIsContinuePending = false;
   mParser.reset();
+  ReleaseReserved();
   FlushResponses();
 }
 
@@ -278,6 +358,13 @@
     }
     return;
   }
+  if (mAwaitsMemory) {
+    if (now - mAwaitsSince > limits.mMaxMemoryWait) {
+      RejectForMemory();
+      Advance();
+    }
+    return;
+  }
   if (mIsClosing || !mPending.empty()) {
     return;
   }
--- a/src/netutil/http_session.h
+++ b/src/netutil/http_session.h
@@ -43,6 +43,11 @@
   /// passed. Called by the server's sweep.
   void CheckTimeouts();
   const std::string& RemoteAddress() const { return mRemoteAddress; }
+  /// Reserves the memory that the next part of the body waits for, if there is
+  /// enough. Precondition: the session waits for it.
+  bool TryReserveAwaited();
+  /// Continues to read the body after TryReserveAwaited.
+  void ResumeBody();
 
 private:
   using Clock = std::chrono::steady_clock;
@@ -57,6 +62,8 @@
     bool mIsStreaming = false;
     AnswerContentPtr mResponse;
     std::vector<Header> mExtraHeaders;
+    /// Memory reserved for the request's body until the response is given.
+    std::size_t mBodyBytes = 0;
   };
 
   void Read();
@@ -72,11 +79,21 @@
   /// read.
   bool ParseNextRequest();
   void OnHeaderRead();
+  /// Memory that the body needs as far as it is known.
+  std::size_t NeededBodyBytes() const;
+  /// Reserves the memory that the body needs; returns false if reading has to
+  /// wait for it, or if the request was rejected.
+  bool ReserveBody();
+  void ReleaseReserved();
   void DispatchRequest();
   void RejectParseError(boost::system::error_code aError);
   /// Rejects the request being read and closes the connection after the
   /// response.
-  void RejectRequest(ResultCode aCode, std::string aDetail, unsigned aStatus);
+  void RejectRequest(ResultCode aCode,
+                     std::string aDetail,
+                     unsigned aStatus,
+                     Duration aRetryAfter = {});
+  void RejectForMemory();
   /// Whether part of a request has been read.
   bool HasPartialRequest() const;
 
@@ -104,6 +121,11 @@
   std::size_t mWritten = 0;
   Clock::time_point mLastActivity;
   Clock::time_point mRequestStart;
+  /// Memory reserved for the body that is being read.
+  std::size_t mReservedBytes = 0;
+  /// Whether reading waits for memory, and since when.
+  bool mAwaitsMemory = false;
+  Clock::time_point mAwaitsSince;
   bool mIsReading = false;
   bool mIsWriting = false;
   /// Responses are collected until all buffered requests are parsed, so that
--- a/src/netutil/http_session_output.cpp
+++ b/src/netutil/http_session_output.cpp
@@ -75,6 +75,7 @@
   }
   pending->mResponse = std::move(aResponse);
   pending->mExtraHeaders = aOptions.mExtraHeaders;
+  mServer->ReleaseBody(std::exchange(pending->mBodyBytes, 0));
   if (aOptions.mCloseAfter) {
     mIsCloseRequested = true;
     mIsClosing = mIsClosing || !HasPartialRequest();
@@ -152,6 +153,7 @@
     return;
   }
   mOutput += "0\r\n\r\n";
+  mServer->ReleaseBody(mPending.front().mBodyBytes);
   mPending.pop_front();
   FlushResponses();
   Advance();
@@ -238,10 +240,12 @@
   }
   const auto self = shared_from_this();
   HttpServer& server = *mServer;
+  ReleaseReserved();
   for (const PendingExchange& pending : mPending) {
     if (!pending.mResponse) {
       server.mHooks.mOnAborted(ExchangeId{ mId, pending.mNumber });
     }
+    server.ReleaseBody(pending.mBodyBytes);
   }
   server.OnSessionClosed(mId);
 }
