Confirm a VM's copy of the store only by answers that tell its changes

Cause: OnLeaseReply took each renewal for a confirmation of the copy, although it states no revision. The watch stayed pending for its wait and the call's time limit, 5 s and 1 s, and the relay told the other VMs of the group an age of half a second, so that they did not read the store either.

Change: only an answer that tells changes, or that there are none, confirms a copy. The first of all elected VMs watches for 0.5 s at a time; the other elected VMs ask it every 125 ms and keep their long watches while its confirmation is recent. One that nobody has confirmed for 1.1 s replaces its watch.

The follower's two new tests failed with the confirmation by renewals, or without the replacement. The test of the price failed while no VM was first. The relay's test of lost answers held without the replacement as soon as ages were true, since other VMs of the group then read the store.

--- a/src/cranberrywingd/gateway_daemon_store.cpp
+++ b/src/cranberrywingd/gateway_daemon_store.cpp
@@ -184,7 +184,9 @@
 
 void GatewayDaemon::Execute(gateway::effect::FollowStore& aEffect)
 {
-  mStore.SetFollowing(aEffect.mFollowing, ReadClock());
+  const TimePoint now = ReadClock();
+  mStore.SetFollowing(aEffect.mFollowing, now);
+  mStore.SetConfirming(aEffect.mIsConfirming, now);
 }
 
 void GatewayDaemon::Execute(gateway::effect::ReadStore&)
--- a/src/include/cranberrywing/gateway/event.h
+++ b/src/include/cranberrywing/gateway/event.h
@@ -310,6 +310,10 @@
 struct FollowStore
 {
   StoreFollowing mFollowing = StoreFollowing::Eager;
+  /// See StoreFollower::SetConfirming.
+  bool mIsConfirming = true;
+
+  bool operator==(const FollowStore&) const = default;
 };
 
 /// Reads the store's changes once although this VM does not follow it.
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -435,7 +435,8 @@
   ServerReach mServerReach;
   FleetView mFleet;
   StoreRelay mStoreRelay;
-  StoreFollowing mStoreFollowing = StoreFollowing::Eager;
+  /// As last told to the driver.
+  effect::FollowStore mFollowStore;
   RegionPlan mRegionPlan;
   RegionTraffic mRegionTraffic;
   ObjectSelector mSelector;
--- a/src/include/cranberrywing/gateway/store_follower.h
+++ b/src/include/cranberrywing/gateway/store_follower.h
@@ -167,9 +167,13 @@
     /// Key of this VM's permanent roster entry, from which processes that start
     /// later learn which VMs exist. Written once, with mOwnValue.
     std::string mRosterKey;
-    /// Maximum wait of a watch. It is long because each call is charged; lease
-    /// renewals, at a tenth of a watch's price, detect an outage meanwhile.
+    /// Maximum wait of a watch while other VMs confirm this VM's copy. It is
+    /// long because each call is charged; lease renewals, at a tenth of a
+    /// watch's price, detect an outage meanwhile.
     Milliseconds mWatchWait{ 5000 };
+    /// The same while no other VM does: time after which the store has to
+    /// answer again. A lost answer is noticed after this time and mCallTimeout.
+    Milliseconds mConfirmInterval{ 500 };
     Duration mCallTimeout = std::chrono::milliseconds(1000);
     /// Pause after changes, so that the next watch returns several at once.
     Duration mBatchDelay = std::chrono::milliseconds(500);
@@ -185,8 +189,7 @@
     Duration mLeaseRetryDelay = std::chrono::milliseconds(1600);
     Milliseconds mLeaseTtl{ 4000 };
     Duration mRenewInterval = std::chrono::milliseconds(1300);
-    /// Replaces mRenewInterval while this VM reads the store for others, which
-    /// need to know that it is reachable.
+    /// Replaces mRenewInterval while this VM reads the store for others.
     Duration mFollowingRenewInterval = std::chrono::milliseconds(500);
     /// Time after an outage within which servers have restored their expired
     /// entries.
@@ -216,6 +219,9 @@
   /// Reads the store itself, or leaves that to other VMs. The first listing is
   /// always read. A watch in progress is not ended.
   void SetFollowing(StoreFollowing aFollowing, TimePoint aNow);
+  /// Whether this VM has to confirm its copy itself, by short watches. Replaces
+  /// a long watch in progress: its answer may have been lost.
+  void SetConfirming(bool aIsConfirming, TimePoint aNow);
   /// Reads the changes once, without waiting for any, while this VM does not
   /// follow the store. A failed call is not repeated.
   void ReadOnce(TimePoint aNow);
@@ -227,8 +233,9 @@
   bool IsStoreReachable() const { return mIsReachable; }
   /// Store position up to which all changes were delivered or are pending.
   StorePosition KnownPosition() const { return mMirror.GetPosition(); }
-  /// Time at which the store last answered while this VM followed it; nullopt
-  /// if this VM does not follow it or cannot reach it.
+  /// Time at which the store last told this VM its changes, or that there are
+  /// none; nullopt if this VM does not follow it or cannot reach it. Answers to
+  /// other calls say nothing about changes.
   std::optional<TimePoint> ConfirmedAt() const;
   const StoreMirror& Mirror() const { return mMirror; }
   /// Entries that are kept although the store holds an older state.
@@ -254,14 +261,12 @@
 
   void Call(StoreChannel aChannel, const StoreCall& aCall);
   void ContinueFollow(TimePoint aNow);
+  /// Maximum wait of a watch that starts now.
+  Milliseconds WatchWait(TimePoint aNow) const;
+  /// Starts a call instead of the one in progress.
+  void ReplaceFollowCall(TimePoint aNow);
   void OnFollowReply(const StoreReply& aReply, TimePoint aNow);
   void Apply(const StoreChange& aChange, bool aIsMassLoss, TimePoint aNow);
-  void ApplyRemoval(const std::string& aKey, bool aIsMassLoss, TimePoint aNow);
-  /// Whether so many lease-bound entries were removed at once that an outage of
-  /// the store is the likely cause.
-  bool IsMassLoss(const std::vector<std::string>& aRemoved) const;
-  /// Delivers pending removals whose entry was not restored in time.
-  void ApplyDueRemovals(TimePoint aNow);
   /// Records whether the store is reachable and reports a change.
   void SetReachable(bool aIsReached, TimePoint aNow);
   /// Delivers a set of changes that the store or another VM reported together.
@@ -277,6 +282,14 @@
   /// aDelay plus up to half of it at random.
   Duration AddJitter(Duration aDelay);
 
+  // store_follower_removals.cpp
+  void ApplyRemoval(const std::string& aKey, bool aIsMassLoss, TimePoint aNow);
+  /// Whether so many lease-bound entries were removed at once that an outage of
+  /// the store is the likely cause.
+  bool IsMassLoss(const std::vector<std::string>& aRemoved) const;
+  /// Delivers pending removals whose entry was not restored in time.
+  void ApplyDueRemovals(TimePoint aNow);
+
   // store_follower_restore.cpp
   /// Replaces the known items by the first listing of an epoch, which is older
   /// than what is known.
@@ -315,6 +328,7 @@
 
   StoreFollowing mFollowing = StoreFollowing::Eager;
   bool mReadsOnce = false;
+  bool mIsConfirming = true;
   FollowState mState = FollowState::Listing;
   std::string mAfterKey;
   /// Keys of which a set of changes that is being applied has set values. They
@@ -334,10 +348,12 @@
   FollowState mFollowCallState = FollowState::Listing;
   /// Epoch of the revision that a watch in progress continues from.
   std::int64_t mFollowCallEpoch = 0;
+  /// Maximum wait of a watch in progress; 0 for a listing.
+  Milliseconds mFollowCallWait{};
   TimePoint mNextFollowCall{};
   Duration mRetryDelay{};
   bool mIsReachable = false;
-  TimePoint mAnsweredAt{};
+  TimePoint mConfirmedAt{};
   bool mHadOutage = false;
   TimePoint mReachableAgainAt{};
 
--- a/src/include/cranberrywing/gateway/store_relay.h
+++ b/src/include/cranberrywing/gateway/store_relay.h
@@ -3,7 +3,9 @@
 /// other VMs.
 ///
 /// The VMs of a group, a failure domain or a small region, elect one of them to
-/// follow the store. The others ask it for its store revision and for how long
+/// follow the store. The first of all elected VMs reads it often, and confirms
+/// to the other elected ones, whose watches are long, that they have missed no
+/// change. The others ask it for its store revision and for how long
 /// ago the store confirmed it, and are told unasked when the revision changes.
 /// A VM whose revision is lower pulls the difference. A VM without a recent
 /// confirmation reads the store itself, so that a VM that dies, is paused or is
@@ -38,10 +40,15 @@
     /// to mMaxSteps, so that not all start at once.
     Duration mAgeStep = std::chrono::milliseconds(60);
     std::size_t mMaxSteps = 6;
+    /// Replaces mAgeLimit at an elected VM, as the age above which it reads the
+    /// store often. mAgeStep is added for each elected VM that precedes it.
+    Duration mElectedAgeLimit = std::chrono::milliseconds(1100);
     /// Interval of queries. It grows with a group of more than mUsualGroup VMs,
     /// up to mMaxQueryInterval, to limit the load of the elected VM.
     Duration mQueryInterval = std::chrono::milliseconds(250);
     Duration mMaxQueryInterval = std::chrono::milliseconds(500);
+    /// Interval of an elected VM's queries to the first elected one.
+    Duration mElectedQueryInterval = std::chrono::milliseconds(125);
     std::size_t mUsualGroup = 25;
     /// Age above which further VMs are asked besides the elected one.
     Duration mDoubtAge = std::chrono::milliseconds(900);
@@ -89,6 +96,9 @@
   void Tick(const FleetView& aFleet, TimePoint aNow);
   /// How this VM has to follow the store now.
   StoreFollowing Following(TimePoint aNow) const;
+  /// Whether this VM has to read the store often while it follows it, because
+  /// no other VM confirms its copy soon enough.
+  bool IsConfirming(TimePoint aNow) const;
   /// Returns the pull to start now, if any. OnPullEnded has to follow.
   std::optional<StorePull> TakePull(TimePoint aNow);
   void OnPullEnded(PullResult aResult, TimePoint aNow);
@@ -137,8 +147,10 @@
     std::vector<RelayEndpoint> mMates;
     /// Other VMs of the group, which are silent, leaving or have no entry.
     std::vector<RelayEndpoint> mSilentMates;
-    /// The elected VMs of the other groups.
+    /// The elected VMs of the other groups, in the same order.
     std::vector<RelayEndpoint> mOtherElected;
+    /// Number of mOtherElected that precede this VM.
+    std::size_t mElectedRank = 0;
     /// Number of usable VMs that precede this VM in its group.
     std::size_t mRank = 0;
   };
@@ -155,6 +167,16 @@
   /// VM may not know.
   bool HasUnknownEntries(const Source& aSource, TimePoint aNow) const;
   bool IsElected() const { return mGroups.mRank == 0; }
+  /// Whether this VM is the elected one that confirms the copies of the others.
+  bool IsFirstElected() const
+  {
+    return IsElected() && mGroups.mElectedRank == 0;
+  }
+  /// Whether another VM has confirmed this VM's copy within aLimit and
+  /// mAgeStep for each of the preceding VMs.
+  bool IsConfirmedByOther(Duration aLimit,
+                          std::size_t aPreceding,
+                          TimePoint aNow) const;
 
   Options mOptions;
   std::uint64_t mSelfHash = 0;
--- a/src/libcranberrywing/gateway/gateway_upkeep.cpp
+++ b/src/libcranberrywing/gateway/gateway_upkeep.cpp
@@ -72,10 +72,12 @@
 void Gateway::RelayStoreChanges()
 {
   mStoreRelay.Tick(mFleet, mNow);
-  const StoreFollowing following = mStoreRelay.Following(mNow);
-  if (following != mStoreFollowing) {
-    mStoreFollowing = following;
-    mEffects.push_back(effect::FollowStore{ following });
+  const effect::FollowStore follow{ .mFollowing = mStoreRelay.Following(mNow),
+                                    .mIsConfirming =
+                                      mStoreRelay.IsConfirming(mNow) };
+  if (follow != mFollowStore) {
+    mFollowStore = follow;
+    mEffects.push_back(follow);
   }
   if (const auto pull = mStoreRelay.TakePull(mNow)) {
     mEffects.push_back(effect::PullStoreChanges{ *pull });
--- a/src/libcranberrywing/gateway/store_follower.cpp
+++ b/src/libcranberrywing/gateway/store_follower.cpp
@@ -52,16 +52,37 @@
   mFollowCallState = mState;
   mFollowCallEpoch = mMirror.GetPosition().mEpoch;
   if (mState == FollowState::Listing) {
+    mFollowCallWait = Milliseconds::zero();
     Call(StoreChannel::Follow, store_call::ListPage{ mAfterKey });
   } else {
-    // During an outage a watch only serves to detect that the store is back.
-    const bool mayWait = mIsReachable && !mReadsOnce;
-    const Milliseconds wait = mayWait ? mOptions.mWatchWait : Milliseconds(1);
+    mFollowCallWait = WatchWait(aNow);
     mReadsOnce = false;
-    Call(StoreChannel::Follow, store_call::Watch{ mRevision, wait });
+    Call(StoreChannel::Follow, store_call::Watch{ mRevision, mFollowCallWait });
   }
 }
 
+Milliseconds StoreFollower::WatchWait(TimePoint aNow) const
+{
+  constexpr Milliseconds kNoWait{ 1 };
+  // During an outage a watch only serves to detect that the store is back.
+  if (!mIsReachable || mReadsOnce) {
+    return kNoWait;
+  }
+  return mIsConfirming
+           ? std::clamp(std::chrono::duration_cast<Milliseconds>(
+                          mConfirmedAt + mOptions.mConfirmInterval - aNow),
+                        kNoWait,
+                        mOptions.mConfirmInterval)
+           : mOptions.mWatchWait;
+}
+
+void StoreFollower::ReplaceFollowCall(TimePoint aNow)
+{
+  mIsFollowCallPending = false;
+  mNextFollowCall = aNow;
+  ContinueFollow(aNow);
+}
+
 void StoreFollower::OnReply(StoreChannel aChannel,
                             const StoreReply& aReply,
                             TimePoint aNow)
@@ -72,9 +93,8 @@
     if (epoch == EpochCheck::New &&
         (mState == FollowState::Listing || mFollowing != StoreFollowing::Off)) {
       // A watch in progress may wait for a revision of the epoch before.
-      mIsFollowCallPending = false;
       StartListing(aNow);
-      ContinueFollow(aNow);
+      ReplaceFollowCall(aNow);
     } else if (epoch == EpochCheck::Known && mLeaseCallEpoch == mEpoch) {
       OnLeaseReply(aReply, aNow);
     }
@@ -131,6 +151,15 @@
   ContinueFollow(aNow);
 }
 
+void StoreFollower::SetConfirming(bool aIsConfirming, TimePoint aNow)
+{
+  mIsConfirming = aIsConfirming;
+  if (mIsConfirming && mIsFollowCallPending &&
+      mFollowCallWait > mOptions.mConfirmInterval) {
+    ReplaceFollowCall(aNow);
+  }
+}
+
 void StoreFollower::ReadOnce(TimePoint aNow)
 {
   mReadsOnce = mFollowing == StoreFollowing::Off;
@@ -142,7 +171,7 @@
 {
   const bool isFollowing =
     mState == FollowState::Watching && mFollowing != StoreFollowing::Off;
-  return isFollowing && mIsReachable ? std::optional(mAnsweredAt)
+  return isFollowing && mIsReachable ? std::optional(mConfirmedAt)
                                      : std::nullopt;
 }
 
@@ -188,10 +217,10 @@
   }
   SetReachable(true, aNow);
   HastenLeaseCall(aNow);
-  mAnsweredAt = aNow;
   mRetryDelay = Duration::zero();
   mNextFollowCall = aNow;
   if (mState == FollowState::Watching) {
+    mConfirmedAt = aNow;
     ApplyChanges(aReply.mChanges, aNow);
     mRevision = std::max(mRevision, aReply.mRevision);
     mMirror.SetRevision(mRevision);
@@ -204,6 +233,7 @@
     // Later pages may be newer. Watching from the first page's revision may
     // repeat changes that they contain, but misses none.
     mListRevision = aReply.mRevision;
+    mConfirmedAt = aNow;
   }
   for (const StoreItem& item : aReply.mItems) {
     mListedItems[item.mKey] = item;
@@ -315,19 +345,6 @@
   MergeCarried(aDelta.mCarried, aNow);
 }
 
-bool StoreFollower::IsMassLoss(const std::vector<std::string>& aRemoved) const
-{
-  const auto leaseBound = static_cast<double>(std::count_if(
-    mDeliveredRevisions.begin(),
-    mDeliveredRevisions.end(),
-    [this](const auto& aEntry) { return mHooks.mIsLeaseBound(aEntry.first); }));
-  const auto lost = static_cast<double>(std::count_if(
-    aRemoved.begin(), aRemoved.end(), [this](const std::string& aKey) {
-      return mHooks.mIsLeaseBound(aKey);
-    }));
-  return lost >= 3 && lost >= mOptions.mMassLossFraction * leaseBound;
-}
-
 void StoreFollower::Apply(const StoreChange& aChange,
                           bool aIsMassLoss,
                           TimePoint aNow)
@@ -358,42 +375,4 @@
   }
 }
 
-void StoreFollower::ApplyRemoval(const std::string& aKey,
-                                 bool aIsMassLoss,
-                                 TimePoint aNow)
-{
-  if (!mDeliveredRevisions.contains(aKey)) {
-    return;
-  }
-  // A few removals are those of servers that left. Many at once are leases that
-  // expired during an outage of the store; servers that still run will restore
-  // their entries.
-  if (mHooks.mIsLeaseBound(aKey) &&
-      (aIsMassLoss || !mPendingRemovals.empty())) {
-    const bool isRecentlyReachable =
-      mHadOutage && aNow - mReachableAgainAt < mOptions.mRestoreTime;
-    mPendingRemovals.emplace(aKey,
-                             (isRecentlyReachable ? mReachableAgainAt : aNow) +
-                               mOptions.mRestoreTime);
-    return;
-  }
-  mDeliveredRevisions.erase(aKey);
-  mHooks.mOnChange({ .mItem = { .mKey = aKey }, .mIsRemoved = true });
-}
-
-void StoreFollower::ApplyDueRemovals(TimePoint aNow)
-{
-  for (auto it = mPendingRemovals.begin(); it != mPendingRemovals.end();) {
-    if (aNow < it->second) {
-      ++it;
-      continue;
-    }
-    const std::string key = it->first;
-    it = mPendingRemovals.erase(it);
-    if (mDeliveredRevisions.erase(key) > 0) {
-      mHooks.mOnChange({ .mItem = { .mKey = key }, .mIsRemoved = true });
-    }
-  }
-}
-
 } // namespace cranberrywing::gateway
--- a/src/libcranberrywing/gateway/store_follower_lease.cpp
+++ b/src/libcranberrywing/gateway/store_follower_lease.cpp
@@ -43,13 +43,10 @@
       // Replace the watch in progress: it would not detect the outage for
       // seconds, and would not be answered after the outage either.
       SetReachable(false, aNow);
-      mIsFollowCallPending = false;
-      mNextFollowCall = aNow;
-      ContinueFollow(aNow);
+      ReplaceFollowCall(aNow);
     }
     return;
   }
-  mAnsweredAt = aNow;
   if (mFollowing == StoreFollowing::Off) {
     SetReachable(true, aNow);
   }
--- a/src/libcranberrywing/gateway/store_follower_test.cpp
+++ b/src/libcranberrywing/gateway/store_follower_test.cpp
@@ -191,6 +191,51 @@
         std::chrono::milliseconds(1));
 }
 
+// Guards against VMs that stay on an old configuration for seconds: a renewal
+// passed for the answer to a watch that was lost.
+TEST_CASE("Only an answer that tells changes confirms the copy")
+{
+  Follower follower;
+  follower.ReadServers(4);
+  const TimePoint readAt = follower.mNow;
+  CHECK(follower.mFollower.ConfirmedAt() == readAt);
+  const StoreReply ok{ .mStatus = StoreStatus::Ok, .mLease = 5 };
+  for (int n = 0; n < 3; ++n) {
+    follower.Reply(ok, StoreChannel::Lease);
+  }
+  follower.Advance(StoreFollower::Options{}.mFollowingRenewInterval);
+  REQUIRE(std::holds_alternative<store_call::RenewLease>(*follower.mLease));
+  follower.Reply(ok, StoreChannel::Lease);
+  CHECK(follower.mFollower.ConfirmedAt() == readAt);
+  follower.Reply({ .mStatus = StoreStatus::Ok, .mRevision = 10 });
+  CHECK(follower.mFollower.ConfirmedAt() == follower.mNow);
+}
+
+// Guards against the same: a long watch whose answer was lost stays pending.
+TEST_CASE("A VM that has to confirm its copy replaces a long watch")
+{
+  Follower follower;
+  const StoreFollower::Options options;
+  follower.mFollower.SetConfirming(false, follower.mNow);
+  follower.ReadServers(4);
+  const auto wait = [&] {
+    REQUIRE(follower.mFollow);
+    return std::get<store_call::Watch>(*follower.mFollow).mWait;
+  };
+  CHECK(wait() == options.mWatchWait);
+  follower.mFollow.reset();
+  follower.Advance(std::chrono::seconds(1));
+  CHECK_FALSE(follower.mFollow);
+  follower.mFollower.SetConfirming(true, follower.mNow);
+  CHECK(wait() == Milliseconds(1));
+  follower.Reply({ .mStatus = StoreStatus::Ok, .mRevision = 10 });
+  CHECK(wait() == options.mConfirmInterval);
+  // A short watch in progress is not replaced.
+  follower.mFollow.reset();
+  follower.mFollower.SetConfirming(true, follower.mNow);
+  CHECK_FALSE(follower.mFollow);
+}
+
 TEST_CASE("Changes that another VM read are applied once")
 {
   Follower follower;
--- a/src/libcranberrywing/gateway/store_relay.cpp
+++ b/src/libcranberrywing/gateway/store_relay.cpp
@@ -134,7 +134,16 @@
     groups.mRank += order < mSelfHash ? 1 : 0;
     groups.mMates.push_back(std::move(mate));
   }
+  std::vector<const Peer*> others;
   for (const auto& [group, peer] : elected) {
+    others.push_back(peer);
+  }
+  std::sort(
+    others.begin(), others.end(), [](const Peer* aOne, const Peer* aOther) {
+      return OrderOf(aOne->mRecord.mVm) < OrderOf(aOther->mRecord.mVm);
+    });
+  for (const Peer* const peer : others) {
+    groups.mElectedRank += OrderOf(peer->mRecord.mVm) < mSelfHash ? 1 : 0;
     groups.mOtherElected.push_back(EndpointOf(peer->mRecord));
   }
   return groups;
@@ -166,13 +175,27 @@
   return latest ? std::optional(aNow - latest->mAt) : std::nullopt;
 }
 
-StoreFollowing StoreRelay::Following(TimePoint aNow) const
+bool StoreRelay::IsConfirmedByOther(Duration aLimit,
+                                    std::size_t aPreceding,
+                                    TimePoint aNow) const
 {
   const auto steps =
-    static_cast<Duration::rep>(std::min(mGroups.mRank, mOptions.mMaxSteps));
+    static_cast<Duration::rep>(std::min(aPreceding, mOptions.mMaxSteps));
+  return mConfirmation &&
+         aNow - mConfirmation->mAt <= aLimit + steps * mOptions.mAgeStep;
+}
+
+bool StoreRelay::IsConfirming(TimePoint aNow) const
+{
+  return !IsElected() || IsFirstElected() ||
+         !IsConfirmedByOther(
+           mOptions.mElectedAgeLimit, mGroups.mElectedRank, aNow);
+}
+
+StoreFollowing StoreRelay::Following(TimePoint aNow) const
+{
   const bool isFresh =
-    mConfirmation &&
-    aNow - mConfirmation->mAt <= mOptions.mAgeLimit + steps * mOptions.mAgeStep;
+    IsConfirmedByOther(mOptions.mAgeLimit, mGroups.mRank, aNow);
   if (IsElected()) {
     const bool needsStore = mProgress.mConfirmedAt || !isFresh;
     return needsStore ? StoreFollowing::Eager : StoreFollowing::Patient;
@@ -260,21 +283,25 @@
 {
   const bool readsStore = mProgress.mConfirmedAt &&
                           aNow - *mProgress.mConfirmedAt <= mOptions.mDoubtAge;
-  if (aNow < mNextQuery || (IsElected() && readsStore)) {
+  if (aNow < mNextQuery || (IsFirstElected() && readsStore)) {
     return {};
   }
   const auto growth = static_cast<Duration::rep>(
     mGroups.mMates.size() / std::max<std::size_t>(1, mOptions.mUsualGroup));
-  mNextQuery = aNow + std::min((1 + growth) * mOptions.mQueryInterval,
-                               mOptions.mMaxQueryInterval);
+  mNextQuery =
+    aNow + (IsElected() ? mOptions.mElectedQueryInterval
+                        : std::min((1 + growth) * mOptions.mQueryInterval,
+                                   mOptions.mMaxQueryInterval));
   std::vector<RelayEndpoint> receivers;
   std::vector<RelayEndpoint> further = mGroups.mOtherElected;
   further.insert(further.end(), mGroups.mMates.begin(), mGroups.mMates.end());
   if (!IsElected()) {
     receivers.push_back(mGroups.mMates.front());
+  } else if (!IsFirstElected()) {
+    receivers.push_back(mGroups.mOtherElected.front());
   }
   const auto age = Age(aNow);
-  const bool isInDoubt = IsElected() || !age || *age > mOptions.mDoubtAge;
+  const bool isInDoubt = !age || *age > mOptions.mDoubtAge;
   const std::size_t count =
     isInDoubt ? std::min(mOptions.mFurtherQueries, further.size()) : 0;
   for (std::size_t n = 0; n < count; ++n) {
--- a/src/libcranberrywing/gateway/store_relay_test.cpp
+++ b/src/libcranberrywing/gateway/store_relay_test.cpp
@@ -11,11 +11,23 @@
 constexpr Duration kTick = std::chrono::milliseconds(25);
 /// Time until a pull or a call of the store has an answer.
 constexpr Duration kRoundTrip = std::chrono::milliseconds(50);
-constexpr Duration kRenewInterval = std::chrono::milliseconds(500);
+/// Maximum wait of a watch of a VM that confirms, and of another one.
+constexpr Duration kConfirmInterval = std::chrono::milliseconds(500);
+constexpr Duration kWatchWait = std::chrono::seconds(5);
+/// Time after the wait of a watch at which it counts as failed.
+constexpr Duration kCallTimeout = std::chrono::seconds(1);
 /// Bound within which each VM has to know a change: the shortest drain bound of
 /// the deployments served.
 constexpr Duration kBound = std::chrono::milliseconds(2500);
 
+/// A watch of the store in progress.
+struct PendingWatch
+{
+  TimePoint mStartedAt{};
+  Duration mWait{};
+  bool mIsAnswerLost = false;
+};
+
 /// One VM: its relay, and a model of its store follower.
 struct Vm
 {
@@ -26,6 +38,7 @@
   std::optional<TimePoint> mConfirmedAt;
   StoreFollowing mFollowing = StoreFollowing::Patient;
   TimePoint mNextStoreCall{};
+  std::optional<PendingWatch> mWatch;
   std::optional<std::pair<TimePoint, StorePull>> mPull;
   bool mIsRunning = true;
   bool mReachesStore = true;
@@ -126,6 +139,8 @@
   }
 
   std::int64_t mStoreRevision = 1;
+  /// Whether the answers to watches are lost.
+  bool mLosesAnswers = false;
   std::vector<Vm> mVms;
   TimePoint mNow{ std::chrono::seconds(1000) };
 
@@ -205,19 +220,14 @@
   void CallStore(Vm& aVm)
   {
     if (aVm.mFollowing == StoreFollowing::Off) {
+      aVm.mWatch.reset();
       return;
     }
     if (aVm.mReachesStore) {
-      // A watch reports changes at once; renewals confirm it in between.
-      const bool isRenewed = mNow >= aVm.mNextStoreCall;
-      if (isRenewed || aVm.mRevision < mStoreRevision) {
-        ++aVm.mStoreCalls;
-        aVm.mConfirmedAt = mNow;
-        aVm.mRevision = std::max(aVm.mRevision, mStoreRevision);
-        aVm.mNextStoreCall = mNow + kRenewInterval;
-      }
+      Watch(aVm);
       return;
     }
+    aVm.mWatch.reset();
     aVm.mConfirmedAt.reset();
     if (mNow >= aVm.mNextStoreCall) {
       ++aVm.mStoreCalls;
@@ -227,6 +237,37 @@
     }
   }
 
+  /// Watches as StoreFollower does, without pauses.
+  void Watch(Vm& aVm)
+  {
+    const bool isConfirming = aVm.mRelay.IsConfirming(mNow);
+    const bool isReplaced =
+      aVm.mWatch && isConfirming && aVm.mWatch->mWait > kConfirmInterval;
+    if (!aVm.mWatch || isReplaced) {
+      ++aVm.mStoreCalls;
+      const Duration shortWait =
+        aVm.mConfirmedAt.value_or(TimePoint()) + kConfirmInterval - mNow;
+      aVm.mWatch = { mNow,
+                     isConfirming ? std::max(shortWait, Duration::zero())
+                                  : kWatchWait };
+    }
+    const Duration age = mNow - aVm.mWatch->mStartedAt;
+    if (aVm.mWatch->mIsAnswerLost) {
+      if (age >= aVm.mWatch->mWait + kCallTimeout) {
+        aVm.mWatch.reset();
+        aVm.mConfirmedAt.reset();
+      }
+    } else if (aVm.mRevision < mStoreRevision || age >= aVm.mWatch->mWait) {
+      if (mLosesAnswers) {
+        aVm.mWatch->mIsAnswerLost = true;
+        return;
+      }
+      aVm.mWatch.reset();
+      aVm.mConfirmedAt = mNow;
+      aVm.mRevision = std::max(aVm.mRevision, mStoreRevision);
+    }
+  }
+
   void FinishPull(Vm& aVm)
   {
     if (!aVm.mPull || mNow < aVm.mPull->first) {
@@ -280,6 +321,36 @@
   CHECK(fleet.FollowerCount() == 3);
 }
 
+// Guards against VMs that stay on an old configuration for seconds: the answers
+// to one round of watches are lost, and nothing else of the store's.
+TEST_CASE(
+  "Changes arrive in time although the answers to all watches were lost")
+{
+  for (RelayFleet fleet :
+       { RelayFleet(3, 10), RelayFleet(3, 2), RelayFleet(1, 1) }) {
+    fleet.mLosesAnswers = true;
+    ++fleet.mStoreRevision;
+    fleet.Run(std::chrono::milliseconds(700));
+    fleet.mLosesAnswers = false;
+    ++fleet.mStoreRevision;
+    CHECK(fleet.RunUntilKnown() < kBound);
+  }
+}
+
+TEST_CASE("In calm the first elected VM reads the store for all")
+{
+  RelayFleet fleet(9, 10);
+  const std::uint64_t calls = fleet.StoreCalls();
+  fleet.Run(std::chrono::seconds(10));
+  // A long watch of each elected VM, and short ones of the first.
+  CHECK(fleet.StoreCalls() - calls <= 9 * 2 + 20);
+  for (const Vm& vm : fleet.mVms) {
+    const auto age = vm.mRelay.Age(fleet.mNow);
+    REQUIRE(age);
+    CHECK(*age <= StoreRelay::Options{}.mAgeLimit);
+  }
+}
+
 // Pattern: the store turns some VMs away and serves the others.
 TEST_CASE("VMs that the store turns away learn changes from the others")
 {
