Take servers for cold if an evacuation ends right after an outage

Cause: servers became cold while their zone was evacuated and the store was away, and could not report it. The operator took the evacuation back 0.1 s after the outage, before their first reports. The VMs used them as warm.

Evidence: the outage ended at 22.5 s, the evacuation at 22.6 s; no VM logged the server with cold_ms above 0, and its first entry since came at 23.21 s.

Change: if an evacuation ends within 2.1 s of a time at which nobody had confirmed the VM's copy, the zone's servers count as cold until they report anew, a health check is answered, or that time is over.

--- a/src/include/cranberrywing/gateway/backend_pool.h
+++ b/src/include/cranberrywing/gateway/backend_pool.h
@@ -95,6 +95,9 @@
   /// Time of the last answer to this VM.
   TimePoint mAnsweredAt{};
   TimePoint mColdUntil{};
+  /// Time until which the server may be cold although it has not reported so,
+  /// unless it reports anew or a health check succeeds.
+  TimePoint mMayBeColdUntil{};
   BackendRateLimit mRateLimit;
   /// This VM's part of mRateLimit, while that binds.
   RateQuota mRateQuota;
@@ -159,6 +162,8 @@
   /// Returns true if the server was registered.
   bool Remove(const BackendId& aBackend);
   void SetEvacuated(const FailureDomainId& aDomain, bool aIsEvacuated);
+  /// Takes the domain's servers for cold until then, or until they report.
+  void SuspectCold(const FailureDomainId& aDomain, TimePoint aUntil);
   bool IsEvacuated(const FailureDomainId& aDomain) const;
 
   /// Server with the given Backend::mLifetimeHash, or null.
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -73,6 +73,9 @@
     std::uint64_t mSeed = 1;
     RetryBudget::Options mRetries;
     ColdStartLimits mColdStart;
+    /// Time after an outage of the store within which servers have reported
+    /// their state again.
+    Duration mReportTime = std::chrono::milliseconds(2100);
     /// RegionPlan::Options::mMaxShift.
     double mMaxShift = 0.15;
     /// Time for which callers may cache a lookup answer.
--- a/src/include/cranberrywing/gateway/store_relay.h
+++ b/src/include/cranberrywing/gateway/store_relay.h
@@ -118,6 +118,9 @@
   /// Age of the newest confirmation that this VM knows of, its own included;
   /// nullopt if it knows none.
   std::optional<Duration> Age(TimePoint aNow) const;
+  /// Last time at which this VM's copy had not been confirmed within the age
+  /// limit; nullopt if never.
+  std::optional<TimePoint> UnconfirmedAt() const { return mUnconfirmedAt; }
 
 private:
   /// Contact of another VM with the store.
@@ -209,6 +212,7 @@
   StorePosition mSentPosition;
   TimePoint mNextNews{};
   std::optional<TimePoint> mStartedAt;
+  std::optional<TimePoint> mUnconfirmedAt;
 };
 
 } // namespace cranberrywing::gateway
--- a/src/libcranberrywing/gateway/backend_pool.cpp
+++ b/src/libcranberrywing/gateway/backend_pool.cpp
@@ -44,6 +44,9 @@
 {
   std::unique_ptr<Backend>& known = mBackends[aEntry.mBackend];
   const bool isNew = !known;
+  if (!isNew) {
+    known->mMayBeColdUntil = {};
+  }
   if (!isNew && SameRegistration(known->mEntry, aEntry)) {
     return false;
   }
@@ -100,6 +103,15 @@
   }
 }
 
+void BackendPool::SuspectCold(const FailureDomainId& aDomain, TimePoint aUntil)
+{
+  for (const auto& [id, backend] : mBackends) {
+    if (backend->mEntry.mFailureDomain == aDomain) {
+      backend->mMayBeColdUntil = aUntil;
+    }
+  }
+}
+
 bool BackendPool::IsEvacuated(const FailureDomainId& aDomain) const
 {
   return mEvacuated.contains(aDomain);
@@ -161,7 +173,7 @@
 
 bool BackendPool::IsCold(const Backend& aBackend, TimePoint aNow) const
 {
-  return aNow < aBackend.mColdUntil;
+  return aNow < aBackend.mColdUntil || aNow < aBackend.mMayBeColdUntil;
 }
 
 bool BackendPool::IsRateLimited(const Backend& aBackend, TimePoint aNow) const
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -184,6 +184,13 @@
   Record("evacuation_changed",
          { { "failure_domain", aEvent.mFailureDomain.mName },
            { "evacuated", aEvent.mIsEvacuated ? "1" : "0" } });
+  const auto unconfirmedAt = mStoreRelay.UnconfirmedAt();
+  if (!aEvent.mIsEvacuated && unconfirmedAt &&
+      mNow < *unconfirmedAt + mOptions.mReportTime) {
+    // Servers that became cold meanwhile could not say so.
+    mPool.SuspectCold(aEvent.mFailureDomain,
+                      *unconfirmedAt + mOptions.mReportTime);
+  }
 }
 
 void Gateway::On(const event::VmRegistered& aEvent)
@@ -250,6 +257,9 @@
     backend->mColdUntil =
       std::max(backend->mColdUntil, mNow + *aEvent.mColdTimeLeft);
   }
+  if (aEvent.mHasAnswered) {
+    backend->mMayBeColdUntil = {};
+  }
   if (aEvent.mRateLimit) {
     LearnRateLimit(*backend, aEvent.mRateLimit, mNow, "probe");
   }
--- a/src/libcranberrywing/gateway/store_relay.cpp
+++ b/src/libcranberrywing/gateway/store_relay.cpp
@@ -80,6 +80,9 @@
 void StoreRelay::Tick(const FleetView& aFleet, TimePoint aNow)
 {
   mStartedAt = mStartedAt.value_or(aNow);
+  if (Age(aNow).value_or(Duration::zero()) > mOptions.mAgeLimit) {
+    mUnconfirmedAt = aNow;
+  }
   if (aNow < mNextGroups) {
     return;
   }
