--- a/src/cranberrywingd/gateway_daemon.cpp
+++ b/src/cranberrywingd/gateway_daemon.cpp
@@ -148,25 +148,25 @@
         .mOnOutdatedWrite =
           [this](const StoreItem& aItem) { RecordOutdatedWrite(aItem); },
         .mIsLeaseBound = mOptions.mDialect.mIsLeaseBound,
-        .mOutlivesRestore = mOptions.mDialect.mOutlivesRestore,
+        .mIsKept = mOptions.mDialect.mIsKept,
         .mVersion = mOptions.mDialect.mReadWriterVersion,
       })
-  , mCallers(aContext,
-             { .mMaxBodyMemory =
-                 mOptions.mSettings.mMemoryLimit / kBodyMemoryDivisor,
-               .mMaxConnections =
-                 MaxCallerConnections(mOptions.mSettings.mFileLimit) },
-             netutil::HttpServerHooks{
-               .mOnRequest =
-                 [this](const netutil::ExchangeId& aExchange,
-                        RequestContent&& aContent) {
-                   OnCallerRequest(aExchange, std::move(aContent));
-                 },
-               .mOnAborted =
-                 [this](const netutil::ExchangeId& aExchange) {
-                   OnCallerDisconnected(aExchange);
-                 },
-             })
+  , mCallers(
+      aContext,
+      { .mMaxBodyMemory = mOptions.mSettings.mMemoryLimit / kBodyMemoryDivisor,
+        .mMaxConnections =
+          MaxCallerConnections(mOptions.mSettings.mFileLimit) },
+      netutil::HttpServerHooks{
+        .mOnRequest =
+          [this](const netutil::ExchangeId& aExchange,
+                 RequestContent&& aContent) {
+            OnCallerRequest(aExchange, std::move(aContent));
+          },
+        .mOnAborted =
+          [this](const netutil::ExchangeId& aExchange) {
+            OnCallerDisconnected(aExchange);
+          },
+      })
   , mReadiness(aContext,
                { .mMaxBodyBytes = kMaxQueryBodyBytes },
                PlatformQueryHooks(mReadiness))
--- a/src/cranberrywingd/gateway_dialect.h
+++ b/src/cranberrywingd/gateway_dialect.h
@@ -65,9 +65,10 @@
   /// Whether a key's entry is bound to a lease, which may expire while the
   /// store is unavailable.
   std::function<bool(const std::string&)> mIsLeaseBound;
-  /// Whether what is known of a key stays in force although a store that was
-  /// restored from a copy holds an older state of it.
-  std::function<bool(const std::string&)> mOutlivesRestore;
+  /// Whether what is known of a key stays in force although the store holds an
+  /// older state of it, after a restore from a copy or a write carried out
+  /// late.
+  std::function<bool(const std::string&)> mIsKept;
   /// Order that the writer of an item gives to its values; nullopt for keys
   /// without one and for values that cannot be read.
   std::function<std::optional<gateway::WriterVersion>(const StoreItem&)>
--- a/src/include/cranberrywing/gateway/store_carry.h
+++ b/src/include/cranberrywing/gateway/store_carry.h
@@ -39,7 +39,7 @@
 struct StoreCarryHooks
 {
   /// Whether entries of the key are kept. Others follow the store.
-  std::function<bool(const std::string&)> mOutlivesRestore;
+  std::function<bool(const std::string&)> mIsKept;
   /// Returns the writer's version of an item; nullopt if its key has none or
   /// the value cannot be read. An item without one is never taken as older than
   /// another.
--- a/src/include/cranberrywing/gateway/store_follower.h
+++ b/src/include/cranberrywing/gateway/store_follower.h
@@ -150,7 +150,7 @@
   /// of the store and be written again soon after.
   std::function<bool(const std::string&)> mIsLeaseBound;
   /// As in StoreCarryHooks.
-  std::function<bool(const std::string&)> mOutlivesRestore;
+  std::function<bool(const std::string&)> mIsKept;
   /// As in StoreCarryHooks.
   std::function<std::optional<WriterVersion>(const StoreItem&)> mVersion;
 };
--- a/src/libcranberrywing/gateway/store_carry.cpp
+++ b/src/libcranberrywing/gateway/store_carry.cpp
@@ -52,7 +52,7 @@
   std::map<std::string, StoreItem> known = aMirror.Items();
   std::map<std::string, StoreItem> removed = aMirror.RemovedItems();
   const auto isForeign = [this](const auto& aEntry) {
-    return !mHooks.mOutlivesRestore(aEntry.first);
+    return !mHooks.mIsKept(aEntry.first);
   };
   std::erase_if(known, isForeign);
   std::erase_if(removed, isForeign);
@@ -91,7 +91,7 @@
                            TimePoint aNow)
 {
   const std::string& key = aWritten.mKey;
-  if (!mHooks.mOutlivesRestore(key)) {
+  if (!mHooks.mIsKept(key)) {
     return false;
   }
   const StoreItem* known = aMirror.Find(key);
--- a/src/libcranberrywing/gateway/store_follower.cpp
+++ b/src/libcranberrywing/gateway/store_follower.cpp
@@ -10,7 +10,7 @@
   , mHooks(std::move(aHooks))
   , mRandom(mOptions.mSeed)
   , mCarried(mOptions.mCarry,
-             StoreCarryHooks{ .mOutlivesRestore = mHooks.mOutlivesRestore,
+             StoreCarryHooks{ .mIsKept = mHooks.mIsKept,
                               .mVersion = mHooks.mVersion,
                               .mIsLeaseBound = mHooks.mIsLeaseBound })
 {
--- a/src/libcranberrywing/gateway/store_follower_for_tests.h
+++ b/src/libcranberrywing/gateway/store_follower_for_tests.h
@@ -49,7 +49,7 @@
             [](const std::string& aKey) {
               return aKey.starts_with("servers/");
             },
-          .mOutlivesRestore =
+          .mIsKept =
             [](const std::string& aKey) { return !aKey.starts_with("vms/"); },
           .mVersion = ReadVersion })
   {
--- a/src/libcranberrywing/gateway/store_restore_random_test.cpp
+++ b/src/libcranberrywing/gateway/store_restore_random_test.cpp
@@ -291,7 +291,7 @@
         .mOnOutdatedWrite = [this](const StoreItem&) { ++mOutdated; },
         .mIsLeaseBound =
           [](const std::string& aKey) { return aKey.starts_with("servers/"); },
-        .mOutlivesRestore = [](const std::string&) { return true; },
+        .mIsKept = [](const std::string&) { return true; },
         .mVersion = ReadVersion });
     aVm.mFollower->Start(mNow);
   }
