Log the connection of a request that is retried

A request that was refused with a promise and ran cannot be told from one that was sent twice on one connection: only the last refusal names its connection. request_retried now names it too, and foreign_answer_skipped names the attempt whose answer was awaited. Equal connections in the two lines show a second send on one connection; different ones exclude it.

--- a/src/cranberrywingd/gateway_daemon_effects.cpp
+++ b/src/cranberrywingd/gateway_daemon_effects.cpp
@@ -61,7 +61,8 @@
     if (!isAnswer) {
       ++mMetrics.mForeignAnswers;
       Record("foreign_answer_skipped",
-             { { "target", aContent->mTarget },
+             { { "trace", mOptions.mDialect.mAnswerId(*aContent) },
+               { "target", aContent->mTarget },
                { "status", std::to_string(aAnswer.mStatus) } });
     }
     return isAnswer;
--- a/src/cranberrywingd/gateway_dialect.h
+++ b/src/cranberrywingd/gateway_dialect.h
@@ -25,6 +25,9 @@
   /// Header fields to add to the request for a backend server.
   std::function<std::vector<Header>(const gateway::effect::Dispatch&)>
     mBackendFields;
+  /// Identifier that the answers to a request repeat; empty if they repeat none,
+  /// as those to a health probe.
+  std::function<std::string(const RequestContent&)> mAnswerId;
   /// Whether an answer belongs to this request or health probe, and not to an
   /// earlier request on the same connection.
   std::function<
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -169,6 +169,8 @@
     /// A second attempt in progress. The first answer counts, so that a server
     /// that was only slow has not worked in vain.
     std::optional<Attempt> mOther;
+    /// Connection of the last attempt, if it was answered.
+    event::ConnectionTrace mAnsweredOn;
     bool mWaitsForTokens = false;
     /// Whether any server may have run the request.
     bool mMayHaveRun = false;
--- a/src/libcranberrywing/gateway/gateway_attempts.cpp
+++ b/src/libcranberrywing/gateway/gateway_attempts.cpp
@@ -175,6 +175,8 @@
          { { "trace", aRequest.mArrival.mTrace },
            { "reason", std::string(aReason) },
            { "backend", aRequest.mTriedBackends.back().mName },
+           { "connection", std::to_string(aRequest.mAnsweredOn.mLocalPort) },
+           { "use", std::to_string(aRequest.mAnsweredOn.mUse) },
            { "attempts", std::to_string(aRequest.mTriedBackends.size()) },
            { "expected_wait_ms", ToMs(aRequest.mCurrent.mExpectedWait) },
            { "expected_ms", ToMs(aRequest.mCurrent.mExpectedTotal) },
--- a/src/libcranberrywing/gateway/gateway_outcomes.cpp
+++ b/src/libcranberrywing/gateway/gateway_outcomes.cpp
@@ -65,6 +65,7 @@
     return;
   }
   Backend* const backend = EndAttempt(*request, true);
+  request->mAnsweredOn = aEvent.mConnection;
   mLastAnswerAt = mNow;
   if (backend) {
     backend->mAnsweredAt = mNow;
@@ -168,6 +169,7 @@
   const bool isSent = aEvent.mStage == event::FailureStage::AfterFirstByte;
   request->mMayHaveRun = request->mMayHaveRun || isSent;
   request->mNotRunProof = { NotRunReason::NothingWritten, {} };
+  request->mAnsweredOn = {};
   if (aEvent.mKind == event::FailureKind::Connect) {
     ++mCounters.mConnectFailures;
     OnUnreachable(server);
