Do not send a request twice on one connection

What callers saw: an order that was refused with a promise (421, 503) and had run, or, with a third server, one that ran twice.

Cause: an attempt's identifier names the request, not one send of it. The table may name two servers at one address, a former one whose entry has not lapsed and its successor. The successor answers 421 to a request for the former one; the retry chooses the successor, and the pool hands out the connection that was released last. A late copy of the 421 then bears the identifier of the request that is under way again, and is read as its answer. The class: an identifier that is used for two sends proves nothing about the second one.

Fix: an exchange tells the pool by what its answers are known, and a connection carries each such name once. An exchange without a name, a health check, is the last on its connection. Connections that carry no equal names are kept, so a refusal by itself costs no new connection.

--- a/src/cranberrywingd/backend_client.cpp
+++ b/src/cranberrywingd/backend_client.cpp
@@ -140,21 +140,23 @@
     std::to_string(aEffect.mAttempt);
   headers.push_back({ std::string(kAttemptHeader), attemptId });
   const bool isHead = aEffect.mContent->mMethod == "HEAD";
-  mAttempts[id] = mPool.Start(
-    endpoint,
-    aEffect.mContent,
-    std::move(headers),
-    aEffect.mTimeout,
-    [this, id, isHead, dispatched = ReadClock()](
-      netutil::ExchangeResult aResult) {
-      OnResult(id, dispatched, isHead, std::move(aResult));
-    },
-    [this, attemptId](const AnswerContent& aAnswer,
-                      netutil::ConnectionUse aUse) {
-      const bool isAnswer = IsAnswerToAttempt(aAnswer, attemptId, aUse);
-      mMetrics.mForeignAnswers += isAnswer ? 0 : 1;
-      return isAnswer;
-    });
+  mAttempts[id] =
+    mPool.Start(endpoint,
+                aEffect.mContent,
+                std::move(headers),
+                aEffect.mTimeout,
+                [this, id, isHead, dispatched = ReadClock()](
+                  netutil::ExchangeResult aResult) {
+                  OnResult(id, dispatched, isHead, std::move(aResult));
+                },
+                { .mName = attemptId,
+                  .mFilter = [this, attemptId](const AnswerContent& aAnswer,
+                                               netutil::ConnectionUse aUse) {
+                    const bool isAnswer =
+                      IsAnswerToAttempt(aAnswer, attemptId, aUse);
+                    mMetrics.mForeignAnswers += isAnswer ? 0 : 1;
+                    return isAnswer;
+                  } });
 }
 
 void BackendClient::OnResult(const AttemptId& aId,
--- a/src/cranberrywingd/gateway_daemon.h
+++ b/src/cranberrywingd/gateway_daemon.h
@@ -91,8 +91,9 @@
                        const RequestContentPtr& aContent,
                        TimePoint aSentAt,
                        netutil::ExchangeResult aResult);
-  /// Skips and logs answers that do not belong to the request.
-  netutil::ResponseFilter AnswerFilter(const RequestContentPtr& aContent);
+  /// How the answers to a request are told from others, which are skipped and
+  /// logged.
+  netutil::ResponseIdentity IdentityOf(const RequestContentPtr& aContent);
   void AnswerCaller(RequestId aRequest,
                     const AnswerContentPtr& aAnswer,
                     bool aCloseAfter);
--- a/src/cranberrywingd/gateway_daemon_effects.cpp
+++ b/src/cranberrywingd/gateway_daemon_effects.cpp
@@ -48,24 +48,28 @@
      attempt = aEffect.mAttempt](netutil::ExchangeResult aResult) {
       OnBackendResult(request, attempt, content, sentAt, std::move(aResult));
     },
-    AnswerFilter(content));
+    IdentityOf(content));
 }
 
-netutil::ResponseFilter GatewayDaemon::AnswerFilter(
+netutil::ResponseIdentity GatewayDaemon::IdentityOf(
   const RequestContentPtr& aContent)
 {
-  return [this, aContent](const AnswerContent& aAnswer,
-                          netutil::ConnectionUse aUse) {
-    const bool isAnswer =
-      mOptions.mDialect.mIsAnswerTo(*aContent, aAnswer, aUse);
-    if (!isAnswer) {
-      ++mMetrics.mForeignAnswers;
-      Record("foreign_answer_skipped",
-             { { "trace", mOptions.mDialect.mAnswerId(*aContent) },
-               { "target", aContent->mTarget },
-               { "status", std::to_string(aAnswer.mStatus) } });
-    }
-    return isAnswer;
+  return {
+    .mName = mOptions.mDialect.mAnswerId(*aContent),
+    .mFilter =
+      [this, aContent](const AnswerContent& aAnswer,
+                       netutil::ConnectionUse aUse) {
+        const bool isAnswer =
+          mOptions.mDialect.mIsAnswerTo(*aContent, aAnswer, aUse);
+        if (!isAnswer) {
+          ++mMetrics.mForeignAnswers;
+          Record("foreign_answer_skipped",
+                 { { "trace", mOptions.mDialect.mAnswerId(*aContent) },
+                   { "target", aContent->mTarget },
+                   { "status", std::to_string(aAnswer.mStatus) } });
+        }
+        return isAnswer;
+      },
   };
 }
 
@@ -168,7 +172,7 @@
       Deliver(aResult ? mOptions.mDialect.mReadProbe(backend, *aResult)
                       : gateway::event::BackendProbed{ .mBackend = backend });
     },
-    AnswerFilter(request));
+    IdentityOf(request));
 }
 
 void GatewayDaemon::Execute(gateway::effect::CheckServer& aEffect)
--- a/src/cranberrywingd/gateway_daemon_metrics.cpp
+++ b/src/cranberrywingd/gateway_daemon_metrics.cpp
@@ -160,6 +160,10 @@
   writer.Counter("cranberrywing_backend_connections_total",
                  "Connections opened to backend servers.",
                  static_cast<double>(mBackends.OpenedCount()));
+  writer.Counter("cranberrywing_backend_connections_passed_over_total",
+                 "Idle connections to backend servers that were not used for a "
+                 "request, as they had carried its identifier.",
+                 static_cast<double>(mBackends.PassedOverCount()));
   writer.Counter("cranberrywing_log_lines_dropped_total",
                  "Log lines dropped because of a limit.",
                  static_cast<double>(mLog.Dropped()));
--- a/src/netutil/exchange_for_tests.h
+++ b/src/netutil/exchange_for_tests.h
@@ -21,7 +21,7 @@
                                HttpClientPool& aPool,
                                const Endpoint& aEndpoint,
                                const std::string& aMethod = "GET",
-                               ResponseFilter aFilter = {})
+                               ResponseIdentity aIdentity = {})
 {
   RequestContent request;
   request.mMethod = aMethod;
@@ -35,7 +35,7 @@
     [outcome](ExchangeResult aResult) {
       outcome->mResult = std::move(aResult);
     },
-    std::move(aFilter));
+    std::move(aIdentity));
   REQUIRE(RunUntil(aContext, [&] { return outcome->mResult.has_value(); }));
   return *outcome->mResult;
 }
--- a/src/netutil/http_client.cpp
+++ b/src/netutil/http_client.cpp
@@ -76,7 +76,7 @@
                                  std::vector<Header> aExtraHeaders,
                                  Duration aTimeout,
                                  ExchangeHandler aHandler,
-                                 ResponseFilter aFilter)
+                                 ResponseIdentity aIdentity)
 {
   ++mExchangeNumber;
   mIsActive = true;
@@ -85,7 +85,13 @@
   mHead = SerializeHead(*aRequest, aExtraHeaders, mEndpoint);
   mRequest = std::move(aRequest);
   mHandler = std::move(aHandler);
-  mFilter = std::move(aFilter);
+  mIdentity = std::move(aIdentity);
+  if (!mIsConnected) {
+    mCarried.Clear();
+  }
+  if (mIdentity.mName) {
+    mCarried.Add(*mIdentity.mName);
+  }
   mTimeout = aTimeout;
   mStartedAt = std::chrono::steady_clock::now();
   mSkippedResponses = 0;
@@ -372,12 +378,14 @@
       { { name.data(), name.size() }, { value.data(), value.size() } });
   }
   response.mBody = std::move(message.body());
-  if (mFilter && !mFilter(response, mUse)) {
+  if (mIdentity.mFilter && !mIdentity.mFilter(response, mUse)) {
     // Further responses may be repeated ones as well.
     mUse = ConnectionUse::Repeated;
     return false;
   }
-  mIsKeepAlive = message.keep_alive() && mIsSendComplete && mBuffer.size() == 0;
+  const bool isUnnamed = mIdentity.mName && mIdentity.mName->empty();
+  mIsKeepAlive = message.keep_alive() && mIsSendComplete &&
+                 mBuffer.size() == 0 && !isUnnamed && !mCarried.IsFull();
   UpdateKeepAlive(response);
   Finish(std::move(response));
   return true;
@@ -420,7 +428,7 @@
   mParser.reset();
   mRequest.reset();
   // May refer to the request, which an idle connection must not keep.
-  mFilter = nullptr;
+  mIdentity = {};
   const ExchangeHandler handler = std::move(mHandler);
   mHandler = nullptr;
   if (!mIsKeepAlive) {
@@ -437,7 +445,7 @@
   mIsConnected = false;
   mIsKeepAlive = false;
   mHandler = nullptr;
-  mFilter = nullptr;
+  mIdentity = {};
   mRequest.reset();
   mTimer.cancel();
   if (mOptions.mBudget) {
--- a/src/netutil/http_client.h
+++ b/src/netutil/http_client.h
@@ -19,6 +19,7 @@
 
 #include "cranberrywing/http_types.h"
 #include "netutil/endpoint.h"
+#include "netutil/exchange_names.h"
 
 namespace cranberrywing::netutil {
 
@@ -125,6 +126,18 @@
 /// discarded, and reading continues.
 using ResponseFilter = std::function<bool(const AnswerContent&, ConnectionUse)>;
 
+/// How the responses to an exchange are told from others.
+struct ResponseIdentity
+{
+  /// What the responses repeat of the request, such as an identifier; empty if
+  /// nothing tells them from responses to other requests. A second response to
+  /// an exchange may come at any later time, so a connection carries a name
+  /// once, and nothing after an exchange with an empty name. nullopt for a
+  /// server that answers each request once.
+  std::optional<std::string> mName;
+  ResponseFilter mFilter;
+};
+
 /// Serializes the request line and header fields up to and including the empty
 /// line. Adds Content-Length, and Host if aRequest has none. Thread-safe.
 std::string SerializeHead(const RequestContent& aRequest,
@@ -146,23 +159,30 @@
   /// Connects if needed, sends the request and reads the whole response. Calls
   /// aHandler exactly once, never from within this call, unless Close is called
   /// first. aTimeout covers the exchange, but its count restarts after
-  /// connecting if mConnectTimeout is set. Precondition: no exchange is in
-  /// progress.
+  /// connecting if mConnectTimeout is set. Preconditions: no exchange is in
+  /// progress, and HasCarried is false for aIdentity.
   void Start(RequestContentPtr aRequest,
              std::vector<Header> aExtraHeaders,
              Duration aTimeout,
              ExchangeHandler aHandler,
-             ResponseFilter aFilter = {});
+             ResponseIdentity aIdentity = {});
 
   /// Closes the connection. The handler of an exchange in progress is not
   /// called.
   void Close();
 
   /// Whether another exchange may use the connection: it is open and idle, its
-  /// keep-alive time has not run out, and the peer has neither closed it nor
-  /// sent unexpected bytes.
+  /// keep-alive time has not run out, the peer has neither closed it nor sent
+  /// unexpected bytes, and responses to the next exchange can be told from
+  /// those to earlier ones unless HasCarried.
   bool IsReusable();
 
+  /// Whether the connection has carried an exchange of the same name.
+  bool HasCarried(const ResponseIdentity& aIdentity) const
+  {
+    return aIdentity.mName && mCarried.Contains(*aIdentity.mName);
+  }
+
   const Endpoint& Peer() const { return mEndpoint; }
   /// Port of this end; zero before the connection was first open.
   std::uint16_t LocalPort() const { return mLocalPort; }
@@ -205,7 +225,9 @@
   std::string mHead;
   RequestContentPtr mRequest;
   ExchangeHandler mHandler;
-  ResponseFilter mFilter;
+  ResponseIdentity mIdentity;
+  /// Names of all exchanges so far.
+  ExchangeNames mCarried;
   Duration mTimeout{};
   std::chrono::steady_clock::time_point mStartedAt{};
   std::size_t mSkippedResponses = 0;
--- a/src/netutil/http_client_endless_test.cpp
+++ b/src/netutil/http_client_endless_test.cpp
@@ -62,13 +62,13 @@
 ExchangeFailure FailEndless(const std::string& aHead,
                             const std::string& aPart,
                             HttpClientOptions aOptions,
-                            ResponseFilter aFilter = {})
+                            ResponseIdentity aIdentity = {})
 {
   boost::asio::io_context context(1);
   EndlessServer server(context, aHead, aPart);
   HttpClientPool pool(context, { .mClient = std::move(aOptions) });
   const auto result =
-    Exchange(context, pool, server.Address(), "GET", std::move(aFilter));
+    Exchange(context, pool, server.Address(), "GET", std::move(aIdentity));
   REQUIRE_FALSE(result.has_value());
   // The kernel's socket buffers hold what the client has not read.
   CHECK(server.mSentBytes < 16 * 1024 * 1024);
@@ -194,7 +194,8 @@
   CHECK(FailEndless(response,
                     response,
                     {},
-                    [](const AnswerContent&, ConnectionUse) { return false; })
+                    { .mFilter = [](const AnswerContent&,
+                                    ConnectionUse) { return false; } })
           .mKind == ExchangeFailureKind::Malformed);
   const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
   CHECK(FailEndless(interim, interim, {}).mKind ==
--- a/src/netutil/http_client_test.cpp
+++ b/src/netutil/http_client_test.cpp
@@ -281,13 +281,13 @@
              pool,
              server.Address(),
              "GET",
-             [](const AnswerContent& aResponse, ConnectionUse) {
+             { .mFilter = [](const AnswerContent& aResponse, ConnectionUse) {
                return std::any_of(aResponse.mHeaders.begin(),
                                   aResponse.mHeaders.end(),
                                   [](const Header& aHeader) {
                                     return aHeader.mValue == "present";
                                   });
-             });
+             } });
   REQUIRE(result.has_value());
   CHECK(result->mBody == "new");
 }
@@ -300,12 +300,12 @@
   RawServer server(
     context, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold", true);
   HttpClientPool pool(context, {});
-  const auto result =
-    Exchange(context,
-             pool,
-             server.Address(),
-             "GET",
-             [](const AnswerContent&, ConnectionUse) { return false; });
+  const auto result = Exchange(
+    context,
+    pool,
+    server.Address(),
+    "GET",
+    { .mFilter = [](const AnswerContent&, ConnectionUse) { return false; } });
   REQUIRE_FALSE(result.has_value());
   CHECK(result.error().mKind == ExchangeFailureKind::Reset);
   CHECK(result.error().mWasSent);
@@ -335,15 +335,14 @@
     RequestContent{ .mMethod = "GET", .mTarget = "/" });
   const std::weak_ptr<const RequestContent> kept = request;
   bool isDone = false;
-  pool.Start(
-    server.Address(),
-    request,
-    {},
-    std::chrono::seconds(20),
-    [&](const ExchangeResult&) { isDone = true; },
-    [request](const AnswerContent&, ConnectionUse) {
-      return request != nullptr;
-    });
+  pool.Start(server.Address(),
+             request,
+             {},
+             std::chrono::seconds(20),
+             [&](const ExchangeResult&) { isDone = true; },
+             { .mFilter = [request](const AnswerContent&, ConnectionUse) {
+               return request != nullptr;
+             } });
   request.reset();
   REQUIRE(RunUntil(context, [&] { return isDone; }));
   CHECK(pool.IdleCount(server.Address()) == 1);
@@ -381,12 +380,12 @@
   };
   RawServer server(context, "HTTP/1.1 200 OK\r\n\r\nold", true);
   HttpClientPool pool(context, options);
-  const auto result =
-    Exchange(context,
-             pool,
-             server.Address(),
-             "GET",
-             [](const AnswerContent&, ConnectionUse) { return false; });
+  const auto result = Exchange(
+    context,
+    pool,
+    server.Address(),
+    "GET",
+    { .mFilter = [](const AnswerContent&, ConnectionUse) { return false; } });
   REQUIRE_FALSE(result.has_value());
   CHECK(result.error().mKind == ExchangeFailureKind::Reset);
 }
--- a/src/netutil/http_pool.cpp
+++ b/src/netutil/http_pool.cpp
@@ -32,9 +32,9 @@
                                               std::vector<Header> aExtraHeaders,
                                               Duration aTimeout,
                                               ExchangeHandler aHandler,
-                                              ResponseFilter aFilter)
+                                              ResponseIdentity aIdentity)
 {
-  HttpClientConnectionPtr connection = AcquireConnection(aEndpoint);
+  HttpClientConnectionPtr connection = AcquireConnection(aEndpoint, aIdentity);
   // The connection owns the handler; a strong reference would form a cycle and
   // leak both.
   const std::weak_ptr<HttpClientConnection> weak = connection;
@@ -50,18 +50,22 @@
       }
       handler(std::move(aResult));
     },
-    std::move(aFilter));
+    std::move(aIdentity));
   return connection;
 }
 
 HttpClientConnectionPtr HttpClientPool::AcquireConnection(
-  const Endpoint& aEndpoint)
+  const Endpoint& aEndpoint,
+  const ResponseIdentity& aIdentity)
 {
   std::vector<IdleConnection>& idle = mIdle[aEndpoint];
-  while (!idle.empty()) {
-    const HttpClientConnectionPtr connection =
-      std::move(idle.back().mConnection);
-    idle.pop_back();
+  for (std::size_t n = idle.size(); n-- > 0;) {
+    if (idle[n].mConnection->HasCarried(aIdentity)) {
+      ++mPassedOver;
+      continue;
+    }
+    const HttpClientConnectionPtr connection = std::move(idle[n].mConnection);
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(n));
     if (connection->IsReusable()) {
       return connection;
     }
--- a/src/netutil/http_pool.h
+++ b/src/netutil/http_pool.h
@@ -11,7 +11,7 @@
 namespace cranberrywing::netutil {
 
 /// Reuses idle connections per server; each connection carries one exchange at
-/// a time.
+/// a time, and one of each name (see ResponseIdentity) at all.
 ///
 /// Not thread-safe; use it only from the thread that runs the event loop.
 class HttpClientPool
@@ -40,10 +40,13 @@
                                 std::vector<Header> aExtraHeaders,
                                 Duration aTimeout,
                                 ExchangeHandler aHandler,
-                                ResponseFilter aFilter = {});
+                                ResponseIdentity aIdentity = {});
 
   /// Number of connections created since the pool was constructed.
   std::uint64_t OpenedCount() const { return mOpened; }
+  /// Number of times that an idle connection was not used for an exchange
+  /// because it had carried one of the same name.
+  std::uint64_t PassedOverCount() const { return mPassedOver; }
   /// Closes all idle connections to a server.
   void CloseIdle(const Endpoint& aEndpoint);
   /// Returns the number of idle connections to a server.
@@ -56,8 +59,10 @@
     std::chrono::steady_clock::time_point mIdleSince;
   };
 
-  /// Returns a reusable idle connection, or a new one.
-  HttpClientConnectionPtr AcquireConnection(const Endpoint& aEndpoint);
+  /// Returns the last used of the idle connections that may carry the exchange,
+  /// or a new one.
+  HttpClientConnectionPtr AcquireConnection(const Endpoint& aEndpoint,
+                                            const ResponseIdentity& aIdentity);
   /// Makes the connection idle, or closes it if it cannot be reused.
   void ReleaseConnection(const HttpClientConnectionPtr& aConnection);
   void CloseExpiredConnections();
@@ -65,6 +70,7 @@
   boost::asio::io_context& mContext;
   Options mOptions;
   std::uint64_t mOpened = 0;
+  std::uint64_t mPassedOver = 0;
   boost::asio::steady_timer mSweepTimer;
   std::map<Endpoint, std::vector<IdleConnection>> mIdle;
   /// Set to false by the destructor; lets handlers that run later check whether
