Heed only what proven answers say of their server

A sound server got no requests because of what the answer of another server at its address, or an answer that could belong to another request, said of itself: leaving, a wait or load. The gateway heeded the notices and the load of every answer except for the notices and the limit of a 421. Now only answers and refusals that are proven to be the server's to this attempt are heeded.

Evidence: "What an unproven answer says of its server is not heeded" fails before the change (3 of its checks) and passes after it; gateway_tests pass (179 cases and 2 that fail as expected).

--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -404,7 +404,10 @@
   void RecordRateLimit(const Backend& aBackend,
                        std::optional<double> aBefore,
                        std::string_view aSource);
-  /// Learns the rate limit that a request's answer states.
+  /// Heeds what a server says of itself in a proven answer.
+  void HeedAnswer(Backend& aBackend, const event::BackendReplied& aEvent);
+  /// Learns the rate limit that a request's answer states. Precondition: the
+  /// answer is proven.
   void LearnRateLimit(Backend& aBackend, const event::BackendReplied& aEvent);
   /// Learns a server's rate limit from a statement at aStatedAt, and logs a
   /// change. aSource says where the statement was read.
--- a/src/libcranberrywing/gateway/gateway_outcomes.cpp
+++ b/src/libcranberrywing/gateway/gateway_outcomes.cpp
@@ -29,6 +29,12 @@
   return "wrong_server";
 }
 
+/// Whether the answer is known to be the server's to this attempt.
+bool IsProven(event::ReplyKind aKind)
+{
+  return aKind == event::ReplyKind::Answer || aKind == event::ReplyKind::NotRun;
+}
+
 /// Whether callers take the status as a guarantee that the request has not run.
 bool ImpliesNotRun(std::uint32_t aStatus)
 {
@@ -58,6 +64,16 @@
   mCrashGuard.OnSuccess(aRequest.mFingerprint);
 }
 
+void Gateway::HeedAnswer(Backend& aBackend, const event::BackendReplied& aEvent)
+{
+  aBackend.mAnsweredAt = mNow;
+  if (aEvent.mLoad) {
+    mPool.OnLoadSample(aBackend, *aEvent.mLoad, mNow);
+  }
+  LearnRateLimit(aBackend, aEvent);
+  HeedNotices(aBackend, aEvent.mIsLeaving, aEvent.mWait, NoticeSource::Answer);
+}
+
 void Gateway::On(const event::BackendReplied& aEvent)
 {
   Request* const request = FindAttempt(aEvent.mRequest, aEvent.mAttempt);
@@ -67,18 +83,8 @@
   Backend* const backend = EndAttempt(*request, true);
   request->mAnsweredOn = aEvent.mConnection;
   mLastAnswerAt = mNow;
-  if (backend) {
-    backend->mAnsweredAt = mNow;
-  }
-  if (backend && aEvent.mLoad) {
-    mPool.OnLoadSample(*backend, *aEvent.mLoad, mNow);
-  }
-  if (backend) {
-    LearnRateLimit(*backend, aEvent);
-    if (aEvent.mKind != event::ReplyKind::WrongServer) {
-      HeedNotices(
-        *backend, aEvent.mIsLeaving, aEvent.mWait, NoticeSource::Answer);
-    }
+  if (backend && IsProven(aEvent.mKind)) {
+    HeedAnswer(*backend, aEvent);
   }
   const std::uint32_t status = aEvent.mAnswer ? aEvent.mAnswer->mStatus : 0;
   switch (aEvent.mKind) {
--- a/src/libcranberrywing/gateway/gateway_rate_limits.cpp
+++ b/src/libcranberrywing/gateway/gateway_rate_limits.cpp
@@ -67,10 +67,6 @@
 void Gateway::LearnRateLimit(Backend& aBackend,
                              const event::BackendReplied& aEvent)
 {
-  if (aEvent.mKind != event::ReplyKind::Answer &&
-      aEvent.mKind != event::ReplyKind::NotRun) {
-    return;
-  }
   const bool isRefusal = aEvent.mKind == event::ReplyKind::NotRun;
   // Failed and refused requests may be answered by a part of the server that
   // does not know its limit.
