Do not count a former process's answer for its server's present one

A server that had restarted under its identifier got no requests: the last answer of its former process, read after the entry of the present one, said that it was leaving, and was counted for the present process. So were its load, limit and wait, and failures of connections to the former process. An attempt now keeps the lifetime to which it was sent, and what becomes of it counts only for that one.

Evidence: "What a server's former process says is not heeded for the present" fails before the change and passes after it.

--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -128,6 +128,8 @@
     AttemptNumber mNumber = 0;
     /// Empty once the attempt has ended.
     BackendId mBackend;
+    /// Backend::mLifetimeHash of the process to which it was sent.
+    std::uint64_t mLifetime = 0;
     TimePoint mSentAt{};
     Duration mExpectedTotal{};
     Duration mExpectedWait{};
@@ -343,7 +345,7 @@
   Request* FindAttempt(RequestId aRequest, AttemptNumber aAttempt);
   /// Marks the current attempt as ended; aHasAnswered as in
   /// BackendPool::OnAttemptEnded. Returns the attempt's server, or null if it
-  /// is no longer registered.
+  /// is no longer registered or another process runs under its identifier.
   Backend* EndAttempt(Request& aRequest, bool aHasAnswered);
   /// Cancels the current attempt, if it is in progress.
   void CancelAttempt(Request& aRequest, bool aHasAnswered);
--- a/src/libcranberrywing/gateway/gateway_attempts.cpp
+++ b/src/libcranberrywing/gateway/gateway_attempts.cpp
@@ -54,8 +54,9 @@
     effect::CancelDispatch{ aRequest.mArrival.mRequest, other.mNumber });
   if (Backend* const backend = mPool.Find(other.mBackend)) {
     const bool isLater = other.mNumber > aRequest.mCurrent.mNumber;
-    mPool.OnAttemptEnded(*backend, isLater, mNow);
-    if (!isLater && !mServerReach.IsCutOff()) {
+    const bool isSameProcess = backend->mLifetimeHash == other.mLifetime;
+    mPool.OnAttemptEnded(*backend, isLater && isSameProcess, mNow);
+    if (!isLater && isSameProcess && !mServerReach.IsCutOff()) {
       mPool.OnFailure(*backend, mNow);
     }
   }
@@ -73,11 +74,13 @@
 Backend* Gateway::EndAttempt(Request& aRequest, bool aHasAnswered)
 {
   Backend* const backend = mPool.Find(aRequest.mCurrent.mBackend);
+  const bool isSameProcess =
+    backend && backend->mLifetimeHash == aRequest.mCurrent.mLifetime;
   if (backend) {
-    mPool.OnAttemptEnded(*backend, aHasAnswered, mNow);
+    mPool.OnAttemptEnded(*backend, aHasAnswered && isSameProcess, mNow);
   }
   aRequest.mCurrent.mBackend = BackendId();
-  return backend;
+  return isSameProcess ? backend : nullptr;
 }
 
 void Gateway::RetryFromSilentServers()
@@ -121,6 +124,7 @@
   aRequest.mCurrent.mNumber =
     static_cast<AttemptNumber>(aRequest.mTriedBackends.size() + 1);
   aRequest.mCurrent.mBackend = backend.mEntry.mBackend;
+  aRequest.mCurrent.mLifetime = backend.mLifetimeHash;
   aRequest.mTriedBackends.push_back(backend.mEntry.mBackend);
   aRequest.mCurrent.mSentAt = mNow;
   aRequest.mCurrent.mExpectedTotal = aSelection.mTotal;
--- a/src/libcranberrywing/gateway/unproven_answer_test.cpp
+++ b/src/libcranberrywing/gateway/unproven_answer_test.cpp
@@ -78,6 +78,19 @@
   CHECK_FALSE(fixture.FindEffect<effect::CloseBackendConnections>());
 }
 
+// Guards against a restarted server that gets no requests: the last answer of
+// its former process, which had the same identifier, said that it was leaving.
+TEST_CASE("What a server's former process says is not heeded for the present")
+{
+  AnswerFixture fixture;
+  const BackendId server = fixture.Send();
+  fixture.Register(server.mName, false, 77);
+  fixture.AnswerWithNews(event::ReplyKind::Answer, 200);
+  CHECK(fixture.FindEffect<effect::Respond>());
+  CHECK_FALSE(fixture.KnowsNews(server));
+  CHECK(fixture.At(server).mInFlight == 0);
+}
+
 TEST_CASE("What a proven answer says of its server is heeded")
 {
   AnswerFixture fixture;
