Test that each send by the daemon has an identifier of its own

The copy of a shed answer must not be taken for the answer to the next attempt on the connection, nor to the attempt of another process with the same number. The scenarios and the chaos test now also check that no process sends one request twice under one attempt number: takeovers, tickets that come again, forwarded requests and restarts among them.

--- a/testsuite/world.h
+++ b/testsuite/world.h
@@ -207,6 +207,12 @@
   std::map<std::string, effect::AnswerEdit> mEdits;
   std::map<std::string, std::string> mTickets;
   std::vector<scenario::Run> mRuns;
+  /// Identifiers of the attempts that were sent, by process: VM, incarnation,
+  /// request and attempt.
+  std::set<std::tuple<std::string, std::uint64_t, RequestId, AttemptNumber>>
+    mAttempts;
+  /// Bodies of requests that were sent twice with the same identifier.
+  std::vector<std::string> mRepeatedAttempts;
   /// Timeline entries by VM.
   std::map<std::string, std::vector<std::string>> mTimeline;
 };
--- a/testsuite/world_checks.cpp
+++ b/testsuite/world_checks.cpp
@@ -189,6 +189,9 @@
 std::vector<std::string> World::Violations() const
 {
   std::vector<std::string> violations;
+  for (const std::string& body : mRepeatedAttempts) {
+    violations.push_back("sent twice with one identifier: " + body);
+  }
   std::set<std::string> executed;
   for (const auto& run : mRuns) {
     const bool isSecond =
--- a/testsuite/world_effects.cpp
+++ b/testsuite/world_effects.cpp
@@ -98,6 +98,15 @@
 
 void World::Run(Vm& aVm, const effect::Dispatch& aDispatch)
 {
+  const VmIncarnation& process = aVm.mSelf.mMember;
+  if (!mAttempts
+         .insert({ process.mVm.mName,
+                   process.mIncarnation.mNumber,
+                   aDispatch.mRequest,
+                   aDispatch.mAttempt })
+         .second) {
+    mRepeatedAttempts.push_back(aDispatch.mContent->mBody);
+  }
   Backend& backend = mBackends[aDispatch.mBackend.mName];
   event::BackendFailed failed{ .mRequest = aDispatch.mRequest,
                                .mAttempt = aDispatch.mAttempt };
