Do not count a probe of a former process for its server's present one

A server that had restarted under its identifier got no requests for all of its lifetime: the answer to a health check of its former process, read after the entry of the present one, said that it was leaving. A probe now names the lifetime that it is sent to, and its result counts only for that one.

Evidence: "What a probe of the former process says is not heeded" states the former lifetime, which an event could not do before; gateway_tests pass.

--- a/src/cranberrywingd/gateway_daemon_effects.cpp
+++ b/src/cranberrywingd/gateway_daemon_effects.cpp
@@ -168,9 +168,13 @@
     request,
     {},
     kProbeTimeout,
-    [this, backend = aEffect.mBackend](netutil::ExchangeResult aResult) {
-      Deliver(aResult ? mOptions.mDialect.mReadProbe(backend, *aResult)
-                      : gateway::event::BackendProbed{ .mBackend = backend });
+    [this, backend = aEffect.mBackend, lifetime = aEffect.mLifetime](
+      netutil::ExchangeResult aResult) {
+      auto probed = aResult
+                      ? mOptions.mDialect.mReadProbe(backend, *aResult)
+                      : gateway::event::BackendProbed{ .mBackend = backend };
+      probed.mLifetime = lifetime;
+      Deliver(std::move(probed));
     },
     IdentityOf(request));
 }
--- a/src/cranberrywingd/gateway_dialect.h
+++ b/src/cranberrywingd/gateway_dialect.h
@@ -38,7 +38,7 @@
   std::function<gateway::event::BackendReplied(const RequestContent&,
                                                AnswerContent&&)>
     mReadAnswer;
-  /// Decodes the answer to a health probe.
+  /// Decodes the answer to a health probe. Sets all members but the lifetime.
   std::function<gateway::event::BackendProbed(const BackendId&,
                                               const AnswerContent&)>
     mReadProbe;
--- a/src/include/cranberrywing/gateway/event.h
+++ b/src/include/cranberrywing/gateway/event.h
@@ -147,6 +147,8 @@
 struct BackendProbed
 {
   BackendId mBackend;
+  /// ProbeBackend::mLifetime; nullopt for the server's present process.
+  std::optional<std::uint64_t> mLifetime;
   /// Whether the server has answered at all.
   bool mHasAnswered = false;
   bool mIsHealthy = false;
@@ -285,6 +287,8 @@
 struct ProbeBackend
 {
   BackendId mBackend;
+  /// Backend::mLifetimeHash of the process that is probed.
+  std::uint64_t mLifetime = 0;
   std::string mAddress;
   std::uint16_t mPort = 0;
   std::string mHealthPath;
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -253,6 +253,11 @@
   if (!backend) {
     return;
   }
+  if (aEvent.mLifetime.value_or(backend->mLifetimeHash) !=
+      backend->mLifetimeHash) {
+    backend->mIsProbing = false;
+    return;
+  }
   if (aEvent.mColdTimeLeft) {
     backend->mColdUntil =
       std::max(backend->mColdUntil, mNow + *aEvent.mColdTimeLeft);
--- a/src/libcranberrywing/gateway/gateway_upkeep.cpp
+++ b/src/libcranberrywing/gateway/gateway_upkeep.cpp
@@ -222,6 +222,7 @@
     }
     mEffects.push_back(
       effect::ProbeBackend{ .mBackend = backend->mEntry.mBackend,
+                            .mLifetime = backend->mLifetimeHash,
                             .mAddress = backend->mEntry.mAddress,
                             .mPort = backend->mEntry.mPort,
                             .mHealthPath = service->mHealthPath });
--- a/src/libcranberrywing/gateway/unproven_answer_test.cpp
+++ b/src/libcranberrywing/gateway/unproven_answer_test.cpp
@@ -91,6 +91,24 @@
   CHECK(fixture.At(server).mInFlight == 0);
 }
 
+// Guards against the same, of the answer to a health check.
+TEST_CASE("What a probe of the former process says is not heeded")
+{
+  AnswerFixture fixture;
+  const BackendId server = fixture.Send();
+  const std::uint64_t former = fixture.At(server).mLifetimeHash;
+  fixture.Register(server.mName, false, 77);
+  REQUIRE(fixture.At(server).mLifetimeHash != former);
+  fixture.Deliver(event::BackendProbed{ .mBackend = server,
+                                        .mLifetime = former,
+                                        .mHasAnswered = true,
+                                        .mIsHealthy = true,
+                                        .mRateLimit = 3,
+                                        .mIsLeaving = true,
+                                        .mWait = std::chrono::seconds(30) });
+  CHECK_FALSE(fixture.KnowsNews(server));
+}
+
 TEST_CASE("What a proven answer says of its server is heeded")
 {
   AnswerFixture fixture;
