Give exchanges without an identifier a connection of their own

- A health check was sent on a connection that had carried requests, and the copy of a refusal without its identifier was read as its answer: a sound server counted as unhealthy and as asking to wait.
Such an exchange is now the first on its connection, where nothing else can be answered; it may be followed by requests with identifiers.
- A caller that sent one identifier again and again, one request at a time, made the VM keep one connection more for each (60 for 60 requests), since those that had carried it were passed over and kept.
One that is passed over now makes room for the new one.
- The copy of an answer with a body made a HEAD request fail, as all responses are read without a body while that to HEAD is due.
HEAD is now the first on its connection, too.

--- a/src/netutil/exchange_names.h
+++ b/src/netutil/exchange_names.h
@@ -27,7 +27,6 @@
   /// Precondition: the set is not full.
   void Add(std::string_view aName) { mHashes.push_back(HashBytes(aName)); }
   bool IsFull() const { return mHashes.size() >= kMaxNames; }
-  void Clear() { mHashes.clear(); }
 
 private:
   std::vector<std::uint64_t> mHashes;
--- a/src/netutil/http_client.cpp
+++ b/src/netutil/http_client.cpp
@@ -86,9 +86,6 @@
   mRequest = std::move(aRequest);
   mHandler = std::move(aHandler);
   mIdentity = std::move(aIdentity);
-  if (!mIsConnected) {
-    mCarried.Clear();
-  }
   if (mIdentity.mName) {
     mCarried.Add(*mIdentity.mName);
   }
@@ -383,9 +380,8 @@
     mUse = ConnectionUse::Repeated;
     return false;
   }
-  const bool isUnnamed = mIdentity.mName && mIdentity.mName->empty();
   mIsKeepAlive = message.keep_alive() && mIsSendComplete &&
-                 mBuffer.size() == 0 && !isUnnamed && !mCarried.IsFull();
+                 mBuffer.size() == 0 && !mCarried.IsFull();
   UpdateKeepAlive(response);
   Finish(std::move(response));
   return true;
@@ -455,6 +451,19 @@
   mSocket.close(ec);
 }
 
+bool HttpClientConnection::MayCarry(const RequestContent& aRequest,
+                                    const ResponseIdentity& aIdentity) const
+{
+  if (!aIdentity.mName) {
+    return true;
+  }
+  // While the response to HEAD is due, all responses are read without a body.
+  const bool hasToBeFirst =
+    aIdentity.mName->empty() || aRequest.mMethod == "HEAD";
+  return hasToBeFirst ? mExchangeNumber == 0
+                      : !mCarried.Contains(*aIdentity.mName);
+}
+
 bool HttpClientConnection::IsReusable()
 {
   if (!mIsConnected || mIsActive || !mIsKeepAlive) {
--- a/src/netutil/http_client.h
+++ b/src/netutil/http_client.h
@@ -129,11 +129,11 @@
 /// How the responses to an exchange are told from others.
 struct ResponseIdentity
 {
-  /// What the responses repeat of the request, such as an identifier; empty if
-  /// nothing tells them from responses to other requests. A second response to
-  /// an exchange may come at any later time, so a connection carries a name
-  /// once, and nothing after an exchange with an empty name. nullopt for a
-  /// server that answers each request once.
+  /// Identifier of the request that the responses repeat; empty if they repeat
+  /// none; nullopt for a server that answers each request once. A second
+  /// response to an exchange may come at any later time, so a connection
+  /// carries each identifier once, and an exchange without one only as its
+  /// first.
   std::optional<std::string> mName;
   ResponseFilter mFilter;
 };
@@ -160,7 +160,7 @@
   /// aHandler exactly once, never from within this call, unless Close is called
   /// first. aTimeout covers the exchange, but its count restarts after
   /// connecting if mConnectTimeout is set. Preconditions: no exchange is in
-  /// progress, and HasCarried is false for aIdentity.
+  /// progress, and MayCarry holds.
   void Start(RequestContentPtr aRequest,
              std::vector<Header> aExtraHeaders,
              Duration aTimeout,
@@ -172,16 +172,14 @@
   void Close();
 
   /// Whether another exchange may use the connection: it is open and idle, its
-  /// keep-alive time has not run out, the peer has neither closed it nor sent
-  /// unexpected bytes, and responses to the next exchange can be told from
-  /// those to earlier ones unless HasCarried.
+  /// keep-alive time has not run out, and the peer has neither closed it nor
+  /// sent unexpected bytes.
   bool IsReusable();
 
-  /// Whether the connection has carried an exchange of the same name.
-  bool HasCarried(const ResponseIdentity& aIdentity) const
-  {
-    return aIdentity.mName && mCarried.Contains(*aIdentity.mName);
-  }
+  /// Whether the responses to an exchange could be told from second responses
+  /// to the earlier ones on this connection.
+  bool MayCarry(const RequestContent& aRequest,
+                const ResponseIdentity& aIdentity) const;
 
   const Endpoint& Peer() const { return mEndpoint; }
   /// Port of this end; zero before the connection was first open.
--- a/src/netutil/http_pool.cpp
+++ b/src/netutil/http_pool.cpp
@@ -34,7 +34,8 @@
                                               ExchangeHandler aHandler,
                                               ResponseIdentity aIdentity)
 {
-  HttpClientConnectionPtr connection = AcquireConnection(aEndpoint, aIdentity);
+  HttpClientConnectionPtr connection =
+    AcquireConnection(aEndpoint, *aRequest, aIdentity);
   // The connection owns the handler; a strong reference would form a cycle and
   // leak both.
   const std::weak_ptr<HttpClientConnection> weak = connection;
@@ -56,12 +57,12 @@
 
 HttpClientConnectionPtr HttpClientPool::AcquireConnection(
   const Endpoint& aEndpoint,
+  const RequestContent& aRequest,
   const ResponseIdentity& aIdentity)
 {
   std::vector<IdleConnection>& idle = mIdle[aEndpoint];
   for (std::size_t n = idle.size(); n-- > 0;) {
-    if (idle[n].mConnection->HasCarried(aIdentity)) {
-      ++mPassedOver;
+    if (!idle[n].mConnection->MayCarry(aRequest, aIdentity)) {
       continue;
     }
     const HttpClientConnectionPtr connection = std::move(idle[n].mConnection);
@@ -71,6 +72,12 @@
     }
     connection->Close();
   }
+  if (!idle.empty()) {
+    // Otherwise requests of one identifier could occupy a server's connections.
+    idle.front().mConnection->Close();
+    idle.erase(idle.begin());
+    ++mPassedOver;
+  }
   ++mOpened;
   return std::make_shared<HttpClientConnection>(
     mContext, aEndpoint, mOptions.mClient);
--- a/src/netutil/http_pool.h
+++ b/src/netutil/http_pool.h
@@ -11,7 +11,7 @@
 namespace cranberrywing::netutil {
 
 /// Reuses idle connections per server; each connection carries one exchange at
-/// a time, and one of each name (see ResponseIdentity) at all.
+/// a time, and each identifier once (see ResponseIdentity).
 ///
 /// Not thread-safe; use it only from the thread that runs the event loop.
 class HttpClientPool
@@ -44,8 +44,8 @@
 
   /// Number of connections created since the pool was constructed.
   std::uint64_t OpenedCount() const { return mOpened; }
-  /// Number of times that an idle connection was not used for an exchange
-  /// because it had carried one of the same name.
+  /// Number of exchanges for which a connection was opened although there were
+  /// idle ones, because none of those may carry them.
   std::uint64_t PassedOverCount() const { return mPassedOver; }
   /// Closes all idle connections to a server.
   void CloseIdle(const Endpoint& aEndpoint);
@@ -60,8 +60,9 @@
   };
 
   /// Returns the last used of the idle connections that may carry the exchange,
-  /// or a new one.
+  /// or a new one in place of one that may not.
   HttpClientConnectionPtr AcquireConnection(const Endpoint& aEndpoint,
+                                            const RequestContent& aRequest,
                                             const ResponseIdentity& aIdentity);
   /// Makes the connection idle, or closes it if it cannot be reused.
   void ReleaseConnection(const HttpClientConnectionPtr& aConnection);
