Take no proof from a 421 of the server that a request was for

An order was refused by a promise although it had run: a 421 that named its server, without the mark of requests that were not run, was taken for one of another server at the address, whichever server it named. The identifier is now compared with the expected one; a 421 of that one needs the mark, and then does not count as another server's.

Servers that keep to the platform's pages do not send such an answer.

--- a/src/cranberrywingd/gateway_daemon.h
+++ b/src/cranberrywingd/gateway_daemon.h
@@ -63,6 +63,16 @@
     std::map<AttemptNumber, netutil::HttpClientConnectionPtr> mAttempts;
   };
 
+  /// A request that was sent to a backend server.
+  struct SentAttempt
+  {
+    RequestId mRequest{};
+    AttemptNumber mAttempt = 0;
+    BackendId mBackend;
+    RequestContentPtr mContent;
+    TimePoint mSentAt{};
+  };
+
   static gateway::VmRecord MakeRecord(const Options& aOptions);
   static gateway::Gateway::Options GatewayOptions(
     const Options& aOptions,
@@ -86,10 +96,10 @@
   void Execute(gateway::effect::ApplyCallerLimits& aEffect);
   void Execute(gateway::effect::RecordTimeline& aEffect);
   void Execute(gateway::effect::Exit& aEffect);
-  void OnBackendResult(RequestId aRequest,
-                       AttemptNumber aAttempt,
-                       const RequestContentPtr& aContent,
-                       TimePoint aSentAt,
+  /// Forgets the attempt's connection and returns it; null if the attempt was
+  /// cancelled.
+  netutil::HttpClientConnectionPtr TakeConnection(const SentAttempt& aSent);
+  void OnBackendResult(const SentAttempt& aSent,
                        netutil::ExchangeResult aResult);
   /// How the answers to a request are told from others, which are skipped and
   /// logged.
--- a/src/cranberrywingd/gateway_daemon_effects.cpp
+++ b/src/cranberrywingd/gateway_daemon_effects.cpp
@@ -34,21 +34,20 @@
     return;
   }
   ++mMetrics.mBackendExchanges;
-  const TimePoint sentAt = ReadClock();
-  const RequestContentPtr content = aEffect.mContent;
+  const SentAttempt sent{ .mRequest = aEffect.mRequest,
+                          .mAttempt = aEffect.mAttempt,
+                          .mBackend = aEffect.mBackend,
+                          .mContent = aEffect.mContent,
+                          .mSentAt = ReadClock() };
   it->second.mAttempts[aEffect.mAttempt] = mBackends.Start(
     { aEffect.mAddress, aEffect.mPort },
-    content,
+    sent.mContent,
     mOptions.mDialect.mBackendFields(aEffect),
     aEffect.mTimeout,
-    [this,
-     content,
-     sentAt,
-     request = aEffect.mRequest,
-     attempt = aEffect.mAttempt](netutil::ExchangeResult aResult) {
-      OnBackendResult(request, attempt, content, sentAt, std::move(aResult));
+    [this, sent](netutil::ExchangeResult aResult) {
+      OnBackendResult(sent, std::move(aResult));
     },
-    IdentityOf(content));
+    IdentityOf(sent.mContent));
 }
 
 netutil::ResponseIdentity GatewayDaemon::IdentityOf(
@@ -73,38 +72,40 @@
   };
 }
 
-void GatewayDaemon::OnBackendResult(RequestId aRequest,
-                                    AttemptNumber aAttempt,
-                                    const RequestContentPtr& aContent,
-                                    TimePoint aSentAt,
-                                    netutil::ExchangeResult aResult)
+netutil::HttpClientConnectionPtr GatewayDaemon::TakeConnection(
+  const SentAttempt& aSent)
 {
-  gateway::event::ConnectionTrace trace;
-  const auto it = mExchanges.find(aRequest);
-  if (it != mExchanges.end()) {
-    const auto attempt = it->second.mAttempts.find(aAttempt);
-    if (attempt != it->second.mAttempts.end()) {
-      trace = { attempt->second->LocalPort(),
-                attempt->second->ExchangeNumber() };
-      it->second.mAttempts.erase(attempt);
-    }
+  const auto it = mExchanges.find(aSent.mRequest);
+  if (it == mExchanges.end()) {
+    return nullptr;
   }
+  auto node = it->second.mAttempts.extract(aSent.mAttempt);
+  return node ? std::move(node.mapped()) : nullptr;
+}
+
+void GatewayDaemon::OnBackendResult(const SentAttempt& aSent,
+                                    netutil::ExchangeResult aResult)
+{
+  const netutil::HttpClientConnectionPtr connection = TakeConnection(aSent);
   if (aResult) {
     const TimePoint now = ReadClock();
-    mMetrics.mBackendLatency.Add(now - aSentAt, now);
-    gateway::event::BackendReplied replied =
-      mOptions.mDialect.mReadAnswer(*aContent, std::move(*aResult));
-    replied.mRequest = aRequest;
-    replied.mAttempt = aAttempt;
-    replied.mLatency = now - aSentAt;
-    replied.mConnection = trace;
+    mMetrics.mBackendLatency.Add(now - aSent.mSentAt, now);
+    gateway::event::BackendReplied replied = mOptions.mDialect.mReadAnswer(
+      *aSent.mContent, aSent.mBackend, std::move(*aResult));
+    replied.mRequest = aSent.mRequest;
+    replied.mAttempt = aSent.mAttempt;
+    replied.mLatency = now - aSent.mSentAt;
+    if (connection) {
+      replied.mConnection = { connection->LocalPort(),
+                              connection->ExchangeNumber() };
+    }
     Deliver(std::move(replied));
     return;
   }
   const netutil::ExchangeFailure& failure = aResult.error();
   Deliver(gateway::event::BackendFailed{
-    .mRequest = aRequest,
-    .mAttempt = aAttempt,
+    .mRequest = aSent.mRequest,
+    .mAttempt = aSent.mAttempt,
     .mStage = failure.mWasSent ? gateway::event::FailureStage::AfterFirstByte
                                : gateway::event::FailureStage::BeforeFirstByte,
     .mKind = KindOf(failure.mKind),
--- a/src/cranberrywingd/gateway_dialect.h
+++ b/src/cranberrywingd/gateway_dialect.h
@@ -25,17 +25,18 @@
   /// Header fields to add to the request for a backend server.
   std::function<std::vector<Header>(const gateway::effect::Dispatch&)>
     mBackendFields;
-  /// Identifier that the answers to a request repeat; empty if they repeat none,
-  /// as those to a health probe.
+  /// Identifier that the answers to a request repeat; empty if they repeat
+  /// none, as those to a health probe.
   std::function<std::string(const RequestContent&)> mAnswerId;
   /// Whether an answer belongs to this request or health probe, and not to an
   /// earlier request on the same connection.
   std::function<
     bool(const RequestContent&, const AnswerContent&, netutil::ConnectionUse)>
     mIsAnswerTo;
-  /// Decodes a backend server's answer. Sets all members but the request, the
-  /// attempt and the latency.
+  /// Decodes the answer of the given server, or of another one at its address.
+  /// Sets all members but the request, the attempt and the latency.
   std::function<gateway::event::BackendReplied(const RequestContent&,
+                                               const BackendId&,
                                                AnswerContent&&)>
     mReadAnswer;
   /// Decodes the answer to a health probe. Sets all members but the lifetime.
