Close a connection after an answer of unknown origin

A request waited until its deadline and got 504: the connection had been kept after an answer without an identifier that was taken for the one before, whose server was still at work on it. After such an answer the connection is closed, in the daemon with its own interface too.

--- a/src/cranberrywingd/backend_client.cpp
+++ b/src/cranberrywingd/backend_client.cpp
@@ -164,7 +164,7 @@
                              bool aIsHead,
                              netutil::ExchangeResult aResult)
 {
-  mAttempts.erase(aId);
+  const auto node = mAttempts.extract(aId);
   const TimePoint now = ReadClock();
   event::BackendFailed failed;
   if (aResult) {
@@ -181,6 +181,10 @@
       return;
     }
     failed = *refusal;
+    if (node && failed.mKind == event::FailureKind::MalformedAnswer) {
+      // The server may still be at work on the request.
+      node.mapped()->Close();
+    }
   } else {
     failed = DescribeFailure(aResult.error());
   }
--- a/src/cranberrywingd/gateway_daemon_effects.cpp
+++ b/src/cranberrywingd/gateway_daemon_effects.cpp
@@ -99,6 +99,10 @@
       replied.mConnection = { connection->LocalPort(),
                               connection->ExchangeNumber() };
     }
+    if (connection && replied.mKind == gateway::event::ReplyKind::Unverified) {
+      // The server may still be at work on the request.
+      connection->Close();
+    }
     Deliver(std::move(replied));
     return;
   }
