Own interface: identify health checks and load requests

A server that was ready again got no work: a second, late copy of its report that it was draining was read as the answer to the next health check on the connection. Each probe now has an identifier of its own, as attempts have, and an answer that names another is skipped. Servers that repeat no identifier are believed as before (docs/OPERATIONS.md).

--- a/src/cranberrywingd/backend_client.cpp
+++ b/src/cranberrywingd/backend_client.cpp
@@ -10,8 +10,6 @@
 
 constexpr std::uint32_t kServiceUnavailable = 503;
 constexpr std::string_view kNotRunHeader = "Cranberrywing-Not-Run";
-/// Identifies an attempt; servers echo it in their answers.
-constexpr std::string_view kAttemptHeader = "Cranberrywing-Attempt";
 constexpr std::int64_t kMaxRetryAfterSeconds = 3600;
 
 Duration ReadRetryAfter(const AnswerContent& aAnswer)
--- a/src/cranberrywingd/backend_client.h
+++ b/src/cranberrywingd/backend_client.h
@@ -20,6 +20,10 @@
   Duration mRetryAfter{};
 };
 
+/// Header field that identifies an attempt or a health probe; servers repeat it
+/// in their answers.
+inline constexpr std::string_view kAttemptHeader = "Cranberrywing-Attempt";
+
 /// Checks a complete answer for a 503 with "Cranberrywing-Not-Run: 1". All
 /// other answers are for the caller. Thread-safe.
 ShedStatus ReadShedStatus(const AnswerContent& aAnswer);
--- a/src/cranberrywingd/backend_prober.cpp
+++ b/src/cranberrywingd/backend_prober.cpp
@@ -2,6 +2,7 @@
 
 #include <cmath>
 
+#include "cranberrywingd/backend_client.h"
 #include "netutil/json.h"
 
 namespace cranberrywing::daemon {
@@ -92,11 +93,17 @@
   RequestContent request;
   request.mMethod = "GET";
   request.mTarget = aTarget;
+  const std::string id = "probe-" + std::to_string(++mProbes);
   mPool.Start(aEndpoint,
               std::make_shared<const RequestContent>(std::move(request)),
-              {},
+              { { std::string(kAttemptHeader), id } },
               kProbeTimeout,
-              std::move(aHandler));
+              std::move(aHandler),
+              { .mName = id,
+                .mFilter = [id](const AnswerContent& aAnswer,
+                                netutil::ConnectionUse aUse) {
+                  return IsAnswerToAttempt(aAnswer, id, aUse);
+                } });
 }
 
 } // namespace cranberrywing::daemon
--- a/src/cranberrywingd/backend_prober.h
+++ b/src/cranberrywingd/backend_prober.h
@@ -34,6 +34,8 @@
                netutil::ExchangeHandler aHandler);
 
   EventSink mSink;
+  /// Number of requests sent; part of their identifiers.
+  std::uint64_t mProbes = 0;
   netutil::HttpClientPool mPool;
 };
 
