--- a/src/netutil/http_client.cpp
+++ b/src/netutil/http_client.cpp
@@ -6,10 +6,11 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <charconv>
-#include <netinet/tcp.h>
 
 #include "netutil/headers.h"
+#include "netutil/http_head.h"
 #include "netutil/parse_some.h"
+#include "netutil/tcp_keep_alive.h"
 
 namespace cranberrywing::netutil {
 
@@ -20,48 +21,8 @@
 
 constexpr std::size_t kReadBytes = 8 * 1024;
 constexpr std::size_t kBodyReadBytes = 64 * 1024;
-/// TCP_KEEPIDLE and TCP_KEEPINTVL are in whole seconds; one second is the
-/// minimum.
-constexpr int kKeepAliveIntervalSeconds = 1;
-/// Also the time after which unanswered keep-alive probes close a connection,
-/// whatever their number (tcp(7)).
-constexpr int kTcpUserTimeoutMs = 2500;
-
-void AppendHeader(std::string& aHead, const Header& aHeader)
-{
-  aHead += aHeader.mName;
-  aHead += ": ";
-  aHead += aHeader.mValue;
-  aHead += "\r\n";
-}
-
 } // namespace
 
-std::string SerializeHead(const RequestContent& aRequest,
-                          const std::vector<Header>& aExtraHeaders,
-                          const Endpoint& aEndpoint)
-{
-  std::string head;
-  head.reserve(256);
-  head += aRequest.mMethod;
-  head += ' ';
-  head += aRequest.mTarget;
-  head += " HTTP/1.1\r\n";
-  if (!FindHeader(aRequest.mHeaders, "Host")) {
-    AppendHeader(head, { "Host", ToString(aEndpoint) });
-  }
-  for (const Header& header : aRequest.mHeaders) {
-    AppendHeader(head, header);
-  }
-  for (const Header& header : aExtraHeaders) {
-    AppendHeader(head, header);
-  }
-  AppendHeader(head,
-               { "Content-Length", std::to_string(aRequest.mBody.size()) });
-  head += "\r\n";
-  return head;
-}
-
 HttpClientConnection::HttpClientConnection(asio::io_context& aContext,
                                            Endpoint aEndpoint,
                                            HttpClientOptions aOptions)
@@ -133,33 +94,6 @@
   return mIsActive && mExchangeNumber == exchange;
 }
 
-void ResponseBudget::Charge(HttpClientConnection& aConnection,
-                            std::size_t aBytes)
-{
-  std::size_t& bytes = mBytes[&aConnection];
-  mUsedBytes = mUsedBytes - bytes + aBytes;
-  bytes = aBytes;
-  while (mUsedBytes > mMaxBytes) {
-    const auto largest = std::max_element(
-      mBytes.begin(), mBytes.end(), [](const auto& aLeft, const auto& aRight) {
-        return aLeft.second < aRight.second;
-      });
-    // Releases its bytes.
-    largest->first->shared_from_this()->Fail(
-      ExchangeFailureKind::Malformed,
-      "the response uses the most of the memory for responses");
-  }
-}
-
-void ResponseBudget::Release(HttpClientConnection& aConnection)
-{
-  const auto it = mBytes.find(&aConnection);
-  if (it != mBytes.end()) {
-    mUsedBytes -= it->second;
-    mBytes.erase(it);
-  }
-}
-
 void HttpClientConnection::ExtendTimer()
 {
   if (mOptions.mProgressTime <= Duration::zero()) {
@@ -204,7 +138,7 @@
   mSocket.non_blocking(true, ec);
   mLocalPort = mSocket.local_endpoint(ec).port();
   if (mOptions.mEnableTcpKeepAlive) {
-    EnableTcpKeepAlive();
+    EnableTcpKeepAlive(mSocket);
   }
   if (mOptions.mConnectTimeout > Duration::zero()) {
     StartTimer(mTimeout);
@@ -212,20 +146,6 @@
   Send();
 }
 
-void HttpClientConnection::EnableTcpKeepAlive()
-{
-  using Idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
-  using Interval =
-    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
-  using UserTimeout =
-    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-  boost::system::error_code ec;
-  mSocket.set_option(asio::socket_base::keep_alive(true), ec);
-  mSocket.set_option(Idle(kKeepAliveIntervalSeconds), ec);
-  mSocket.set_option(Interval(kKeepAliveIntervalSeconds), ec);
-  mSocket.set_option(UserTimeout(kTcpUserTimeoutMs), ec);
-}
-
 void HttpClientConnection::Send()
 {
   // From here on, bytes may have been sent, unless the write completes with
--- a/src/netutil/http_client.h
+++ b/src/netutil/http_client.h
@@ -15,11 +15,11 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
 
 #include "cranberrywing/http_types.h"
 #include "netutil/endpoint.h"
 #include "netutil/exchange_names.h"
+#include "netutil/response_budget.h"
 
 namespace cranberrywing::netutil {
 
@@ -54,32 +54,6 @@
 using ExchangeResult = tl::expected<AnswerContent, ExchangeFailure>;
 using ExchangeHandler = std::function<void(ExchangeResult)>;
 
-class HttpClientConnection;
-
-/// Bounds the memory of the unfinished responses of several connections. When
-/// it is exceeded, the response that uses the most is given up, so that
-/// responses without end make no room for each other at the expense of small
-/// ones. Not thread-safe.
-class ResponseBudget
-{
-public:
-  explicit ResponseBudget(std::size_t aMaxBytes)
-    : mMaxBytes(aMaxBytes)
-  {
-  }
-
-  std::size_t UsedBytes() const { return mUsedBytes; }
-  /// Sets the memory that a connection uses, and gives up the largest
-  /// responses, its own perhaps, until the rest fits.
-  void Charge(HttpClientConnection& aConnection, std::size_t aBytes);
-  void Release(HttpClientConnection& aConnection);
-
-private:
-  std::size_t mMaxBytes;
-  std::size_t mUsedBytes = 0;
-  std::unordered_map<HttpClientConnection*, std::size_t> mBytes;
-};
-
 /// Limits and options of a connection.
 struct HttpClientOptions
 {
@@ -138,12 +112,6 @@
   ResponseFilter mFilter;
 };
 
-/// Serializes the request line and header fields up to and including the empty
-/// line. Adds Content-Length, and Host if aRequest has none. Thread-safe.
-std::string SerializeHead(const RequestContent& aRequest,
-                          const std::vector<Header>& aExtraHeaders,
-                          const Endpoint& aEndpoint);
-
 /// A connection to one server that is reused for successive exchanges.
 ///
 /// Not thread-safe; use it only from the thread that runs the event loop. Must
@@ -193,7 +161,6 @@
 
   void Connect();
   void OnConnected(boost::system::error_code aError);
-  void EnableTcpKeepAlive();
   void Send();
   void OnSent(boost::system::error_code aError, std::size_t aBytes);
   void Read();
--- a/src/netutil/http_line_stream.cpp
+++ b/src/netutil/http_line_stream.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/none.hpp>
 
+#include "netutil/http_head.h"
 #include "netutil/parse_some.h"
 
 namespace cranberrywing::netutil {
