--- a/src/cranberrywingd/gateway_daemon_metrics.cpp
+++ b/src/cranberrywingd/gateway_daemon_metrics.cpp
@@ -161,8 +161,8 @@
                  "Connections opened to backend servers.",
                  static_cast<double>(mBackends.OpenedCount()));
   writer.Counter("cranberrywing_backend_connections_passed_over_total",
-                 "Idle connections to backend servers that were not used for a "
-                 "request, as they had carried its identifier.",
+                 "Idle connections to backend servers that were closed for a "
+                 "new one, as they may not carry a request or health check.",
                  static_cast<double>(mBackends.PassedOverCount()));
   writer.Counter("cranberrywing_log_lines_dropped_total",
                  "Log lines dropped because of a limit.",
--- a/src/netutil/http_client.cpp
+++ b/src/netutil/http_client.cpp
@@ -21,6 +21,7 @@
 
 constexpr std::size_t kReadBytes = 8 * 1024;
 constexpr std::size_t kBodyReadBytes = 64 * 1024;
+
 } // namespace
 
 HttpClientConnection::HttpClientConnection(asio::io_context& aContext,
