--- a/src/cranberrywingd/backend_client.cpp
+++ b/src/cranberrywingd/backend_client.cpp
@@ -147,7 +147,7 @@
                   netutil::ExchangeResult aResult) {
                   OnResult(id, dispatched, isHead, std::move(aResult));
                 },
-                { .mName = attemptId,
+                { .mId = attemptId,
                   .mFilter = [this, attemptId](const AnswerContent& aAnswer,
                                                netutil::ConnectionUse aUse) {
                     const bool isAnswer =
--- a/src/cranberrywingd/backend_prober.cpp
+++ b/src/cranberrywingd/backend_prober.cpp
@@ -99,7 +99,7 @@
               { { std::string(kAttemptHeader), id } },
               kProbeTimeout,
               std::move(aHandler),
-              { .mName = id,
+              { .mId = id,
                 .mFilter = [id](const AnswerContent& aAnswer,
                                 netutil::ConnectionUse aUse) {
                   return IsAnswerToAttempt(aAnswer, id, aUse);
--- a/src/cranberrywingd/gateway_daemon_effects.cpp
+++ b/src/cranberrywingd/gateway_daemon_effects.cpp
@@ -54,7 +54,7 @@
   const RequestContentPtr& aContent)
 {
   return {
-    .mName = mOptions.mDialect.mAnswerId(*aContent),
+    .mId = mOptions.mDialect.mAnswerId(*aContent),
     .mFilter =
       [this, aContent](const AnswerContent& aAnswer,
                        netutil::ConnectionUse aUse) {
--- a/src/netutil/http_client.cpp
+++ b/src/netutil/http_client.cpp
@@ -48,8 +48,8 @@
   mRequest = std::move(aRequest);
   mHandler = std::move(aHandler);
   mIdentity = std::move(aIdentity);
-  if (mIdentity.mName) {
-    mCarried.Add(*mIdentity.mName);
+  if (mIdentity.mId) {
+    mCarried.Add(*mIdentity.mId);
   }
   mTimeout = aTimeout;
   mStartedAt = std::chrono::steady_clock::now();
@@ -375,14 +375,14 @@
 bool HttpClientConnection::MayCarry(const RequestContent& aRequest,
                                     const ResponseIdentity& aIdentity) const
 {
-  if (!aIdentity.mName) {
+  if (!aIdentity.mId) {
     return true;
   }
   // While the response to HEAD is due, all responses are read without a body.
   const bool hasToBeFirst =
-    aIdentity.mName->empty() || aRequest.mMethod == "HEAD";
+    aIdentity.mId->empty() || aRequest.mMethod == "HEAD";
   return hasToBeFirst ? mExchangeNumber == 0
-                      : !mCarried.Contains(*aIdentity.mName);
+                      : !mCarried.Contains(*aIdentity.mId);
 }
 
 bool HttpClientConnection::IsReusable()
--- a/src/netutil/http_client.h
+++ b/src/netutil/http_client.h
@@ -17,8 +17,8 @@
 #include <string>
 
 #include "cranberrywing/http_types.h"
+#include "netutil/carried_identifiers.h"
 #include "netutil/endpoint.h"
-#include "netutil/exchange_names.h"
 #include "netutil/response_budget.h"
 
 namespace cranberrywing::netutil {
@@ -108,7 +108,7 @@
   /// response to an exchange may come at any later time, so a connection
   /// carries each identifier once, and an exchange without one only as its
   /// first.
-  std::optional<std::string> mName;
+  std::optional<std::string> mId;
   ResponseFilter mFilter;
 };
 
@@ -191,8 +191,8 @@
   RequestContentPtr mRequest;
   ExchangeHandler mHandler;
   ResponseIdentity mIdentity;
-  /// Names of all exchanges so far.
-  ExchangeNames mCarried;
+  /// Those of all exchanges so far.
+  CarriedIdentifiers mCarried;
   Duration mTimeout{};
   std::chrono::steady_clock::time_point mStartedAt{};
   std::size_t mSkippedResponses = 0;
--- a/src/netutil/http_pool_test.cpp
+++ b/src/netutil/http_pool_test.cpp
@@ -20,10 +20,10 @@
   }
 
   /// Runs an exchange and returns the number of connections opened so far.
-  std::uint64_t Exchange(std::optional<std::string> aName)
+  std::uint64_t Exchange(std::optional<std::string> aId)
   {
     const ExchangeResult result = netutil::Exchange(
-      mContext, mPool, mServer.Address(), "GET", { .mName = std::move(aName) });
+      mContext, mPool, mServer.Address(), "GET", { .mId = std::move(aId) });
     REQUIRE(result.has_value());
     return mPool.OpenedCount();
   }
@@ -37,7 +37,7 @@
 
 // Guards against the failures REFUSED and TWICE: a second response to an
 // exchange is taken for the response to a later one of the same identifier.
-TEST_CASE("a connection carries one exchange of each name")
+TEST_CASE("a connection carries each identifier once")
 {
   Fixture fixture(8);
   CHECK(fixture.Exchange("a") == 1);
@@ -63,7 +63,7 @@
 
 // Guards against a health check that is answered by a second response to an
 // earlier one, and tells what the server said of itself then.
-TEST_CASE("an exchange without a name is the first on its connection")
+TEST_CASE("an exchange without an identifier is the first on its connection")
 {
   Fixture fixture(8);
   CHECK(fixture.Exchange("a") == 1);
@@ -83,10 +83,10 @@
 
 // Guards against memory of identifiers without a bound on a connection that is
 // used for long.
-TEST_CASE("a connection is closed once it has carried its limit of names")
+TEST_CASE("a connection is closed once it has carried its limit of identifiers")
 {
-  Fixture fixture(ExchangeNames::kMaxNames + 1);
-  for (std::size_t n = 0; n < ExchangeNames::kMaxNames; ++n) {
+  Fixture fixture(CarriedIdentifiers::kMaxIdentifiers + 1);
+  for (std::size_t n = 0; n < CarriedIdentifiers::kMaxIdentifiers; ++n) {
     REQUIRE(fixture.Exchange(std::to_string(n)) == 1);
   }
   CHECK(fixture.Exchange("last") == 2);
