--- a/src/include/cranberrywing/message.h
+++ b/src/include/cranberrywing/message.h
@@ -52,7 +52,9 @@
                              message::ServerReachStatus,
                              message::BackendsLeaving,
                              message::RegionServerLoads,
-                             message::BoundDemands>;
+                             message::BoundDemands,
+                             message::ObjectDemands,
+                             message::ObjectPlacements>;
 
 /// A message with its sender, as sent over the network.
 struct Envelope
--- a/src/include/cranberrywing/messages/gateway.h
+++ b/src/include/cranberrywing/messages/gateway.h
@@ -73,6 +73,40 @@
   }
 };
 
+/// Backend servers that serve an object instead of the first one of its
+/// rendezvous order.
+struct PlacedObject
+{
+  /// ObjectHash.
+  std::uint64_t mObject = 0;
+  /// Hashes of identifiers and start times; empty if the order applies.
+  std::vector<std::uint64_t> mServers;
+
+  bool operator==(const PlacedObject&) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mObject, mServers);
+  }
+};
+
+/// Demand of a VM's callers for an object.
+struct ObjectDemand
+{
+  /// ObjectHash.
+  std::uint64_t mObject = 0;
+  /// Mean number of server slots that its requests keep busy while servers have
+  /// it cached.
+  float mSlots = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mObject, mSlots);
+  }
+};
+
 /// A rate limit that a backend server stated to some VM.
 struct StatedRateLimit
 {
@@ -357,6 +391,34 @@
   }
 };
 
+/// Demand for the objects of a service that a VM directs to the receiver's
+/// region. Sent to the VM that places the objects of that region's servers.
+struct ObjectDemands
+{
+  ServiceId mService;
+  std::vector<ObjectDemand> mObjects;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mService, mObjects);
+  }
+};
+
+/// Some of the objects that the sender has placed at servers of its region.
+struct ObjectPlacements
+{
+  /// Grows with each change of placements in the region.
+  std::uint64_t mNumber = 0;
+  std::vector<PlacedObject> mObjects;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(mNumber, mObjects);
+  }
+};
+
 /// The busiest backend servers of the sender's region. Sent to VMs of other
 /// regions in turn, which send too little to a server to know its queue. The
 /// region's servers that are not listed are not busy.
--- a/src/libcranberrywing/reducer_delivery.h
+++ b/src/libcranberrywing/reducer_delivery.h
@@ -242,6 +242,8 @@
   void OnMessage(const VmIncarnation&, const message::BackendRateLimits&) {}
   void OnMessage(const VmIncarnation&, const message::BackendsLeaving&) {}
   void OnMessage(const VmIncarnation&, const message::RegionServerLoads&) {}
+  void OnMessage(const VmIncarnation&, const message::ObjectDemands&) {}
+  void OnMessage(const VmIncarnation&, const message::ObjectPlacements&) {}
   void OnMessage(const VmIncarnation&, const message::BoundDemands&) {}
 
   VmId mFrom{};
