--- a/src/libcranberrywing/gateway/object_selector.cpp
+++ b/src/libcranberrywing/gateway/object_selector.cpp
@@ -4,9 +4,11 @@
 #include <cmath>
 
 #include "duration_math.h"
+#include "object_order.h"
 
 namespace cranberrywing::gateway {
 
+using detail::Mix;
 using detail::Scale;
 
 namespace {
@@ -14,15 +16,6 @@
 /// Number of different 64-bit hashes.
 constexpr double kHashRange = 18446744073709551616.0;
 
-/// Combines two 64-bit hashes with the finalizer of SplitMix64.
-std::uint64_t Mix(std::uint64_t aLeft, std::uint64_t aRight)
-{
-  std::uint64_t n = aLeft ^ (aRight * 0x9e3779b97f4a7c15ULL);
-  n = (n ^ (n >> 30U)) * 0xbf58476d1ce4e5b9ULL;
-  n = (n ^ (n >> 27U)) * 0x94d049bb133111ebULL;
-  return n ^ (n >> 31U);
-}
-
 /// Position of a server in an object's weighted rendezvous order; the lowest is
 /// first. A server with half the weight of the others is first for half as many
 /// objects, and with equal weights the order is that of Mix, reversed.
