Place objects of busy servers at free ones

Each object goes to the first server of its rendezvous order. By chance, some servers get several times the demand of others, and requests wait or are refused there while half of all slots are free.

ObjectPlacement moves objects from servers above the bound to the first servers of their order that stay within it, at most 8 per update, and divides an object that needs more than one server. A server that was within the bound is relieved only if it exceeds the bound by a factor of 1.3, or for 10 s. In the queueing model with 262 objects, this leads to 155 moves in 300 s; without it there are 2,351.

--- a/src/include/cranberrywing/gateway/object_placement.h
+++ b/src/include/cranberrywing/gateway/object_placement.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "cranberrywing/gateway/backend_pool.h"
@@ -45,6 +46,16 @@
     std::size_t mMaxServers = 4;
     /// Time without demand after which a placement ends.
     Duration mRetention = std::chrono::seconds(30);
+    /// Time for which a demand counts unless it is set again: several
+    /// intervals of its reports.
+    Duration mDemandLifetime = std::chrono::seconds(5);
+    /// A server that was within the bound is relieved at once if its demand
+    /// exceeds the bound by this factor, and otherwise only after mPatience,
+    /// since the demand of an object fluctuates by 30 % between reports. With
+    /// 262 objects that do so, 1.3 and 10 s lead to 155 moves in 300 s, 1.15
+    /// and 10 s to 642, and 1.5 and 10 s to 99, with equal latencies.
+    double mTolerance = 1.3;
+    Duration mPatience = std::chrono::seconds(10);
   };
 
   /// Placement of one object.
@@ -58,18 +69,23 @@
   explicit ObjectPlacement(Options aOptions);
 
   /// Sets the slots that an object's requests keep busy while servers have it
-  /// cached, over all VMs. Values that are no finite number above zero count as
-  /// no demand.
+  /// cached, over all VMs; replaces the value set before. Values that are no
+  /// finite number above zero count as no demand. Ignored for object 0.
   void SetDemand(ObjectHash aObject, double aSlots, TimePoint aNow);
-  /// Adopts a placement that another VM has decided.
+  /// Adopts a placement that another VM has decided; without servers, the
+  /// object's placement ends. Servers beyond mMaxServers are ignored.
   void Restore(const PlacedObject& aPlaced, TimePoint aNow);
   /// Moves objects away from servers above the bound and ends placements that
   /// are not needed any more or whose servers are gone. aServers are those that
-  /// may be used now. Returns the placements that have changed; those without
-  /// servers have ended.
+  /// may be used now, in any order; those without slots are left out. Returns
+  /// the placements that have changed, by object; those without servers have
+  /// ended. The result depends only on the calls before and on the arguments,
+  /// and not on the order of SetDemand calls for different objects. Takes about
+  /// 1 ms of CPU time for 300 servers and 1,000 objects.
   std::vector<PlacedObject> Update(const std::vector<PlacementServer>& aServers,
                                    TimePoint aNow);
 
+  /// All placements in force.
   const std::map<ObjectHash, Entry>& Placed() const { return mPlaced; }
 
 private:
@@ -79,9 +95,26 @@
     TimePoint mAt{};
   };
 
+  /// Ends placements without demand or servers; adds them, and those that lost
+  /// some of their servers, to aChanged.
+  void Prune(const std::vector<PlacementServer>& aUsable,
+             TimePoint aNow,
+             std::set<ObjectHash>& aChanged);
+  /// Whether a server above the bound is to be relieved now.
+  bool IsToBeRelieved(std::uint64_t aLifetime,
+                      double aDemandToBound,
+                      TimePoint aNow) const;
+  /// Moves objects and adds them to aChanged.
+  void Rebalance(const std::vector<PlacementServer>& aUsable,
+                 TimePoint aNow,
+                 std::set<ObjectHash>& aChanged);
+
   Options mOptions;
   std::map<ObjectHash, Demand> mDemand;
   std::map<ObjectHash, Entry> mPlaced;
+  /// Time at which a server was last within the bound, by lifetime. Servers
+  /// without demand and those being relieved are left out.
+  std::map<std::uint64_t, TimePoint> mWithinBoundAt;
 };
 
 } // namespace cranberrywing::gateway
