Compare latencies with and without object placement

The queueing model gets skewed demand, a group of servers that fails and comes back, and a policy that uses ObjectPlacement.

--- a/src/testing/object_memory_model.h
+++ b/src/testing/object_memory_model.h
@@ -1,12 +1,16 @@
 /// \file
 /// Simulation of backend servers with a queue and an object cache, in virtual
 /// time. A server cache is LRU, and a request for a cached object is faster.
-/// Tests and benchmarks compare server selection policies on equal arrivals.
+/// Some servers may fail and come back with empty caches. Tests and benchmarks
+/// compare server selection policies on equal arrivals.
 #pragma once
 
+#include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <functional>
 #include <list>
+#include <map>
 #include <optional>
 #include <queue>
 #include <random>
@@ -14,6 +18,7 @@
 #include <vector>
 
 #include "cranberrywing/gateway/admission.h"
+#include "cranberrywing/gateway/object_placement.h"
 #include "cranberrywing/gateway/object_selector.h"
 
 namespace cranberrywing::gateway::testing {
@@ -26,8 +31,10 @@
   std::uint32_t mSlots = 4;
   /// Objects in a server's cache; the least recently used is evicted first.
   std::size_t mCacheCapacity = 60;
-  /// Distinct objects; each request draws one uniformly at random.
+  /// Distinct objects; each request draws one at random.
   std::size_t mObjects = 400;
+  /// The object of rank n has the weight n^-mSkew.
+  double mSkew = 0;
   /// Service time of a request for a cached object.
   Duration mWarm = std::chrono::milliseconds(150);
   /// Service time of a request for an object that is not cached.
@@ -42,6 +49,11 @@
   /// cached.
   double mLoad = 0.8;
   Duration mRunDuration = std::chrono::seconds(60);
+  /// Number of servers that fail together; their requests are lost.
+  std::size_t mFailingServers = 0;
+  /// Since the start of the run.
+  Duration mFailsAt = std::chrono::seconds(20);
+  Duration mReturnsAt = std::chrono::seconds(35);
   std::uint64_t mSeed = 1;
 };
 
@@ -110,6 +122,13 @@
       std::chrono::duration<double>(mLoad.mWarm).count();
     std::exponential_distribution<double> gap(perSecond);
     std::uniform_int_distribution<std::size_t> object(1, mLoad.mObjects);
+    std::vector<double> weights;
+    for (std::size_t n = 1; n <= mLoad.mObjects; ++n) {
+      weights.push_back(std::pow(static_cast<double>(n), -mLoad.mSkew));
+    }
+    std::discrete_distribution<std::size_t> skewedObject(weights.begin(),
+                                                         weights.end());
+    const TimePoint start = mNow;
     const TimePoint end = mNow + mLoad.mRunDuration;
     while (mNow < end) {
       const TimePoint arrival =
@@ -117,7 +136,11 @@
                  std::chrono::duration<double>(gap(mRandom)));
       CompleteUntil(arrival);
       mNow = arrival;
-      HandleArrival(HashObject(mService, std::to_string(object(mRandom))));
+      SetFailed(mNow >= start + mLoad.mFailsAt &&
+                mNow < start + mLoad.mReturnsAt);
+      const std::size_t drawn =
+        mLoad.mSkew == 0 ? object(mRandom) : skewedObject(mRandom) + 1;
+      HandleArrival(HashObject(mService, std::to_string(drawn)));
     }
     CompleteUntil(end + std::chrono::minutes(10));
     return mResult;
@@ -137,6 +160,8 @@
     std::queue<Job> mWaiting;
     /// Most recently used first.
     std::list<ObjectHash> mCachedObjects;
+    bool mIsFailed = false;
+    std::int64_t mFailures = 0;
   };
 
   struct Completion
@@ -144,7 +169,8 @@
     TimePoint mEndsAt{};
     std::size_t mServer = 0;
     Job mJob;
-    Duration mServiceTime{};
+    /// Server::mFailures at the start of the request.
+    std::int64_t mFailures = 0;
 
     bool operator>(const Completion& aOther) const
     {
@@ -152,11 +178,48 @@
     }
   };
 
+  void SetFailed(bool aIsFailed)
+  {
+    for (std::size_t n = 0; n < mLoad.mFailingServers; ++n) {
+      Server& server = mServers[n];
+      if (server.mIsFailed == aIsFailed) {
+        continue;
+      }
+      server.mIsFailed = aIsFailed;
+      if (aIsFailed) {
+        for (auto jobs = server.mRunningCount + server.mWaiting.size();
+             jobs > 0;
+             --jobs) {
+          mPool.OnAttemptEnded(*server.mBackend, true, mNow);
+        }
+        server.mRunningCount = 0;
+        server.mWaiting = {};
+        server.mCachedObjects.clear();
+        ++server.mFailures;
+      } else {
+        BackendEntry entry = server.mBackend->mEntry;
+        entry.mStartedMs = server.mFailures;
+        mPool.Upsert(entry, mNow);
+      }
+    }
+  }
+
+  std::vector<Backend*> UsableServers() const
+  {
+    std::vector<Backend*> usable;
+    for (const Server& each : mServers) {
+      if (!each.mIsFailed) {
+        usable.push_back(each.mBackend);
+      }
+    }
+    return usable;
+  }
+
   void HandleArrival(ObjectHash aObject)
   {
     ++mResult.mArrivals;
     const auto selection =
-      mChoice(mPool, mPool.BackendsOfService(mService), aObject, mTimes, mNow);
+      mChoice(mPool, UsableServers(), aObject, mTimes, mNow);
     if (!selection || !DecideAdmission({ .mPriority = 1,
                                          .mTimeLeft = mLoad.mTimeout,
                                          .mTargetLatency = mLoad.mTarget,
@@ -196,7 +259,7 @@
         server.mCachedObjects.pop_back();
       }
       const Duration serviceTime = isCached ? mLoad.mWarm : mLoad.mMissLatency;
-      mCompletions.push({ mNow + serviceTime, aServer, job, serviceTime });
+      mCompletions.push({ mNow + serviceTime, aServer, job, server.mFailures });
     }
   }
 
@@ -207,6 +270,9 @@
       mCompletions.pop();
       mNow = end.mEndsAt;
       Server& server = mServers[end.mServer];
+      if (end.mFailures != server.mFailures) {
+        continue;
+      }
       --server.mRunningCount;
       mPool.OnAttemptEnded(*server.mBackend, true, mNow);
       if (mNow - end.mJob.mArrivalTime <= mLoad.mTarget) {
@@ -242,6 +308,80 @@
   };
 }
 
+/// The selection policy of ObjectSelector, but for objects that ObjectPlacement
+/// has placed, of which the earliest expected response of their servers is
+/// selected. Placements are updated every second, as by the placing VM.
+class ChooseByPlacement
+{
+public:
+  explicit ChooseByPlacement(ObjectPlacement::Options aOptions)
+    : mPlacement(aOptions)
+  {
+  }
+
+  std::optional<Selection> operator()(const BackendPool& aPool,
+                                      const std::vector<Backend*>& aServers,
+                                      ObjectHash aObject,
+                                      const ExpectedTimes& aTimes,
+                                      TimePoint aNow)
+  {
+    if (aNow >= mNextUpdate) {
+      Update(aServers, aTimes, aNow);
+    }
+    mArrivalRates[aObject] += 1 / kTimeConstantSeconds;
+    std::vector<Backend*> placed;
+    if (const auto it = mPlacement.Placed().find(aObject);
+        it != mPlacement.Placed().end()) {
+      for (Backend* const each : aServers) {
+        const auto& servers = it->second.mServers;
+        if (std::count(servers.begin(), servers.end(), each->mLifetimeHash)) {
+          placed.push_back(each);
+        }
+      }
+    }
+    return placed.empty()
+             ? mSelector.Choose(aPool, aServers, aObject, aTimes, aNow)
+             : mSelector.Choose(aPool, placed, 0, aTimes, aNow, aObject);
+  }
+
+  /// Placements that were decided, each of which causes cache misses.
+  std::size_t Moves() const { return mMoves; }
+
+private:
+  /// Time constant of the moving average of arrivals, as in the gateway.
+  static constexpr double kTimeConstantSeconds = 2;
+
+  void Update(const std::vector<Backend*>& aServers,
+              const ExpectedTimes& aTimes,
+              TimePoint aNow)
+  {
+    mNextUpdate = aNow + std::chrono::seconds(1);
+    for (auto& [object, rate] : mArrivalRates) {
+      mPlacement.SetDemand(
+        object,
+        rate * std::chrono::duration<double>(aTimes.mWarm).count(),
+        aNow);
+      rate *= std::exp(-1 / kTimeConstantSeconds);
+    }
+    std::vector<PlacementServer> servers;
+    for (const Backend* const each : aServers) {
+      servers.push_back({ .mLifetime = each->mLifetimeHash,
+                          .mHash = each->mHash,
+                          .mSlots = static_cast<double>(each->mEntry.mSlots) });
+    }
+    for (const PlacedObject& each : mPlacement.Update(servers, aNow)) {
+      mMoves += each.mServers.empty() ? 0 : 1;
+    }
+  }
+
+  ObjectPlacement mPlacement;
+  ObjectSelector mSelector{ {} };
+  /// Arrivals per second.
+  std::map<ObjectHash, double> mArrivalRates;
+  TimePoint mNextUpdate{};
+  std::size_t mMoves = 0;
+};
+
 /// Returns a policy that ignores the object and selects the less loaded of two
 /// random servers.
 inline ObjectMemoryModel::Choice ChooseLeastLoadedOfTwo(std::uint64_t aSeed)
