--- a/src/include/cranberrywing/gateway/object_placement.h
+++ b/src/include/cranberrywing/gateway/object_placement.h
@@ -50,12 +50,12 @@
     /// intervals of its reports.
     Duration mDemandLifetime = std::chrono::seconds(5);
     /// A server that was within the bound is relieved at once if its demand
-    /// exceeds the bound by this factor, and otherwise only after mPatience,
+    /// exceeds the bound by this factor, and otherwise only after mReliefDelay,
     /// since the demand of an object fluctuates by 30 % between reports. With
     /// 262 objects that do so, 1.3 and 10 s lead to 155 moves in 300 s, 1.15
     /// and 10 s to 642, and 1.5 and 10 s to 99, with equal latencies.
     double mTolerance = 1.3;
-    Duration mPatience = std::chrono::seconds(10);
+    Duration mReliefDelay = std::chrono::seconds(10);
   };
 
   /// Placement of one object.
--- a/src/libcranberrywing/gateway/object_placement.cpp
+++ b/src/libcranberrywing/gateway/object_placement.cpp
@@ -411,7 +411,7 @@
 {
   const auto it = mWithinBoundAt.find(aLifetime);
   return it == mWithinBoundAt.end() || aDemandToBound > mOptions.mTolerance ||
-         aNow - it->second >= mOptions.mPatience;
+         aNow - it->second >= mOptions.mReliefDelay;
 }
 
 void ObjectPlacement::Rebalance(const std::vector<PlacementServer>& aUsable,
