--- a/src/include/cranberrywing/gateway/policy.h
+++ b/src/include/cranberrywing/gateway/policy.h
@@ -32,6 +32,7 @@
   /// Begins and ends with a slash.
   std::string mPrefix;
   bool mIsIdempotent = false;
+  bool mHasLargeAnswers = false;
   /// Maximum time until the caller gets a final answer.
   Duration mTimeout{};
   /// Latency target of the route's answers.
@@ -115,6 +116,9 @@
   Revision GetRevision() const { return mContent.mRevision; }
   const PolicyContent& Content() const { return mContent; }
 
+  /// Whether any usable route has large answers.
+  bool HasLargeAnswers() const { return mHasLargeAnswers; }
+
   /// Returns the host's route with the longest matching path prefix, or null if
   /// none matches. Case and port of the host are ignored.
   const RoutePolicy* FindRoute(std::string_view aHost,
@@ -141,6 +145,7 @@
   static KeyDigest DigestKey(std::string_view aKey);
 
   PolicyContent mContent;
+  bool mHasLargeAnswers = false;
   /// Route indices by host, longest prefix first.
   std::unordered_map<std::string, std::vector<std::size_t>> mRoutesByHost;
   std::unordered_map<KeyDigest, std::size_t, KeyDigestHash> mAccountByKey;
--- a/src/libcranberrywing/gateway/policy.cpp
+++ b/src/libcranberrywing/gateway/policy.cpp
@@ -96,6 +96,8 @@
       mContent.mProblems.push_back("route " + route.mRoute.mName + ": " +
                                    problem);
     }
+    mHasLargeAnswers =
+      mHasLargeAnswers || (route.mIsUsable && route.mHasLargeAnswers);
     mRoutesByHost[NormalizeHost(route.mHost)].push_back(n);
   }
   for (auto& [host, routes] : mRoutesByHost) {
