Add the VM's link rate to settings and VM records

VMs with 10 and 200 Mbit/s cannot be told apart. The optional setting link_mbps is a finite number above 0; an empty value, as the template gives without a limit, counts as not set. The VM record has it as an optional member.

--- a/src/cranberrywingd/gateway_daemon.cpp
+++ b/src/cranberrywingd/gateway_daemon.cpp
@@ -79,7 +79,8 @@
            .mFailureDomain = settings.mFailureDomain,
            .mAddress = settings.mCallers.mAddress,
            .mCallerPort = settings.mCallers.mPort,
-           .mPeerPort = settings.mPeers.mPort };
+           .mPeerPort = settings.mPeers.mPort,
+           .mLinkMbps = settings.mLinkMbps };
 }
 
 gateway::Gateway::Options GatewayDaemon::GatewayOptions(
--- a/src/cranberrywingd/gateway_settings.cpp
+++ b/src/cranberrywingd/gateway_settings.cpp
@@ -36,6 +36,23 @@
     }
   }
 
+  /// Reads an optional finite number above 0. aValue stays unchanged if the
+  /// field is absent or empty.
+  void ReadPositive(const char* aName, double& aValue)
+  {
+    std::string text;
+    Read(aName, text, false);
+    if (text.empty()) {
+      return;
+    }
+    const auto number = ParseNumber<double>(text);
+    if (!number || !std::isfinite(*number) || *number <= 0) {
+      SetFirstError(aName, "is not a finite number above 0: " + text);
+      return;
+    }
+    aValue = *number;
+  }
+
   void ReadRegions(const char* aName,
                    std::map<FailureDomainId, RegionId>& aValue)
   {
@@ -60,6 +77,12 @@
     return {};
   }
 
+  static Result<void> Convert(const std::string& aText, std::string& aValue)
+  {
+    aValue = aText;
+    return {};
+  }
+
   static Result<void> Convert(const std::string& aText,
                               netutil::Endpoint& aValue)
   {
@@ -178,6 +201,7 @@
   reader.Read("cold_overshoot", settings.mColdOvershoot, false);
   reader.Read("cold_slack", settings.mColdSlack, false);
   reader.Read("max_shift", settings.mMaxShift, false);
+  reader.ReadPositive("link_mbps", settings.mLinkMbps);
   reader.Read("file_limit", settings.mFileLimit, false);
   std::size_t memoryMegabytes = settings.mMemoryLimit / kMegabyte;
   reader.Read("memory_limit_mb", memoryMegabytes, false);
--- a/src/cranberrywingd/gateway_settings.h
+++ b/src/cranberrywingd/gateway_settings.h
@@ -42,6 +42,8 @@
   /// Maximum fraction of a region's requests that may change their region
   /// within two seconds.
   double mMaxShift = 0.15;
+  /// Rate of this VM's link in Mbit/s; zero if unknown.
+  double mLinkMbps = 0;
   /// Maximum number of file descriptors of the process.
   std::size_t mFileLimit = 4096;
   /// Memory limit of the process in bytes.
--- a/src/cranberrywingd/gateway_settings_test.cpp
+++ b/src/cranberrywingd/gateway_settings_test.cpp
@@ -43,6 +43,36 @@
   }
 }
 
+// Guards against a VM that is taken for the fastest of its region, or for one
+// without a link, because its rate was mistyped.
+TEST_CASE("The link rate is a finite number above 0 or unknown")
+{
+  for (const char* unknown : { "", "link_mbps: \"\"\n", "link_mbps:\n" }) {
+    CAPTURE(unknown);
+    const auto settings = ReadGatewaySettings(kSettings + unknown);
+    REQUIRE(settings.has_value());
+    CHECK(settings->mLinkMbps == 0);
+  }
+  for (const auto& [text, rate] : { std::pair("10", 10.0),
+                                    std::pair("\"200\"", 200.0),
+                                    std::pair("0.5", 0.5) }) {
+    CAPTURE(text);
+    const auto settings =
+      ReadGatewaySettings(kSettings + "link_mbps: " + text + "\n");
+    REQUIRE(settings.has_value());
+    CHECK(settings->mLinkMbps == rate);
+  }
+  for (const char* bad :
+       { "0", "-10", "nan", "inf", "-inf", "1e400", "10Mbit", "fast" }) {
+    CAPTURE(bad);
+    const auto settings =
+      ReadGatewaySettings(kSettings + "link_mbps: " + bad + "\n");
+    REQUIRE_FALSE(settings.has_value());
+    CHECK(settings.error().mMessage ==
+          std::string("link_mbps is not a finite number above 0: ") + bad);
+  }
+}
+
 // A field that is empty in the platform's template keeps its default.
 TEST_CASE("Empty optional settings keep their defaults")
 {
--- a/src/include/cranberrywing/gateway/event.h
+++ b/src/include/cranberrywing/gateway/event.h
@@ -30,6 +30,8 @@
   /// UDP port for messages of other VMs.
   std::uint16_t mPeerPort = 0;
   bool mIsLeaving = false;
+  /// Rate of the VM's link in Mbit/s; zero if unknown.
+  double mLinkMbps = 0;
 };
 
 /// Where a VM's copy of the store can be read.
