Name VMs with fast links in lookups if there are downloads

Gateway::CallerTargets applies CallerVms before the limit on the number of VMs, if a usable route has large answers. The event caller_vms and three metrics show the choice; the page for operators says why a VM gets no clients. The choice is not noted in the first 3 s after the registrations are known, since a VM that has just started first hears few fast VMs and would name slow ones for longer than the others of its region.

The tests show lookups without large answers in the same order as before, a slow VM that leaves itself out, fast VMs that leave, are cut off or fall silent, and a restarted VM.

--- a/src/cranberrywingd/gateway_daemon_metrics.cpp
+++ b/src/cranberrywingd/gateway_daemon_metrics.cpp
@@ -133,6 +133,17 @@
   writer.Gauge("cranberrywing_vms",
                "VMs that share fleet-wide limits.",
                static_cast<double>(mGateway.Fleet().SharingVmCount()));
+  const gateway::CallerVmCounts callerVms =
+    mGateway.CountCallerVms(ReadClock());
+  writer.Gauge("cranberrywing_caller_vms",
+               "VMs to which callers of this VM's region are directed.",
+               static_cast<double>(callerVms.mNamed));
+  writer.Gauge("cranberrywing_caller_vms_left_out",
+               "Usable VMs that lookups leave out because of slow links.",
+               static_cast<double>(callerVms.mLeftOut));
+  writer.Gauge("cranberrywing_named_in_lookups",
+               "Whether lookups for this VM's region name this VM.",
+               callerVms.mNamesSelf ? 1 : 0);
   writer.Gauge("cranberrywing_store_revision",
                "Revision of this VM's copy of the store.",
                static_cast<double>(mStore.KnownPosition().mRevision));
--- a/src/include/cranberrywing/gateway/fleet_view.h
+++ b/src/include/cranberrywing/gateway/fleet_view.h
@@ -129,6 +129,10 @@
   std::vector<VmRecord> CallerTargets(const RegionId& aRegion,
                                       const OwnState& aSelf,
                                       TimePoint aNow) const;
+  /// VMs that callers of a region without VMs should use: the usable VMs of all
+  /// regions, under the same condition.
+  std::vector<VmRecord> CallerTargets(const OwnState& aSelf,
+                                      TimePoint aNow) const;
   /// Demand of the region's callers for a service, in busy server slots. For
   /// the own region, the sum of what its VMs except this one report; for
   /// another, the median of what its VMs tell about the whole region.
@@ -150,6 +154,14 @@
   double OwnRegionRate(const ServiceId& aService, TimePoint aNow) const;
 
 private:
+  struct UsableVms
+  {
+    std::vector<VmRecord> mAll;
+    /// Those that reach backend servers.
+    std::vector<VmRecord> mReaching;
+  };
+
+  UsableVms FindUsableVms(const OwnState& aSelf, TimePoint aNow) const;
   /// Returns the peer if the incarnation is that of its store entry, or null.
   Peer* FindSender(const VmIncarnation& aFrom);
   /// Sum of a field over the status messages of the own region's VMs.
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "cranberrywing/gateway/account_shares.h"
 #include "cranberrywing/gateway/admission.h"
 #include "cranberrywing/gateway/backend_pool.h"
+#include "cranberrywing/gateway/caller_vms.h"
 #include "cranberrywing/gateway/cold_start.h"
 #include "cranberrywing/gateway/event.h"
 #include "cranberrywing/gateway/fleet_view.h"
@@ -50,6 +51,18 @@
   std::map<ResultCode, std::uint64_t> mRefused;
 };
 
+/// VMs to which lookups direct the callers of this VM's region.
+struct CallerVmCounts
+{
+  std::size_t mNamed = 0;
+  /// Usable VMs that are left out because of their slow links.
+  std::size_t mLeftOut = 0;
+  /// Whether this VM is among those named.
+  bool mNamesSelf = false;
+
+  bool operator==(const CallerVmCounts&) const = default;
+};
+
 /// Why the last attempt at a request is known not to have run.
 enum class NotRunReason : std::uint8_t
 {
@@ -102,10 +115,14 @@
   bool IsStopping() const { return mStoppingSince.has_value(); }
   /// At most aMaxCount of the VMs that callers of a region should use. If there
   /// are more, the choice differs from VM to VM and changes with time, so that
-  /// all of them get callers.
+  /// all of them get callers. If the configuration has routes with large
+  /// answers, VMs with slow links are left out as caller_vms.h describes. If the
+  /// answer has VMs of several regions, that rule holds for each of them.
   std::vector<VmRecord> CallerTargets(const RegionId& aRegion,
                                       std::size_t aMaxCount,
                                       TimePoint aNow) const;
+  /// Numbers for the own region, without regard to a maximum count.
+  CallerVmCounts CountCallerVms(TimePoint aNow) const;
   /// Time for which callers may use a lookup's answer with so many VMs.
   Duration LookupLifetime(std::size_t aTargets) const;
 
@@ -221,6 +238,14 @@
   // gateway_lookups.cpp
   /// IsReady without regard to the links to backend servers.
   bool HasStarted() const;
+  OwnState OwnLookupState() const;
+  /// Leaves VMs with slow links out if the configuration has routes with large
+  /// answers.
+  std::vector<VmRecord> ChooseCallerVms(std::vector<VmRecord> aUsable,
+                                        TimePoint aNow) const;
+  /// Updates mCallerVms, and logs if the choice for the own region changed.
+  void UpdateCallerVms();
+  void RecordCallerVms(const CallerVmCounts& aCounts);
 
   // gateway_reach.cpp
   /// Whether servers have answered lately, at least over connections that were
@@ -437,6 +462,7 @@
 
   PolicyPtr mPolicy;
   bool mHasRegistrations = false;
+  TimePoint mRegistrationsAt{};
   std::optional<TimePoint> mStoppingSince;
   bool mHasClosedCallerConnections = false;
   bool mHasExited = false;
@@ -444,6 +470,11 @@
   BackendPool mPool;
   ServerReach mServerReach;
   FleetView mFleet;
+  CallerVms mCallerVms;
+  TimePoint mNextCallerVms{};
+  /// As last logged; nullopt if the configuration had no routes with large
+  /// answers then.
+  std::optional<CallerVmCounts> mRecordedCallerVms;
   StoreRelay mStoreRelay;
   /// As last told to the driver.
   effect::FollowStore mFollowStore;
--- a/src/libcranberrywing/gateway/fleet_view.cpp
+++ b/src/libcranberrywing/gateway/fleet_view.cpp
@@ -249,16 +249,14 @@
   return vms;
 }
 
-std::vector<VmRecord> FleetView::CallerTargets(const RegionId& aRegion,
-                                               const OwnState& aSelf,
-                                               TimePoint aNow) const
+FleetView::UsableVms FleetView::FindUsableVms(const OwnState& aSelf,
+                                              TimePoint aNow) const
 {
-  std::vector<VmRecord> usable;
-  std::vector<VmRecord> reaching;
+  UsableVms usable;
   const auto add = [&](const VmRecord& aRecord, bool aIsCutOff) {
-    usable.push_back(aRecord);
+    usable.mAll.push_back(aRecord);
     if (!aIsCutOff) {
-      reaching.push_back(aRecord);
+      usable.mReaching.push_back(aRecord);
     }
   };
   if (aSelf.mIsReady) {
@@ -269,6 +267,23 @@
       add(peer.mRecord, IsCutOff(peer, aNow));
     }
   }
+  return usable;
+}
+
+std::vector<VmRecord> FleetView::CallerTargets(const OwnState& aSelf,
+                                               TimePoint aNow) const
+{
+  UsableVms usable = FindUsableVms(aSelf, aNow);
+  // If no VM reaches servers, the servers themselves are probably down.
+  return usable.mReaching.empty() ? std::move(usable.mAll)
+                                  : std::move(usable.mReaching);
+}
+
+std::vector<VmRecord> FleetView::CallerTargets(const RegionId& aRegion,
+                                               const OwnState& aSelf,
+                                               TimePoint aNow) const
+{
+  const auto [usable, reaching] = FindUsableVms(aSelf, aNow);
   const std::vector<VmRecord> sameRegion = OfRegion(usable, aRegion);
   if (reaching.empty()) {
     // No VM is worse than the others; the servers themselves are probably down.
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -19,6 +19,7 @@
   , mPool(BackendPool::Options{})
   , mServerReach(ServerReach::Options{})
   , mFleet(FleetView::Options{ .mSelf = mOptions.mSelf })
+  , mCallerVms(CallerVms::Options{})
   , mStoreRelay(StoreRelay::Options{ .mSelf = mOptions.mSelf })
   , mRegionPlan(RegionPlan::Options{ .mOwnRegion = mOptions.mSelf.mRegion,
                                      .mMaxShift = mOptions.mMaxShift })
@@ -212,6 +213,7 @@
 {
   if (!mHasRegistrations) {
     mHasRegistrations = true;
+    mRegistrationsAt = mNow;
     Record("registrations_complete",
            { { "backends", std::to_string(mPool.All().size()) },
              { "vms", std::to_string(mFleet.SharingVmCount()) } });
@@ -379,6 +381,7 @@
   BroadcastRequestBlocks();
   RelayStoreChanges();
   UpdatePlan();
+  UpdateCallerVms();
   RecordRegionTraffic();
   ProbeServers();
   SendStatus();
--- a/src/libcranberrywing/gateway/gateway_test_fleet.h
+++ b/src/libcranberrywing/gateway/gateway_test_fleet.h
@@ -18,14 +18,16 @@
 class GatewayFixture
 {
 public:
-  GatewayFixture()
+  /// aLinkMbps is VmRecord::mLinkMbps of the gateway.
+  explicit GatewayFixture(double aLinkMbps = 0)
     : mGateway({ .mSelf = { .mVm = VmId("vm-1"),
                             .mIncarnation = { 7 },
                             .mRegion = RegionId("near"),
                             .mFailureDomain = FailureDomainId("near-a"),
                             .mAddress = "10.0.0.1",
                             .mCallerPort = 80,
-                            .mPeerPort = 81 },
+                            .mPeerPort = 81,
+                            .mLinkMbps = aLinkMbps },
                  .mRetries = { .mAllowance = 50 },
                  .mColdStart = { .mOvershoot = 1.5, .mSlack = 5 } })
   {
