--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -116,8 +116,8 @@
   /// At most aMaxCount of the VMs that callers of a region should use. If there
   /// are more, the choice differs from VM to VM and changes with time, so that
   /// all of them get callers. If the configuration has routes with large
-  /// answers, VMs with slow links are left out as caller_vms.h describes. If the
-  /// answer has VMs of several regions, that rule holds for each of them.
+  /// answers, VMs with slow links are left out as caller_vms.h describes. If
+  /// the answer has VMs of several regions, that rule holds for each of them.
   std::vector<VmRecord> CallerTargets(const RegionId& aRegion,
                                       std::size_t aMaxCount,
                                       TimePoint aNow) const;
