Exchange object placements between VMs

Objects that one VM places at other servers than the first one of their order have to be sent there by all VMs.

--- a/src/libcranberrywing/message_test.cpp
+++ b/src/libcranberrywing/message_test.cpp
@@ -43,6 +43,8 @@
   CHECK(Message(message::BackendsLeaving{}).index() == 30);
   CHECK(Message(message::RegionServerLoads{}).index() == 31);
   CHECK(Message(message::BoundDemands{}).index() == 32);
+  CHECK(Message(message::ObjectDemands{}).index() == 33);
+  CHECK(Message(message::ObjectPlacements{}).index() == 34);
 }
 
 TEST_CASE("messages of the gateway round-trip")
@@ -79,6 +81,18 @@
   CHECK(std::get<message::BoundDemands>(bound).mDemand.front().mRegion ==
         RegionId("near"));
   CHECK(std::get<message::BoundDemands>(bound).mDemand.front().mSlots == 2.5F);
+  const auto demands = roundTrip(
+    message::ObjectDemands{ ServiceId("ordering"), { { 7, 2.5F }, { 8, 1 } } });
+  const auto& objects = std::get<message::ObjectDemands>(demands).mObjects;
+  CHECK(std::get<message::ObjectDemands>(demands).mService ==
+        ServiceId("ordering"));
+  REQUIRE(objects.size() == 2);
+  CHECK(objects.front().mObject == 7);
+  CHECK(objects.front().mSlots == 2.5F);
+  const std::vector<PlacedObject> placed{ { 7, { 1, 2 } }, { 8, {} } };
+  const auto placements = roundTrip(message::ObjectPlacements{ 9, placed });
+  CHECK(std::get<message::ObjectPlacements>(placements).mNumber == 9);
+  CHECK(std::get<message::ObjectPlacements>(placements).mObjects == placed);
   const auto leaving = roundTrip(message::BackendsLeaving{ { 4, 9 } });
   CHECK(std::get<message::BackendsLeaving>(leaving).mBackends ==
         std::vector<std::uint64_t>{ 4, 9 });
