Prefer the placed servers of an object

The selector puts servers at which an object is placed before its rendezvous order and takes them for warm. Equal ones are used by their load, as the first one would otherwise be used up before the next gets any request. Without placed servers nothing changes. The tests show the choice among placed servers, and that requests leave them if waiting costs more than a cache miss.

--- a/src/include/cranberrywing/gateway/object_selector.h
+++ b/src/include/cranberrywing/gateway/object_selector.h
@@ -7,10 +7,12 @@
 /// adding or removing a server moves only that server's objects. A server with
 /// a rate limit gets as many objects as its rate allows for. Among the
 /// first servers of the order, the one with the lowest expected completion
-/// time, including penalties for rank and cache misses, is selected.
+/// time, including penalties for rank and cache misses, is selected. Servers at
+/// which the object was placed (ObjectPlacement) come before the order.
 #pragma once
 
 #include <optional>
+#include <span>
 #include <string_view>
 #include <vector>
 
@@ -82,25 +84,31 @@
   /// Selects the server with the lowest cost among aCandidates, all of which
   /// may serve the request; nullopt if there are none. For a request without an
   /// object all candidates are considered, and aRequestHash breaks ties between
-  /// them.
-  std::optional<Selection> Choose(const BackendPool& aPool,
-                                  std::vector<Backend*> aCandidates,
-                                  ObjectHash aObject,
-                                  const ExpectedTimes& aTimes,
-                                  TimePoint aNow,
-                                  std::uint64_t aRequestHash = 0) const;
+  /// them. aPlaced are the servers at which the object is placed, as
+  /// Backend::mLifetimeHash; those that are no candidates are ignored.
+  std::optional<Selection> Choose(
+    const BackendPool& aPool,
+    std::vector<Backend*> aCandidates,
+    ObjectHash aObject,
+    const ExpectedTimes& aTimes,
+    TimePoint aNow,
+    std::uint64_t aRequestHash = 0,
+    std::span<const std::uint64_t> aPlaced = {}) const;
 
 private:
-  /// Whether the server is expected to have the object cached.
-  bool IsAssumedWarm(const BackendPool& aPool,
-                     const Backend& aBackend,
-                     std::size_t aRank,
-                     ObjectHash aObject,
-                     TimePoint aNow) const;
+  /// Whether the server is expected to have the object cached. The servers with
+  /// a rank below aAssumedWarm are.
+  static bool IsAssumedWarm(const BackendPool& aPool,
+                            const Backend& aBackend,
+                            std::size_t aRank,
+                            std::size_t aAssumedWarm,
+                            ObjectHash aObject,
+                            TimePoint aNow);
   /// Estimates queueing time and service time at the server.
   Selection Evaluate(const BackendPool& aPool,
                      Backend& aBackend,
                      std::size_t aRank,
+                     std::size_t aAssumedWarm,
                      ObjectHash aObject,
                      const ExpectedTimes& aTimes,
                      TimePoint aNow) const;
--- a/src/libcranberrywing/gateway/object_selector.cpp
+++ b/src/libcranberrywing/gateway/object_selector.cpp
@@ -33,8 +33,36 @@
   return -std::log(draw) / aBackend.mRateWeight;
 }
 
+/// Moves the placed servers to the front, in the order of aPlaced, and returns
+/// their number.
+std::size_t MovePlacedToFront(std::span<Backend*> aCandidates,
+                              std::span<const std::uint64_t> aPlaced)
+{
+  std::size_t count = 0;
+  for (const std::uint64_t lifetime : aPlaced) {
+    const auto rest = aCandidates.subspan(count);
+    const auto it =
+      std::find_if(rest.begin(), rest.end(), [&](const Backend* aEach) {
+        return aEach->mLifetimeHash == lifetime;
+      });
+    if (it != rest.end()) {
+      std::swap(*it, rest.front());
+      ++count;
+    }
+  }
+  return count;
+}
+
+/// Fraction of the server's slots that are busy; above 1 with a queue.
+double BusyFraction(const BackendPool& aPool,
+                    const Backend& aBackend,
+                    TimePoint aNow)
+{
+  return aPool.Load(aBackend, aNow) / std::max(1U, aBackend.mEntry.mSlots);
+}
+
 /// Moves the first aWidth servers of the object's order to the front, sorted.
-void MoveFirstOfOrder(std::vector<Backend*>& aCandidates,
+void MoveFirstOfOrder(std::span<Backend*> aCandidates,
                       std::size_t aWidth,
                       std::uint64_t aKey)
 {
@@ -86,21 +114,23 @@
 bool ObjectSelector::IsAssumedWarm(const BackendPool& aPool,
                                    const Backend& aBackend,
                                    std::size_t aRank,
+                                   std::size_t aAssumedWarm,
                                    ObjectHash aObject,
-                                   TimePoint aNow) const
+                                   TimePoint aNow)
 {
-  return aRank < mOptions.mAssumedWarmServers ||
-         aPool.IsWarm(aBackend, aObject, aNow);
+  return aRank < aAssumedWarm || aPool.IsWarm(aBackend, aObject, aNow);
 }
 
 Selection ObjectSelector::Evaluate(const BackendPool& aPool,
                                    Backend& aBackend,
                                    std::size_t aRank,
+                                   std::size_t aAssumedWarm,
                                    ObjectHash aObject,
                                    const ExpectedTimes& aTimes,
                                    TimePoint aNow) const
 {
-  const bool isWarm = IsAssumedWarm(aPool, aBackend, aRank, aObject, aNow);
+  const bool isWarm =
+    IsAssumedWarm(aPool, aBackend, aRank, aAssumedWarm, aObject, aNow);
   double factor = aPool.Slowness(aBackend, aNow);
   if (aPool.IsCold(aBackend, aNow)) {
     factor *= mOptions.mColdFactor;
@@ -126,29 +156,47 @@
   ObjectHash aObject,
   const ExpectedTimes& aTimes,
   TimePoint aNow,
-  std::uint64_t aRequestHash) const
+  std::uint64_t aRequestHash,
+  std::span<const std::uint64_t> aPlaced) const
 {
   if (aCandidates.empty()) {
     return std::nullopt;
   }
   const std::uint64_t key = aObject == 0 ? aRequestHash : aObject;
+  const std::size_t placed =
+    aObject == 0 ? 0 : MovePlacedToFront(aCandidates, aPlaced);
+  // Placed servers share the first rank.
+  const std::size_t sameRank = placed == 0 ? 0 : placed - 1;
   const std::size_t width =
-    aObject == 0 ? aCandidates.size()
-                 : std::min(mOptions.mMaxCandidates, aCandidates.size());
-  MoveFirstOfOrder(aCandidates, width, key);
+    aObject == 0
+      ? aCandidates.size()
+      : std::min(mOptions.mMaxCandidates + sameRank, aCandidates.size());
+  if (width > placed) {
+    MoveFirstOfOrder(
+      std::span(aCandidates).subspan(placed), width - placed, key);
+  }
+  const std::size_t assumedWarm =
+    placed == 0 ? mOptions.mAssumedWarmServers : placed;
   std::optional<Selection> best;
   Duration bestCost{};
   for (std::size_t n = 0; n < width; ++n) {
     const Selection selection =
-      Evaluate(aPool, *aCandidates[n], n, aObject, aTimes, aNow);
+      Evaluate(aPool, *aCandidates[n], n, assumedWarm, aObject, aTimes, aNow);
     Duration cost = selection.mTotal;
     if (aObject != 0) {
-      cost += mOptions.mRankCost * static_cast<Duration::rep>(n);
-      if (!IsAssumedWarm(aPool, *aCandidates[n], n, aObject, aNow)) {
+      cost += mOptions.mRankCost *
+              static_cast<Duration::rep>(n < placed ? 0 : n - sameRank);
+      if (!IsAssumedWarm(
+            aPool, *aCandidates[n], n, assumedWarm, aObject, aNow)) {
         cost += Scale(aTimes.mTailLatency - aTimes.mWarm, mOptions.mMissCost);
       }
     }
-    if (!best || cost < bestCost) {
+    // Placed servers with free slots have equal costs. The first one would be
+    // used up before the next one gets a request.
+    const bool isLessBusy = best && n < placed && cost == bestCost &&
+                            BusyFraction(aPool, *aCandidates[n], aNow) <
+                              BusyFraction(aPool, *best->mBackend, aNow);
+    if (!best || cost < bestCost || isLessBusy) {
       best = selection;
       bestCost = cost;
     }
--- a/src/libcranberrywing/gateway/object_selector_test.cpp
+++ b/src/libcranberrywing/gateway/object_selector_test.cpp
@@ -31,10 +31,21 @@
     }
   }
 
-  Selection Choose(ObjectHash aObject) const
+  Selection Choose(ObjectHash aObject,
+                   const std::vector<std::uint64_t>& aPlaced = {}) const
   {
-    return *mSelector.Choose(
-      mPool, mPool.BackendsOfService(kService), aObject, mTimes, kNow);
+    return *mSelector.Choose(mPool,
+                             mPool.BackendsOfService(kService),
+                             aObject,
+                             mTimes,
+                             kNow,
+                             0,
+                             aPlaced);
+  }
+
+  Backend& Server(int aNumber)
+  {
+    return *mPool.Find(BackendId("s" + std::to_string(aNumber)));
   }
 
   BackendPool mPool{ {} };
@@ -177,3 +188,65 @@
     CHECK(count < 150);
   }
 }
+
+// Guards against a placed object that stays at its first server because that is
+// assumed to have it cached and the placed one is not.
+TEST_CASE("A placed object goes to its placed server")
+{
+  Servers servers(12);
+  for (int n = 0; n < 100; ++n) {
+    const ObjectHash object = HashObject(kService, std::to_string(n));
+    const Backend* const first = servers.Choose(object).mBackend;
+    Backend& placed = servers.Server(n % 12);
+    const Selection selection =
+      servers.Choose(object, { placed.mLifetimeHash });
+    CHECK(selection.mBackend == &placed);
+    CHECK(selection.mTotal == servers.mTimes.mWarm);
+    // Servers that are gone, or run as another process, are passed over.
+    CHECK(servers.Choose(object, { 77 }).mBackend == first);
+  }
+}
+
+// Guards against requests that wait at a placed server although another one
+// answers earlier, and against placed servers of which the first is used up
+// before the second gets any request.
+TEST_CASE("Of several placed servers the one that answers first is chosen")
+{
+  Servers servers(12);
+  const ObjectHash object = HashObject(kService, "hot");
+  Backend& one = servers.Server(3);
+  Backend& other = servers.Server(8);
+  const std::vector<std::uint64_t> placed{ one.mLifetimeHash,
+                                           other.mLifetimeHash };
+  std::map<const Backend*, int> sent;
+  for (int n = 0; n < 8; ++n) {
+    Backend& server = *servers.Choose(object, placed).mBackend;
+    servers.mPool.OnSent(server, object, kNow);
+    ++sent[&server];
+  }
+  CHECK(sent[&one] == 4);
+  CHECK(sent[&other] == 4);
+  for (int n = 0; n < 20; ++n) {
+    servers.mPool.OnSent(one, object, kNow);
+  }
+  CHECK(servers.Choose(object, placed).mBackend == &other);
+}
+
+// Guards against a placed server that keeps its objects although waiting there
+// costs more than a cache miss elsewhere.
+TEST_CASE("A request leaves placed servers whose queues cost more than a miss")
+{
+  Servers servers(12);
+  const ObjectHash object = HashObject(kService, "hot");
+  std::vector<std::uint64_t> placed;
+  for (const int n : { 1, 4, 7, 9 }) {
+    Backend& server = servers.Server(n);
+    placed.push_back(server.mLifetimeHash);
+    for (int request = 0; request < 400; ++request) {
+      servers.mPool.OnSent(server, object, kNow);
+    }
+  }
+  const Backend& chosen = *servers.Choose(object, placed).mBackend;
+  CHECK(std::find(placed.begin(), placed.end(), chosen.mLifetimeHash) ==
+        placed.end());
+}
