Use object placements in the gateway

The gateway counts demand for objects, elects the placing VM among the VMs of its region that it hears, runs ObjectPlacement there, and selects placed servers. The setting object_placement switches all of it off.

--- a/src/cranberrywingd/gateway_daemon.cpp
+++ b/src/cranberrywingd/gateway_daemon.cpp
@@ -96,6 +96,7 @@
   options.mColdStart.mOvershoot = settings.mColdOvershoot;
   options.mColdStart.mSlack = settings.mColdSlack;
   options.mMaxShift = settings.mMaxShift;
+  options.mPlacesObjects = settings.mPlacesObjects;
   options.mLookupLifetime =
     std::min(options.mLookupLifetime, settings.mLookupLifetimeMax);
   options.mStopLimit = settings.mStopLimit;
--- a/src/cranberrywingd/gateway_daemon_metrics.cpp
+++ b/src/cranberrywingd/gateway_daemon_metrics.cpp
@@ -89,6 +89,31 @@
     aWriter);
 }
 
+/// Writes what this VM knows and decides of object placements.
+void WritePlacements(const gateway::Gateway& aGateway,
+                     TimePoint aNow,
+                     MetricsWriter& aWriter)
+{
+  const gateway::PlacementExchange& placements = aGateway.Placements();
+  aWriter.Gauge("cranberrywing_object_placements",
+                "Placements of objects in force, of the servers of all "
+                "regions.",
+                static_cast<double>(placements.EntryCount(aNow)));
+  aWriter.Gauge("cranberrywing_object_placing_vm",
+                "1 if this VM places the objects of its region's servers, or "
+                "else 0.",
+                placements.IsPlacing() ? 1 : 0);
+  aWriter.Counter("cranberrywing_object_moves_total",
+                  "Placements of objects that this VM decided.",
+                  static_cast<double>(aGateway.Counters().mObjectMoves));
+  if (const auto latest = placements.LatestEntryAt(aNow)) {
+    aWriter.Gauge("cranberrywing_object_placement_age_seconds",
+                  "Time since a placement in force was last received, or was "
+                  "confirmed by this VM.",
+                  std::chrono::duration<double>(aNow - *latest).count());
+  }
+}
+
 } // namespace
 
 AnswerContentPtr GatewayDaemon::WriteMetricsPage() const
@@ -124,6 +149,7 @@
                "0 while the links to all backend servers are lost, or else 1.",
                mGateway.IsCutOff() ? 0 : 1);
   WriteServerStates(mGateway.Pool(), ReadClock(), writer);
+  WritePlacements(mGateway, ReadClock(), writer);
   writer.Counter("cranberrywing_policy_problems_total",
                  "Parts of configurations that could not be read.",
                  static_cast<double>(counters.mPolicyProblems));
--- a/src/cranberrywingd/gateway_settings.cpp
+++ b/src/cranberrywingd/gateway_settings.cpp
@@ -100,6 +100,16 @@
     return {};
   }
 
+  static Result<void> Convert(const std::string& aText, bool& aValue)
+  {
+    if (aText != "true" && aText != "false") {
+      return MakeError(ResultCode::InvalidSettings,
+                       "is neither true nor false: " + aText);
+    }
+    aValue = aText == "true";
+    return {};
+  }
+
   static Result<void> Convert(const std::string& aText, std::size_t& aValue)
   {
     const auto number = ParseNumber<std::uint64_t>(aText);
@@ -178,6 +188,7 @@
   reader.Read("cold_overshoot", settings.mColdOvershoot, false);
   reader.Read("cold_slack", settings.mColdSlack, false);
   reader.Read("max_shift", settings.mMaxShift, false);
+  reader.Read("object_placement", settings.mPlacesObjects, false);
   reader.Read("file_limit", settings.mFileLimit, false);
   std::size_t memoryMegabytes = settings.mMemoryLimit / kMegabyte;
   reader.Read("memory_limit_mb", memoryMegabytes, false);
--- a/src/cranberrywingd/gateway_settings.h
+++ b/src/cranberrywingd/gateway_settings.h
@@ -42,6 +42,9 @@
   /// Maximum fraction of a region's requests that may change their region
   /// within two seconds.
   double mMaxShift = 0.15;
+  /// Whether objects are placed at other servers than the first one of their
+  /// order if that one is overloaded.
+  bool mPlacesObjects = true;
   /// Maximum number of file descriptors of the process.
   std::size_t mFileLimit = 4096;
   /// Memory limit of the process in bytes.
--- a/src/cranberrywingd/gateway_settings_test.cpp
+++ b/src/cranberrywingd/gateway_settings_test.cpp
@@ -52,3 +52,23 @@
   CHECK(settings->mMaxShift == Approx(0.15));
   CHECK_FALSE(ReadGatewaySettings(kSettings + "max_shift: -1").has_value());
 }
+
+// Guards against a mistyped switch that leaves objects placed without a word.
+TEST_CASE("The switch for object placement is true or false")
+{
+  CHECK(ReadGatewaySettings(kSettings)->mPlacesObjects);
+  CHECK(ReadGatewaySettings(kSettings + "object_placement: \"\"\n")
+          ->mPlacesObjects);
+  CHECK(ReadGatewaySettings(kSettings + "object_placement: true\n")
+          ->mPlacesObjects);
+  CHECK_FALSE(ReadGatewaySettings(kSettings + "object_placement: false\n")
+                ->mPlacesObjects);
+  for (const char* bad : { "no", "off", "0", "False", "nope" }) {
+    CAPTURE(bad);
+    const auto settings =
+      ReadGatewaySettings(kSettings + "object_placement: " + bad);
+    REQUIRE_FALSE(settings.has_value());
+    CHECK(settings.error().mMessage ==
+          std::string("object_placement is neither true nor false: ") + bad);
+  }
+}
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -21,7 +21,10 @@
 #include "cranberrywing/gateway/cold_start.h"
 #include "cranberrywing/gateway/event.h"
 #include "cranberrywing/gateway/fleet_view.h"
+#include "cranberrywing/gateway/object_demand.h"
+#include "cranberrywing/gateway/object_placement.h"
 #include "cranberrywing/gateway/object_selector.h"
+#include "cranberrywing/gateway/placement_exchange.h"
 #include "cranberrywing/gateway/region_plan.h"
 #include "cranberrywing/gateway/region_traffic.h"
 #include "cranberrywing/gateway/retry_budget.h"
@@ -47,6 +50,8 @@
   std::uint64_t mConnectFailures = 0;
   /// Times that the links to all backend servers were lost.
   std::uint64_t mServerLinkLosses = 0;
+  /// Placements of objects that this VM decided as the placing VM.
+  std::uint64_t mObjectMoves = 0;
   std::map<ResultCode, std::uint64_t> mRefused;
 };
 
@@ -78,6 +83,10 @@
     Duration mReportTime = std::chrono::milliseconds(2100);
     /// RegionPlan::Options::mMaxShift.
     double mMaxShift = 0.15;
+    /// Whether objects are placed at other servers than the first one of their
+    /// order (ObjectPlacement). Otherwise nothing of it is counted, sent or
+    /// used.
+    bool mPlacesObjects = true;
     /// Time for which callers may cache a lookup answer.
     Duration mLookupLifetime = std::chrono::milliseconds(1300);
     /// Time from the stop request until the process is killed.
@@ -118,6 +127,7 @@
   {
     return mStoreRelay.Age(aNow);
   }
+  const PlacementExchange& Placements() const { return mPlacementExchange; }
   const PolicyPtr& CurrentPolicy() const { return mPolicy; }
   std::size_t InFlight() const { return mRequests.size(); }
 
@@ -401,6 +411,33 @@
   /// Counts where the request is sent and sets Attempt::mRegion and mPlanExit.
   void CountRegion(Request& aRequest, const RegionId& aRegion);
 
+  // gateway_placement.cpp
+  void OnMessage(const VmIncarnation& aFrom,
+                 const message::ObjectDemands& aMessage);
+  void OnMessage(const VmIncarnation& aFrom,
+                 const message::ObjectPlacements& aMessage);
+  /// Counts a new request in mObjectDemand.
+  void CountObjectDemand(const Request& aRequest, const RegionId& aRegion);
+  /// Elects the placing VM, recomputes placements if this VM places, and sends
+  /// reports and placements that are due.
+  void ExchangePlacements();
+  /// VMs of the own region that may place its objects.
+  std::vector<PlacementCandidate> PlacementCandidates() const;
+  /// VMs that are told placements, in ascending order.
+  std::vector<VmId> PlacementReceivers() const;
+  /// Servers of the own region at which objects of the service may be placed.
+  std::vector<PlacementServer> PlacementServers(
+    const ServiceId& aService) const;
+  /// Recomputes the placements of the own region's servers and publishes them.
+  void UpdatePlacements(const std::vector<VmId>& aReceivers);
+  /// Takes over what another VM has placed.
+  void AdoptPlacements();
+  void ReportObjectDemand();
+  void RecordPlacement(const PlacedObject& aPlaced);
+  /// Servers of the region at which the object of the request is placed.
+  std::span<const std::uint64_t> PlacedServers(const Request& aRequest,
+                                               const RegionId& aRegion) const;
+
   // gateway_outcomes.cpp
   /// Logs a change of the server's rate limit.
   void RecordRateLimit(const Backend& aBackend,
@@ -463,6 +500,16 @@
   /// Arrivals of requests that may run in some regions only, by the region to
   /// which they are directed. mArrivals counts them as well.
   std::map<ServiceId, std::map<RegionId, Arrivals>> mBoundArrivals;
+  ObjectDemandCounter mObjectDemand;
+  PlacementExchange mPlacementExchange;
+  /// Placements that this VM decides while it is the placing VM.
+  struct ServicePlacement
+  {
+    ObjectPlacement mPlacement;
+    /// As last set in mPlacement.
+    PlacementExchange::Demand mDemand;
+  };
+  std::map<ServiceId, ServicePlacement> mServicePlacements;
   std::unordered_map<RequestId, Request> mRequests;
   GatewayCounters mCounters;
 
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -40,6 +40,10 @@
       .mCrashThreshold = 3,
       .mBlockTime = std::chrono::seconds(60),
     })
+  , mObjectDemand(ObjectDemandCounter::Options{})
+  , mPlacementExchange(PlacementExchange::Options{
+      .mSelf = { mOptions.mSelf.mVm, mOptions.mSelf.mIncarnation },
+      .mRegion = mOptions.mSelf.mRegion })
   , mNextDemandReceiver(HashBytes(mOptions.mSelf.mVm.mName))
   , mNextLimitReceiver(mNextDemandReceiver)
   , mNextLoadReceiver(mNextDemandReceiver)
@@ -335,6 +339,16 @@
     OnMessage(aEvent.mFrom, *loads);
     return;
   }
+  if (const auto* const demands =
+        std::get_if<message::ObjectDemands>(&aEvent.mMessage)) {
+    OnMessage(aEvent.mFrom, *demands);
+    return;
+  }
+  if (const auto* const placements =
+        std::get_if<message::ObjectPlacements>(&aEvent.mMessage)) {
+    OnMessage(aEvent.mFrom, *placements);
+    return;
+  }
   cranberrywing::EffectList effects;
   if (const auto* const tokenRequest =
         std::get_if<message::TokenRequest>(&aEvent.mMessage)) {
@@ -379,6 +393,7 @@
   BroadcastRequestBlocks();
   RelayStoreChanges();
   UpdatePlan();
+  ExchangePlacements();
   RecordRegionTraffic();
   ProbeServers();
   SendStatus();
--- a/src/libcranberrywing/gateway/gateway_demand.cpp
+++ b/src/libcranberrywing/gateway/gateway_demand.cpp
@@ -235,13 +235,20 @@
   const bool isBound =
     !aRequest.mRoute->mAllowedRegions.empty() ||
     (aRequest.mAccount && !aRequest.mAccount->mAllowedRegions.empty());
-  if (!isBound) {
+  const bool hasPlacement = mOptions.mPlacesObjects && aRequest.mObject != 0;
+  if (!isBound && !hasPlacement) {
     return;
   }
   const std::vector<RegionId> ranked = RankRegions(aRequest);
-  if (!ranked.empty()) {
+  if (ranked.empty()) {
+    return;
+  }
+  if (isBound) {
     CountArrival(mBoundArrivals[aRequest.mService][ranked.front()]);
   }
+  if (hasPlacement) {
+    CountObjectDemand(aRequest, ranked.front());
+  }
 }
 
 std::vector<RegionId> Gateway::RankRegions(const Request& aRequest) const
--- a/src/libcranberrywing/gateway/gateway_requests.cpp
+++ b/src/libcranberrywing/gateway/gateway_requests.cpp
@@ -228,7 +228,8 @@
                                             aRequest.mObject,
                                             times,
                                             mNow,
-                                            requestHash);
+                                            requestHash,
+                                            PlacedServers(aRequest, region));
     if (selection) {
       return selection;
     }
--- a/src/libcranberrywing/gateway/gateway_test_fleet.h
+++ b/src/libcranberrywing/gateway/gateway_test_fleet.h
@@ -18,7 +18,7 @@
 class GatewayFixture
 {
 public:
-  GatewayFixture()
+  explicit GatewayFixture(bool aPlacesObjects = true)
     : mGateway({ .mSelf = { .mVm = VmId("vm-1"),
                             .mIncarnation = { 7 },
                             .mRegion = RegionId("near"),
@@ -27,7 +27,8 @@
                             .mCallerPort = 80,
                             .mPeerPort = 81 },
                  .mRetries = { .mAllowance = 50 },
-                 .mColdStart = { .mOvershoot = 1.5, .mSlack = 5 } })
+                 .mColdStart = { .mOvershoot = 1.5, .mSlack = 5 },
+                 .mPlacesObjects = aPlacesObjects })
   {
     SetPolicy(1);
     for (int n = 0; n < 4; ++n) {
