--- a/src/cranberrywingd/gateway_settings.h
+++ b/src/cranberrywingd/gateway_settings.h
@@ -44,6 +44,9 @@
   double mMaxShift = 0.15;
   /// Rate of this VM's link in Mbit/s; zero if unknown.
   double mLinkMbps = 0;
+  /// Whether objects are placed at other servers than the first one of their
+  /// order if that one is overloaded.
+  bool mPlacesObjects = true;
   /// Maximum number of file descriptors of the process.
   std::size_t mFileLimit = 4096;
   /// Memory limit of the process in bytes.
--- a/src/libcranberrywing/gateway/caller_vms_lookup_test.cpp
+++ b/src/libcranberrywing/gateway/caller_vms_lookup_test.cpp
@@ -17,7 +17,7 @@
 {
 public:
   explicit LookupFixture(double aOwnMbps, bool aHasOthers = true)
-    : GatewayFixture(aOwnMbps)
+    : GatewayFixture({ .mLinkMbps = aOwnMbps })
   {
     if (aHasOthers) {
       AddOthers();
--- a/src/libcranberrywing/gateway/gateway_test_fleet.h
+++ b/src/libcranberrywing/gateway/gateway_test_fleet.h
@@ -18,8 +18,19 @@
 class GatewayFixture
 {
 public:
-  /// aLinkMbps is VmRecord::mLinkMbps of the gateway.
-  explicit GatewayFixture(double aLinkMbps = 0)
+  struct Options
+  {
+    /// VmRecord::mLinkMbps of the gateway.
+    double mLinkMbps = 0;
+    bool mPlacesObjects = true;
+  };
+
+  GatewayFixture()
+    : GatewayFixture(Options{})
+  {
+  }
+
+  explicit GatewayFixture(Options aOptions)
     : mGateway({ .mSelf = { .mVm = VmId("vm-1"),
                             .mIncarnation = { 7 },
                             .mRegion = RegionId("near"),
@@ -27,9 +38,10 @@
                             .mAddress = "10.0.0.1",
                             .mCallerPort = 80,
                             .mPeerPort = 81,
-                            .mLinkMbps = aLinkMbps },
+                            .mLinkMbps = aOptions.mLinkMbps },
                  .mRetries = { .mAllowance = 50 },
-                 .mColdStart = { .mOvershoot = 1.5, .mSlack = 5 } })
+                 .mColdStart = { .mOvershoot = 1.5, .mSlack = 5 },
+                 .mPlacesObjects = aOptions.mPlacesObjects })
   {
     SetPolicy(1);
     for (int n = 0; n < 4; ++n) {
