Exit only after callers have read the last responses

A stopping VM ended its process 50 ms after its last response was given to the connection. The VM now closes its listening socket and waits until all callers have closed their connections, at the latest until 200 ms before the stop limit.

--- a/src/cranberrywingd/gateway_daemon.cpp
+++ b/src/cranberrywingd/gateway_daemon.cpp
@@ -258,6 +258,9 @@
 
 void GatewayDaemon::RequestStop()
 {
+  if (mStopRequestedAt == TimePoint{}) {
+    mStopRequestedAt = ReadClock();
+  }
   Deliver(gateway::event::StopRequested{});
 }
 
--- a/src/cranberrywingd/gateway_daemon.h
+++ b/src/cranberrywingd/gateway_daemon.h
@@ -96,6 +96,10 @@
   void Execute(gateway::effect::ApplyCallerLimits& aEffect);
   void Execute(gateway::effect::RecordTimeline& aEffect);
   void Execute(gateway::effect::Exit& aEffect);
+  /// Ends the event loop once callers have read all responses and closed their
+  /// connections, or shortly before the stop limit: closing a connection
+  /// earlier would cut a large response that a slow link is still carrying.
+  void ExitOnceResponsesAreRead();
   /// Forgets the attempt's connection and returns it; null if the attempt was
   /// cancelled.
   netutil::HttpClientConnectionPtr TakeConnection(const SentAttempt& aSent);
@@ -165,6 +169,7 @@
   /// Epoch of the store's last answer.
   std::optional<std::int64_t> mStoreEpoch;
   std::uint64_t mStorePulls = 0;
+  TimePoint mStopRequestedAt{};
   std::uint64_t mNextRequest = 1;
   std::unordered_map<RequestId, Exchange> mExchanges;
   std::map<netutil::ExchangeId, RequestId> mRequestByExchange;
--- a/src/cranberrywingd/gateway_daemon_effects.cpp
+++ b/src/cranberrywingd/gateway_daemon_effects.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr Milliseconds kProbeTimeout{ 600 };
+constexpr Milliseconds kExitPollInterval{ 50 };
+/// The process ends at the latest this long before it would be killed.
+constexpr Milliseconds kExitMargin{ 200 };
 
 gateway::event::FailureKind KindOf(netutil::ExchangeFailureKind aKind)
 {
@@ -227,13 +230,29 @@
 void GatewayDaemon::Execute(gateway::effect::Exit&)
 {
   mStore.RevokeLease();
+  mCallers.StopAccepting();
   mCallers.CloseAllAfterResponses();
+  ExitOnceResponsesAreRead();
+}
+
+void GatewayDaemon::ExitOnceResponsesAreRead()
+{
   mLog.Flush();
-  // Leaves time to send pending answers and to end the lease.
-  mTimer.expires_after(std::chrono::milliseconds(50));
-  mTimer.async_wait([this](boost::system::error_code) {
-    mLog.Flush();
-    mContext.stop();
+  const Duration untilKill = mStopRequestedAt + mOptions.mSettings.mStopLimit -
+                             kExitMargin - ReadClock();
+  const bool isDone =
+    mCallers.ConnectionCount() == 0 || untilKill <= Duration::zero();
+  // The last interval leaves time to end the lease.
+  mTimer.expires_after(kExitPollInterval);
+  mTimer.async_wait([this, isDone](boost::system::error_code aError) {
+    if (aError) {
+      return;
+    }
+    if (isDone) {
+      mContext.stop();
+    } else {
+      ExitOnceResponsesAreRead();
+    }
   });
 }
 
