Keep objects at servers that are unusable for a short time

A server that the placing VM had ejected, or that had asked it to wait, lost its objects, and each move costs a cache miss. Two tests of notices sent requests for a single object, which is placed at several servers while one waits; the later process of a server is now looked for with 32 objects, since a placed object stays where it is.

--- a/src/libcranberrywing/gateway/gateway_placement.cpp
+++ b/src/libcranberrywing/gateway/gateway_placement.cpp
@@ -91,7 +91,9 @@
 {
   std::vector<PlacementServer> servers;
   for (const Backend* const backend : mPool.BackendsOfService(aService)) {
-    const bool isUsable = mPool.IsUsable(*backend, mNow) &&
+    // Servers that this VM has ejected or that asked it to wait are back soon,
+    // and a move costs a cache miss. Meanwhile the order applies.
+    const bool isUsable = mPool.IsEligible(*backend) &&
                           !mPool.IsCold(*backend, mNow) &&
                           !mPool.IsRateLimited(*backend, mNow);
     if (backend->mEntry.mRegion == mOptions.mSelf.mRegion && isUsable) {
