Reject responses without a status from 100 to 599

The HTTP client skipped any status below 200 as an interim response and passed on any other of three digits. A client of the gateway could get a status such as 999, and fields beside it were heeded: Not-Executed was taken as proof that a request had not run, and Server-Leaving in a health check put a server out of use for its lifetime.

A status outside of 100 to 599 now ends the exchange as Malformed, and the connection is closed, as soon as the status line is read and before errors of the body count. Store calls, relay pulls and health checks use this client, so that the same holds for them.

A request that may be repeated ended with 504 after 000 and 099 without a retry; an order got 600 and 999 as its answer, and ran twice if Not-Executed stood beside; a server whose health check had 600 or 999 with Server-Leaving was never used again.

--- a/src/netutil/http_client.cpp
+++ b/src/netutil/http_client.cpp
@@ -21,6 +21,8 @@
 
 constexpr std::size_t kReadBytes = 8 * 1024;
 constexpr std::size_t kBodyReadBytes = 64 * 1024;
+constexpr unsigned kMinStatus = 100;
+constexpr unsigned kMaxStatus = 599;
 
 } // namespace
 
@@ -239,6 +241,15 @@
   while (mBuffer.size() > 0) {
     boost::system::error_code ec;
     detail::ParseSome(*mParser, mBuffer, mOptions.mMaxHeaderBytes, ec);
+    // The parser accepts any three digits. It reports 200 until it has read the
+    // status line. Checked before its errors, since those about the body of
+    // such a response mean nothing.
+    const unsigned status = mParser->get().result_int();
+    if (status < kMinStatus || status > kMaxStatus) {
+      Fail(ExchangeFailureKind::Malformed,
+           "invalid status " + std::to_string(status));
+      return false;
+    }
     if (ec == http::error::need_more) {
       return true;
     }
@@ -251,7 +262,6 @@
     if (!mParser->is_done()) {
       continue;
     }
-    const unsigned status = mParser->get().result_int();
     const auto coding = mParser->get()[http::field::transfer_encoding];
     if (!coding.empty() && !boost::beast::iequals(coding, "chunked")) {
       Fail(ExchangeFailureKind::Malformed,
--- a/src/netutil/http_client.h
+++ b/src/netutil/http_client.h
@@ -35,8 +35,9 @@
   Reset,
   /// The response is above the limit for bodies.
   TooLarge,
-  /// Not HTTP, above another size limit, or a response whose end cannot be
-  /// verified: it has neither Content-Length nor chunked transfer coding.
+  /// Not HTTP, a status outside of 100 to 599 or 101, above another size limit,
+  /// or a response whose end cannot be verified: it has neither Content-Length
+  /// nor chunked transfer coding.
   Malformed,
 };
 
