Use the time factor that servers state of their machines

Servers that share machines are slower by 2.5 for about 0.6 s at a time. The learned slowness follows only after three answers and halves in 4 s, so that it sends requests to servers while they are slow and away from them afterwards. Latencies of slow moments also raised service times, and with them the queueing times that are expected.

BackendPool keeps the factor of a load sample (0.1 to 20, anything else is ignored) and lets its distance from 1 halve every 250 ms. ObjectSelector uses the greater of it and the slowness. Service times and slowness are learned from latencies divided by the factor of the same answer. Health checks state it too: the load of a probe, which was not used so far, is applied if it states a factor, so that servers without one are treated as before. The log line request_answered has the field time_factor if it was stated.

Tests: time_factor_test. Without the use in ObjectSelector and the division, 3 of its cases fail (118 assertions): slowed servers keep their requests, an expected wait of 25 ms becomes 31 ms (factor 2.5) or 22 ms (factor 0.5), and three answers of a slow moment give a slowness of 2.5 instead of 1.

--- a/src/include/cranberrywing/gateway/backend_pool.h
+++ b/src/include/cranberrywing/gateway/backend_pool.h
@@ -45,8 +45,15 @@
   std::uint32_t mRunning = 0;
   std::uint32_t mWaiting = 0;
   std::uint32_t mSlots = 0;
+  /// Factor by which work takes longer on the server's machine at this moment;
+  /// 1 is as usual. Nullopt if the server states none.
+  std::optional<double> mTimeFactor;
 };
 
+/// The factor if it is within the range that servers can state, from 0.1 to 20;
+/// otherwise nullopt, also for NaN. Thread-safe.
+std::optional<double> ValidTimeFactor(std::optional<double> aFactor);
+
 /// 64-bit hash of an object's name; zero if the request names no object.
 using ObjectHash = std::uint64_t;
 
@@ -78,6 +85,9 @@
   double mSlowness = 1;
   std::deque<double> mServiceTimeRatios;
   TimePoint mSlownessAt{};
+  /// LoadSample::mTimeFactor of the last sample that stated one.
+  double mTimeFactor = 1;
+  TimePoint mTimeFactorAt{};
   /// Moving average of the fraction of requests that failed or that the server
   /// refused although it had free slots.
   double mFailureRate = 0;
@@ -136,6 +146,9 @@
     std::size_t mRatioWindowSize = 3;
     /// Half-life of a server's slowness and failure rate without new samples.
     Duration mSlownessHalfLife = std::chrono::seconds(4);
+    /// Half-life of the distance of a server's stated time factor from 1. The
+    /// statements change every 0.6 s on average.
+    Duration mTimeFactorHalfLife = std::chrono::milliseconds(250);
     /// Half-life of the load estimate for requests of other VMs.
     Duration mLoadHalfLife = std::chrono::milliseconds(600);
     /// Time for which Backend::mToldLoad is used; several times the interval at
@@ -202,6 +215,9 @@
   double Load(const Backend& aBackend, TimePoint aNow) const;
   /// Estimated factor by which the server is slower than normal.
   double Slowness(const Backend& aBackend, TimePoint aNow) const;
+  /// Factor by which work takes longer on the server's machine, as it stated
+  /// last; returns to 1 with Options::mTimeFactorHalfLife.
+  double TimeFactor(const Backend& aBackend, TimePoint aNow) const;
   /// Whether requests are in flight and no answer has arrived for too long
   /// (Options::mSilenceFactor). aTailLatency is that of the route.
   bool IsSilent(const Backend& aBackend,
@@ -217,6 +233,8 @@
   /// Records the end of a dispatch. aHasAnswered tells whether the server is to
   /// be taken as responsive.
   void OnAttemptEnded(Backend& aBackend, bool aHasAnswered, TimePoint aNow);
+  /// Records the load that an answer or a health check stated. An invalid time
+  /// factor is ignored.
   void OnLoadSample(Backend& aBackend, const LoadSample& aLoad, TimePoint aNow);
   /// Records what a VM of the region told about its servers: those that are not
   /// listed are not busy.
@@ -235,7 +253,7 @@
                          std::optional<double> aPerSecond,
                          TimePoint aStatedAt);
   /// Records a successful answer. aRatio is observed over expected service
-  /// time.
+  /// time, without the effect of the time factor that the answer stated.
   void OnSuccess(Backend& aBackend, double aRatio, TimePoint aNow);
   /// Records a request that reached its deadline without an answer after aRatio
   /// times the expected service time. For a slow server these may be the only
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -417,11 +417,12 @@
                       std::optional<double> aPerSecond,
                       TimePoint aStatedAt,
                       std::string_view aSource);
-  /// Updates service times, server health and crash guard.
+  /// Updates service times, server health and crash guard. The latency counts
+  /// as it would be without the time factor that the answer states.
   void LearnFromSuccess(Request& aRequest,
                         Backend& aBackend,
                         const event::BackendReplied& aEvent);
-  void Answer(Request& aRequest, AnswerContentPtr aAnswer);
+  void Answer(Request& aRequest, const event::BackendReplied& aEvent);
   void RefuseRequest(Request& aRequest, Refusal aRefusal);
   /// Refuses a request that may have been executed.
   void RefuseOutcomeUnknown(Request& aRequest, std::string aReason);
--- a/src/libcranberrywing/gateway/backend_pool.cpp
+++ b/src/libcranberrywing/gateway/backend_pool.cpp
@@ -14,6 +14,9 @@
 constexpr double kMaxRatio = 8;
 /// Failure rate from which a server is ejected.
 constexpr double kFailureRateLimit = 0.6;
+/// Range of time factors that servers can state.
+constexpr double kMinTimeFactor = 0.1;
+constexpr double kMaxTimeFactor = 20;
 
 double HalfLifeDecay(Duration aAge, Duration aHalfLife)
 {
@@ -34,6 +37,13 @@
 
 } // namespace
 
+std::optional<double> ValidTimeFactor(std::optional<double> aFactor)
+{
+  const bool isValid =
+    aFactor && *aFactor >= kMinTimeFactor && *aFactor <= kMaxTimeFactor;
+  return isValid ? aFactor : std::nullopt;
+}
+
 BackendPool::BackendPool(Options aOptions)
   : mOptions(aOptions)
   , mNotices(ServerNotices::Options{})
@@ -237,6 +247,16 @@
   return 1 + (aBackend.mSlowness - 1) * known + 2 * failureRate;
 }
 
+double BackendPool::TimeFactor(const Backend& aBackend, TimePoint aNow) const
+{
+  if (aBackend.mTimeFactor == 1) {
+    return 1;
+  }
+  return 1 + (aBackend.mTimeFactor - 1) *
+               HalfLifeDecay(aNow - aBackend.mTimeFactorAt,
+                             mOptions.mTimeFactorHalfLife);
+}
+
 bool BackendPool::IsWarm(const Backend& aBackend,
                          ObjectHash aObject,
                          TimePoint aNow) const
@@ -303,6 +323,10 @@
   const double total = aLoad.mRunning + aLoad.mWaiting;
   aBackend.mOtherVmLoad = std::max(0.0, total - aBackend.mInFlight);
   aBackend.mOtherVmLoadAt = aNow;
+  if (const auto factor = ValidTimeFactor(aLoad.mTimeFactor)) {
+    aBackend.mTimeFactor = *factor;
+    aBackend.mTimeFactorAt = aNow;
+  }
 }
 
 void BackendPool::OnRegionLoads(const RegionId& aRegion,
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -265,6 +265,11 @@
   if (aEvent.mHasAnswered) {
     backend->mMayBeColdUntil = {};
   }
+  // Samples without a time factor are left out, so that servers that state none
+  // are treated as they were before there was one.
+  if (aEvent.mLoad && ValidTimeFactor(aEvent.mLoad->mTimeFactor)) {
+    mPool.OnLoadSample(*backend, *aEvent.mLoad, mNow);
+  }
   if (aEvent.mRateLimit) {
     LearnRateLimit(*backend, aEvent.mRateLimit, mNow, "probe");
   }
--- a/src/libcranberrywing/gateway/gateway_outcomes.cpp
+++ b/src/libcranberrywing/gateway/gateway_outcomes.cpp
@@ -8,6 +8,7 @@
 
 using detail::kAnswerMargin;
 using detail::kDefaultRetryDelay;
+using detail::Scale;
 using detail::ToMs;
 
 namespace {
@@ -35,6 +36,12 @@
   return aKind == event::ReplyKind::Answer || aKind == event::ReplyKind::NotRun;
 }
 
+std::optional<double> StatedTimeFactor(const event::BackendReplied& aEvent)
+{
+  return aEvent.mLoad ? ValidTimeFactor(aEvent.mLoad->mTimeFactor)
+                      : std::nullopt;
+}
+
 /// Whether callers take the status as a guarantee that the request has not run.
 bool ImpliesNotRun(std::uint32_t aStatus)
 {
@@ -49,9 +56,11 @@
 {
   const ExpectedTimes times =
     mServiceTimes.Estimate(*aRequest.mRoute, aRequest.mService);
+  // Otherwise a slow moment of a machine would be taken for a slow service.
+  const Duration latency =
+    Scale(aEvent.mLatency, 1 / StatedTimeFactor(aEvent).value_or(1));
   mPool.OnSuccess(aBackend,
-                  ToSeconds(aEvent.mLatency) /
-                    std::max(1e-3, ToSeconds(times.mWarm)),
+                  ToSeconds(latency) / std::max(1e-3, ToSeconds(times.mWarm)),
                   mNow);
   const bool hasQueued = aRequest.mCurrent.mExpectedWait > Duration::zero() ||
                          (aEvent.mLoad && aEvent.mLoad->mWaiting > 0);
@@ -59,7 +68,7 @@
     mServiceTimes.AddSample(*aRequest.mRoute,
                             aRequest.mService,
                             aRequest.mObject == 0 || aRequest.mCurrent.mWasWarm,
-                            aEvent.mLatency);
+                            latency);
   }
   mCrashGuard.OnSuccess(aRequest.mFingerprint);
 }
@@ -161,7 +170,7 @@
     RefuseOutcomeUnknown(*request, "status_" + std::to_string(status));
     return;
   }
-  Answer(*request, aEvent.mAnswer);
+  Answer(*request, aEvent);
 }
 
 void Gateway::On(const event::BackendFailed& aEvent)
@@ -230,31 +239,34 @@
   mRequests.erase(it);
 }
 
-void Gateway::Answer(Request& aRequest, AnswerContentPtr aAnswer)
+void Gateway::Answer(Request& aRequest, const event::BackendReplied& aEvent)
 {
   ++mCounters.mAnswered;
   CancelOtherAttempt(aRequest);
-  Record(
-    "request_answered",
-    { { "trace", aRequest.mArrival.mTrace },
-      { "route", aRequest.mRoute->mRoute.mName },
-      { "account",
-        aRequest.mAccount ? aRequest.mAccount->mAccount.mName : std::string() },
-      { "backend",
-        aRequest.mTriedBackends[aRequest.mCurrent.mNumber - 1].mName },
-      { "region", aRequest.mCurrent.mRegion.mName },
-      { "plan_exit", std::string(ToString(aRequest.mCurrent.mPlanExit)) },
-      { "status", std::to_string(aAnswer->mStatus) },
-      { "attempts", std::to_string(aRequest.mTriedBackends.size()) },
-      { "object", std::to_string(aRequest.mObject) },
-      { "rank", std::to_string(aRequest.mCurrent.mRank) },
-      { "warm", aRequest.mCurrent.mWasWarm ? "1" : "0" },
-      { "expected_wait_ms", ToMs(aRequest.mCurrent.mExpectedWait) },
-      { "expected_ms", ToMs(aRequest.mCurrent.mExpectedTotal) },
-      { "took_ms", ToMs(mNow - aRequest.mArrivedAt) },
-      { "policy", std::to_string(aRequest.mPolicy->GetRevision().mNumber) } });
+  std::vector<cranberrywing::effect::Field> fields{
+    { "trace", aRequest.mArrival.mTrace },
+    { "route", aRequest.mRoute->mRoute.mName },
+    { "account",
+      aRequest.mAccount ? aRequest.mAccount->mAccount.mName : std::string() },
+    { "backend", aRequest.mTriedBackends[aRequest.mCurrent.mNumber - 1].mName },
+    { "region", aRequest.mCurrent.mRegion.mName },
+    { "plan_exit", std::string(ToString(aRequest.mCurrent.mPlanExit)) },
+    { "status", std::to_string(aEvent.mAnswer->mStatus) },
+    { "attempts", std::to_string(aRequest.mTriedBackends.size()) },
+    { "object", std::to_string(aRequest.mObject) },
+    { "rank", std::to_string(aRequest.mCurrent.mRank) },
+    { "warm", aRequest.mCurrent.mWasWarm ? "1" : "0" },
+    { "expected_wait_ms", ToMs(aRequest.mCurrent.mExpectedWait) },
+    { "expected_ms", ToMs(aRequest.mCurrent.mExpectedTotal) },
+    { "took_ms", ToMs(mNow - aRequest.mArrivedAt) },
+    { "policy", std::to_string(aRequest.mPolicy->GetRevision().mNumber) }
+  };
+  if (const auto factor = StatedTimeFactor(aEvent)) {
+    fields.push_back({ "time_factor", std::to_string(*factor) });
+  }
+  Record("request_answered", std::move(fields));
   mEffects.push_back(effect::Respond{ .mRequest = aRequest.mArrival.mRequest,
-                                      .mAnswer = std::move(aAnswer),
+                                      .mAnswer = aEvent.mAnswer,
                                       .mCloseAfter = SendsCallersAway() });
   const RequestId id = aRequest.mArrival.mRequest;
   mRequests.erase(id);
--- a/src/libcranberrywing/gateway/object_selector.cpp
+++ b/src/libcranberrywing/gateway/object_selector.cpp
@@ -101,7 +101,8 @@
                                    TimePoint aNow) const
 {
   const bool isWarm = IsAssumedWarm(aPool, aBackend, aRank, aObject, aNow);
-  double factor = aPool.Slowness(aBackend, aNow);
+  double factor =
+    std::max(aPool.Slowness(aBackend, aNow), aPool.TimeFactor(aBackend, aNow));
   if (aPool.IsCold(aBackend, aNow)) {
     factor *= mOptions.mColdFactor;
   }
