Bound the memory of responses that clients have not received

Sessions held waiting responses and unsent output without a bound over all connections, so clients that read slowly could use up the process's memory.

OutputBudget counts both for all sessions of a server. Above HttpServerOptions::mMaxHeldBytes (0, the default, for no limit), sessions that hold more than an equal share read no further requests; above 1.25 times the limit, those whose clients take nothing for a second are closed, largest first. Progress is read from the socket's send queue, since a slow client leaves the socket unwritable for seconds.

The tests show that slow readers get whole responses while memory is bounded, that the largest connection without progress is closed, that paused ones read again, and that requests behind a closing response are not passed on.

--- a/src/netutil/http_server.cpp
+++ b/src/netutil/http_server.cpp
@@ -1,6 +1,7 @@
 #include "netutil/http_server.h"
 
 #include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
 
 #include "netutil/acceptor.h"
 #include "netutil/http_session.h"
@@ -33,6 +34,7 @@
   , mSweepTimer(aContext)
   , mAcceptTimer(aContext)
   , mNow(std::chrono::steady_clock::now())
+  , mHeld(mOptions.mMaxHeldBytes)
 {
   Sweep();
 }
@@ -110,9 +112,13 @@
 void HttpServer::Sweep()
 {
   mNow = std::chrono::steady_clock::now();
+  mRunningTime += kSweepInterval;
   for (const SessionPtr& session : AllSessions()) {
+    session->NoteProgress();
     session->CheckTimeouts();
   }
+  CloseSlowClients();
+  ResumeReading();
   mSweepTimer.expires_after(kSweepInterval);
   mSweepTimer.async_wait([this](boost::system::error_code aError) {
     if (!aError) {
@@ -121,8 +127,44 @@
   });
 }
 
+void HttpServer::SetHeld(ConnectionId aConnection, const HeldOutput& aHeld)
+{
+  const bool wasExceeded = mHeld.IsExceeded();
+  mHeld.Set(aConnection, aHeld, mRunningTime);
+  if (wasExceeded && !mHeld.IsExceeded()) {
+    ResumeReading();
+  }
+}
+
+void HttpServer::ResumeReading()
+{
+  for (const ConnectionId id : mHeld.TakeResumable()) {
+    // The caller may be processing this or another session's requests.
+    if (const SessionPtr session = Find(id)) {
+      asio::post(mContext, [session] { session->ResumeReading(); });
+    }
+  }
+}
+
+void HttpServer::CloseSlowClients()
+{
+  while (const auto stalled = mHeld.FindStalled(mRunningTime)) {
+    const SessionPtr session = Find(stalled->mConnection);
+    ++mSlowClientsClosed;
+    session->Abort();
+    if (mHooks.mOnSlowClientClosed) {
+      mHooks.mOnSlowClientClosed(
+        { .mAddress = session->RemoteAddress(),
+          .mBytes = stalled->mBytes,
+          .mWithoutProgress = stalled->mWithoutProgress });
+    }
+  }
+}
+
 void HttpServer::OnSessionClosed(ConnectionId aConnection)
 {
+  SetHeld(aConnection, {});
+  mHeld.Remove(aConnection);
   mSessions.erase(aConnection);
   if (mIsAcceptPaused && mAcceptor.is_open()) {
     mIsAcceptPaused = false;
--- a/src/netutil/http_server.h
+++ b/src/netutil/http_server.h
@@ -17,15 +17,12 @@
 #include <vector>
 
 #include "cranberrywing/http_types.h"
+#include "netutil/connection_id.h"
 #include "netutil/endpoint.h"
+#include "netutil/output_budget.h"
 
 namespace cranberrywing::netutil {
 
-/// Identifies a connection within one server. Never reused.
-enum class ConnectionId : std::uint64_t
-{
-};
-
 /// Identifies an exchange: one request on a connection and its response.
 struct ExchangeId
 {
@@ -55,6 +52,11 @@
   std::size_t mMaxPipelinedRequests = 64;
   /// Maximum number of concurrent connections. At the limit, accepting pauses.
   std::size_t mMaxConnections = 20'000;
+  /// Memory for responses that clients have not received, over all connections;
+  /// 0 for no limit. Above it, connections that hold more than an equal share
+  /// read no further requests. If it is exceeded by a quarter, connections
+  /// whose clients take nothing for a second are closed, largest first.
+  std::size_t mMaxHeldBytes = 0;
   /// Time without a request after which a connection is closed.
   Duration mIdleTimeout = std::chrono::seconds(60);
   /// Maximum time from the first to the last byte of a request; then it is
@@ -64,6 +66,15 @@
   Duration mWriteTimeout = std::chrono::seconds(15);
 };
 
+/// A connection that was closed since its client did not take its responses.
+struct SlowClient
+{
+  std::string mAddress;
+  /// Memory that its responses held.
+  std::size_t mBytes = 0;
+  Duration mWithoutProgress{};
+};
+
 /// Callbacks of a server, called from the event loop.
 struct HttpServerHooks
 {
@@ -73,6 +84,10 @@
   /// The connection was closed before a response was given. Called once per
   /// exchange.
   std::function<void(const ExchangeId&)> mOnAborted;
+  /// Optional. A connection was closed because of
+  /// HttpServerOptions::mMaxHeldBytes. Called after mOnAborted for its
+  /// exchanges.
+  std::function<void(const SlowClient&)> mOnSlowClientClosed = nullptr;
 };
 
 /// Options for sending a response.
@@ -140,6 +155,12 @@
   std::size_t BodyMemory() const { return mBodyBytes; }
   /// Number of requests rejected since there was no memory for their bodies.
   std::uint64_t MemoryRejections() const { return mMemoryRejections; }
+  /// Memory held for responses that clients have not received, in bytes.
+  std::size_t HeldBytes() const { return mHeld.Bytes(); }
+  /// Number of times that a connection stopped reading since it held too much.
+  std::uint64_t ReadPauses() const { return mHeld.Pauses(); }
+  /// Number of connections closed since their clients did not take responses.
+  std::uint64_t SlowClientsClosed() const { return mSlowClientsClosed; }
   /// Sets the body size limit. Applies to requests that start after this call.
   void SetBodyLimit(std::size_t aBytes) { mOptions.mMaxBodyBytes = aBytes; }
   /// Sets the header size limit, which applies to requests that start after
@@ -180,6 +201,11 @@
   /// Lets the session wait until memory is released.
   void AwaitBodyMemory(ConnectionId aConnection, bool aHoldsSome);
   void StopAwaitingMemory(ConnectionId aConnection);
+  /// Sets what a connection holds for its client.
+  void SetHeld(ConnectionId aConnection, const HeldOutput& aHeld);
+  /// Lets connections read that were paused and may read again.
+  void ResumeReading();
+  void CloseSlowClients();
   /// Whether a body of the size can ever be read.
   bool IsBodyPossible(std::size_t aBytes) const;
 
@@ -194,6 +220,12 @@
   /// Time of the last sweep. Reading the clock once per sweep is cheaper than
   /// for each request and precise enough for limits in seconds.
   std::chrono::steady_clock::time_point mNow;
+  /// Time that the server has run, counted in sweeps. While the process is
+  /// paused it stands still, so that bytes which clients took meanwhile are
+  /// noticed before the clients count as stalled.
+  Duration mRunningTime{};
+  OutputBudget mHeld;
+  std::uint64_t mSlowClientsClosed = 0;
   bool mIsAcceptPaused = false;
   /// Memory reserved for request bodies.
   std::size_t mBodyBytes = 0;
--- a/src/netutil/http_session.cpp
+++ b/src/netutil/http_session.cpp
@@ -65,7 +65,12 @@
   return mParser.has_value() || mBuffer.size() > 0;
 }
 
-bool HttpSession::CanRead() const
+bool HttpSession::IsPausedForOutput()
+{
+  return !mParser && !mServer->mHeld.TryRead(mId);
+}
+
+bool HttpSession::CanRead()
 {
   if (mIsReading || mIsClosed || mAwaitsMemory) {
     return false;
@@ -74,7 +79,7 @@
     return true;
   }
   return mPending.size() < mServer->mOptions.mMaxPipelinedRequests &&
-         mOutput.size() < kReadPauseOutputBytes;
+         mOutput.size() < kReadPauseOutputBytes && !IsPausedForOutput();
 }
 
 void HttpSession::Read()
@@ -141,7 +146,7 @@
 {
   if (mBuffer.size() == 0 || mAwaitsMemory ||
       mPending.size() >= mServer->mOptions.mMaxPipelinedRequests ||
-      mOutput.size() >= kReadPauseOutputBytes) {
+      mOutput.size() >= kReadPauseOutputBytes || IsPausedForOutput()) {
     return false;
   }
   if (!mParser) {
@@ -253,6 +258,7 @@
   if (mIsContinuePending && mPending.empty()) {
     mIsContinuePending = false;
     mOutput += "HTTP/1.1 100 Continue\r\n\r\n";
+    UpdateHeld();
   }
 }
 
@@ -334,6 +340,7 @@
   pending.mNumber = mNextNumber++;
   pending.mResponse =
     std::make_shared<const AnswerContent>(std::move(response));
+  mWaitingBytes += pending.mResponse->mBody.size();
   mPending.push_back(std::move(pending));
   mIsClosing = true;
   mIsContinuePending = false;
--- a/src/netutil/http_session.h
+++ b/src/netutil/http_session.h
@@ -42,6 +42,11 @@
   /// Closes the connection, or rejects its partial request, if a time limit has
   /// passed. Called by the server's sweep.
   void CheckTimeouts();
+  /// Notes whether the client has taken bytes since the last call. Called by
+  /// the server's sweep.
+  void NoteProgress();
+  /// Continues to read after a pause because of held output.
+  void ResumeReading() { Advance(); }
   const std::string& RemoteAddress() const { return mRemoteAddress; }
   /// Reserves the memory that the next part of the body waits for, if there is
   /// enough. Precondition: the session waits for it.
@@ -69,8 +74,12 @@
   void Read();
   void OnRead(boost::system::error_code aError, std::size_t aBytes);
   /// Whether another read may be started: none is in progress, and neither the
-  /// pipelining limit nor the output limit is reached.
-  bool CanRead() const;
+  /// pipelining limit nor an output limit is reached.
+  bool CanRead();
+  /// Whether no further request is read because of the output that the server
+  /// holds. A request that has begun is read to its end, since its body may
+  /// occupy memory.
+  bool IsPausedForOutput();
   /// Parses the input, then writes the responses that are ready and continues
   /// reading.
   void Advance();
@@ -101,6 +110,10 @@
   void FlushResponses();
   void AppendResponse(const PendingExchange& aPending, bool aIsLast);
   void AppendContinue();
+  /// Tells the server what is held for the client.
+  void UpdateHeld();
+  /// Frees the part of the output being written that is sent, if it is large.
+  void TrimWriting();
   void Write();
   void OnWritten(boost::system::error_code aError, std::size_t aBytes);
   /// Shuts down sending and starts draining if all responses are sent.
@@ -119,6 +132,12 @@
   std::string mOutput;
   std::string mWriting;
   std::size_t mWritten = 0;
+  /// Size of the bodies of responses in mPending.
+  std::size_t mWaitingBytes = 0;
+  /// Bytes that the system has accepted for sending, and how many of them the
+  /// client was last known to have acknowledged.
+  std::uint64_t mAcceptedBytes = 0;
+  std::uint64_t mTakenBytes = 0;
   Clock::time_point mLastActivity;
   Clock::time_point mRequestStart;
   /// Memory reserved for the body that is being read.
--- a/src/netutil/http_session_output.cpp
+++ b/src/netutil/http_session_output.cpp
@@ -1,3 +1,6 @@
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/status.hpp>
@@ -18,6 +21,8 @@
 /// Unsent output of a streamed response above which the peer is considered
 /// stalled and the connection is closed.
 constexpr std::size_t kMaxStreamOutputBytes = 64 * 1024 * 1024;
+/// Sent output is freed before the whole write is done from this size on.
+constexpr std::size_t kMinTrimBytes = 256 * 1024;
 
 bool HasBody(std::uint32_t aStatus)
 {
@@ -74,6 +79,7 @@
     return;
   }
   pending->mResponse = std::move(aResponse);
+  mWaitingBytes += pending->mResponse->mBody.size();
   pending->mExtraHeaders = aOptions.mExtraHeaders;
   mServer->ReleaseBody(std::exchange(pending->mBodyBytes, 0));
   if (aOptions.mCloseAfter) {
@@ -88,9 +94,21 @@
 {
   while (!mPending.empty() && mPending.front().mResponse) {
     AppendResponse(mPending.front(), mIsClosing && mPending.size() == 1);
+    mWaitingBytes -= mPending.front().mResponse->mBody.size();
     mPending.pop_front();
   }
   AppendContinue();
+  UpdateHeld();
+}
+
+void HttpSession::UpdateHeld()
+{
+  if (mIsClosed) {
+    return;
+  }
+  mServer->SetHeld(mId,
+                   { .mWaiting = mWaitingBytes,
+                     .mUnsent = mOutput.size() + mWriting.size() - mWritten });
 }
 
 void HttpSession::AppendResponse(const PendingExchange& aPending, bool aIsLast)
@@ -126,6 +144,7 @@
   pending->mIsStreaming = true;
   AppendHead(mOutput, aHead);
   mOutput += "Transfer-Encoding: chunked\r\n\r\n";
+  UpdateHeld();
   Write();
 }
 
@@ -139,6 +158,7 @@
   mOutput += "\r\n";
   mOutput += aBytes;
   mOutput += "\r\n";
+  UpdateHeld();
   if (mOutput.size() > kMaxStreamOutputBytes) {
     Close();
     return;
@@ -182,9 +202,15 @@
     return;
   }
   mWritten += aBytes;
+  mAcceptedBytes += aBytes;
+  if (aBytes > 0) {
+    UpdateHeld();
+    mServer->mHeld.NoteProgress(mId, mServer->mRunningTime);
+  }
   if (mWritten < mWriting.size()) {
     if (aBytes > 0) {
       mLastActivity = mServer->mNow;
+      TrimWriting();
     }
     mSocket.async_write_some(
       asio::buffer(mWriting.data() + mWritten, mWriting.size() - mWritten),
@@ -199,9 +225,42 @@
     mWriting = std::string();
   }
   mWriting.clear();
+  mWritten = 0;
   Advance();
 }
 
+void HttpSession::TrimWriting()
+{
+  if (mWritten >= kMinTrimBytes && mWritten >= mWriting.size() / 2) {
+    mWriting = mWriting.substr(mWritten);
+    mWritten = 0;
+  }
+}
+
+void HttpSession::NoteProgress()
+{
+  if (!mIsWriting || !mServer->mHeld.HasLimit()) {
+    return;
+  }
+  // The system reports that a socket is writable only once a large part of its
+  // buffer is free. With a slow client that takes seconds.
+  int queued = 0;
+  if (::ioctl(mSocket.native_handle(), SIOCOUTQ, &queued) != 0) {
+    return;
+  }
+  const auto unacknowledged = static_cast<std::uint64_t>(queued);
+  if (unacknowledged > mAcceptedBytes) {
+    // The completion of a write has not been processed yet.
+    return;
+  }
+  const std::uint64_t taken = mAcceptedBytes - unacknowledged;
+  if (taken > mTakenBytes) {
+    mTakenBytes = taken;
+    mLastActivity = mServer->mNow;
+    mServer->mHeld.NoteProgress(mId, mServer->mRunningTime);
+  }
+}
+
 void HttpSession::StartDraining()
 {
   const bool isDone =
