Limit the memory of responses for callers of the gateway

The client-facing server may hold a quarter of the memory limit. Metrics show what is held, paused and closed; slow_client_closed is logged for each closed connection.

--- a/src/cranberrywingd/gateway_daemon.cpp
+++ b/src/cranberrywingd/gateway_daemon.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t kAnswerMemoryDivisor = 4;
 /// The same for the bodies of callers' requests that have no answer yet.
 constexpr std::size_t kBodyMemoryDivisor = 2;
+/// The same for responses that callers have not received yet.
+constexpr std::size_t kHeldMemoryDivisor = 4;
 constexpr std::size_t kMaxStoreAnswerBytes = 8 * 1024 * 1024;
 /// Time without a further part of an answer after which the store, or another
 /// VM that passes changes on, counts as unresponsive.
@@ -154,8 +156,8 @@
   , mCallers(
       aContext,
       { .mMaxBodyMemory = mOptions.mSettings.mMemoryLimit / kBodyMemoryDivisor,
-        .mMaxConnections =
-          MaxCallerConnections(mOptions.mSettings.mFileLimit) },
+        .mMaxConnections = MaxCallerConnections(mOptions.mSettings.mFileLimit),
+        .mMaxHeldBytes = mOptions.mSettings.mMemoryLimit / kHeldMemoryDivisor },
       netutil::HttpServerHooks{
         .mOnRequest =
           [this](const netutil::ExchangeId& aExchange,
@@ -166,6 +168,10 @@
           [this](const netutil::ExchangeId& aExchange) {
             OnCallerDisconnected(aExchange);
           },
+        .mOnSlowClientClosed =
+          [this](const netutil::SlowClient& aClient) {
+            RecordSlowClient(aClient);
+          },
       })
   , mReadiness(aContext,
                { .mMaxBodyBytes = kMaxQueryBodyBytes },
@@ -324,6 +330,16 @@
   Deliver(std::move(arrived));
 }
 
+void GatewayDaemon::RecordSlowClient(const netutil::SlowClient& aClient)
+{
+  const auto stalled =
+    std::chrono::duration_cast<Milliseconds>(aClient.mWithoutProgress);
+  Record("slow_client_closed",
+         { { "address", aClient.mAddress },
+           { "bytes", std::to_string(aClient.mBytes) },
+           { "stalled_ms", std::to_string(stalled.count()) } });
+}
+
 void GatewayDaemon::OnCallerDisconnected(const netutil::ExchangeId& aExchange)
 {
   const auto it = mRequestByExchange.find(aExchange);
--- a/src/cranberrywingd/gateway_daemon.h
+++ b/src/cranberrywingd/gateway_daemon.h
@@ -134,6 +134,7 @@
   void OnCallerRequest(const netutil::ExchangeId& aExchange,
                        RequestContent&& aContent);
   void OnCallerDisconnected(const netutil::ExchangeId& aExchange);
+  void RecordSlowClient(const netutil::SlowClient& aClient);
   AnswerContentPtr WriteMetricsPage() const;
   netutil::HttpServerHooks PlatformQueryHooks(netutil::HttpServer& aServer);
 
--- a/src/cranberrywingd/gateway_daemon_metrics.cpp
+++ b/src/cranberrywingd/gateway_daemon_metrics.cpp
@@ -142,6 +142,17 @@
   writer.Counter("cranberrywing_request_bodies_refused_total",
                  "Requests refused since there was no memory for their bodies.",
                  mCallers.MemoryRejections());
+  writer.Gauge("cranberrywing_response_held_bytes",
+               "Memory for responses that callers have not received yet.",
+               static_cast<double>(mCallers.HeldBytes()));
+  writer.Counter("cranberrywing_response_read_pauses_total",
+                 "Times that a connection's requests were not read since it "
+                 "held more than its share of that memory.",
+                 mCallers.ReadPauses());
+  writer.Counter("cranberrywing_slow_clients_closed_total",
+                 "Connections closed since their callers did not take "
+                 "responses while that memory was used up.",
+                 mCallers.SlowClientsClosed());
   writer.Gauge("cranberrywing_store_epoch",
                "Number of times that the store was restored from a copy.",
                static_cast<double>(mStore.KnownPosition().mEpoch));
