Send all output before a stopping VM exits

The process now accepts no connections and ends once the output is sent, at the latest a sixteenth of the stop limit before it would be killed.

--- a/src/cranberrywingd/gateway_daemon.cpp
+++ b/src/cranberrywingd/gateway_daemon.cpp
@@ -24,6 +24,10 @@
 constexpr std::size_t kBodyMemoryDivisor = 2;
 /// The same for responses that callers have not received yet.
 constexpr std::size_t kHeldMemoryDivisor = 4;
+/// A stopping process sends output until this fraction of the stop limit before
+/// it would be killed. Half of the margin that the gateway leaves when it exits
+/// is then usable for clients that read slowly.
+constexpr int kOutputMarginDivisor = 16;
 constexpr std::size_t kMaxStoreAnswerBytes = 8 * 1024 * 1024;
 /// Time without a further part of an answer after which the store, or another
 /// VM that passes changes on, counts as unresponsive.
@@ -214,6 +218,7 @@
       },
       mCodec)
   , mTimer(aContext)
+  , mExitTimer(aContext)
 {
 }
 
@@ -264,6 +269,10 @@
 
 void GatewayDaemon::RequestStop()
 {
+  if (!mOutputLimit) {
+    const Duration limit = mOptions.mSettings.mStopLimit;
+    mOutputLimit = ReadClock() + limit - limit / kOutputMarginDivisor;
+  }
   Deliver(gateway::event::StopRequested{});
 }
 
@@ -282,6 +291,9 @@
 
 void GatewayDaemon::Tick()
 {
+  if (mIsExiting) {
+    return;
+  }
   mStore.Tick(ReadClock());
   ReportStoreProgress();
   Deliver(gateway::event::Tick{});
--- a/src/cranberrywingd/gateway_daemon.h
+++ b/src/cranberrywingd/gateway_daemon.h
@@ -134,6 +134,9 @@
   void OnCallerRequest(const netutil::ExchangeId& aExchange,
                        RequestContent&& aContent);
   void OnCallerDisconnected(const netutil::ExchangeId& aExchange);
+  /// Stops the event loop once callers have been sent all output, or its time
+  /// limit has passed. Precondition: RequestStop was called.
+  void AwaitOutput();
   void RecordSlowClient(const netutil::SlowClient& aClient);
   AnswerContentPtr WriteMetricsPage() const;
   netutil::HttpServerHooks PlatformQueryHooks(netutil::HttpServer& aServer);
@@ -160,6 +163,10 @@
   netutil::HttpClientConnectionPtr mWatchConnection;
   PeerDatagrams mPeers;
   boost::asio::steady_timer mTimer;
+  boost::asio::steady_timer mExitTimer;
+  /// Latest time at which a stopping process sends output; set by RequestStop.
+  std::optional<TimePoint> mOutputLimit;
+  bool mIsExiting = false;
 
   /// State of mStore as last delivered to mGateway.
   gateway::StoreProgress mStoreProgress;
--- a/src/cranberrywingd/gateway_daemon_effects.cpp
+++ b/src/cranberrywingd/gateway_daemon_effects.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Milliseconds kProbeTimeout{ 600 };
+/// Interval at which an exiting process checks whether output is left to send.
+constexpr Milliseconds kOutputCheckInterval{ 50 };
 
 gateway::event::FailureKind KindOf(netutil::ExchangeFailureKind aKind)
 {
@@ -227,11 +229,25 @@
 void GatewayDaemon::Execute(gateway::effect::Exit&)
 {
   mStore.RevokeLease();
+  mIsExiting = true;
+  mCallers.StopAccepting();
   mCallers.CloseAllAfterResponses();
   mLog.Flush();
-  // Leaves time to send pending answers and to end the lease.
-  mTimer.expires_after(std::chrono::milliseconds(50));
-  mTimer.async_wait([this](boost::system::error_code) {
+  AwaitOutput();
+}
+
+void GatewayDaemon::AwaitOutput()
+{
+  // The first interval also leaves time to end the lease.
+  mExitTimer.expires_after(kOutputCheckInterval);
+  mExitTimer.async_wait([this](boost::system::error_code aError) {
+    if (aError) {
+      return;
+    }
+    if (mCallers.HeldBytes() > 0 && ReadClock() < *mOutputLimit) {
+      AwaitOutput();
+      return;
+    }
     mLog.Flush();
     mContext.stop();
   });
