--- a/src/cranberrywingd/gateway_daemon.cpp
+++ b/src/cranberrywingd/gateway_daemon.cpp
@@ -24,6 +24,10 @@
 constexpr std::size_t kBodyMemoryDivisor = 2;
 /// The same for responses that callers have not received yet.
 constexpr std::size_t kHeldMemoryDivisor = 4;
+/// A stopping process sends output until this fraction of the stop limit before
+/// it would be killed. Half of the margin that the gateway leaves when it exits
+/// is then usable for clients that read slowly.
+constexpr int kOutputMarginDivisor = 16;
 constexpr std::size_t kMaxStoreAnswerBytes = 8 * 1024 * 1024;
 /// Time without a further part of an answer after which the store, or another
 /// VM that passes changes on, counts as unresponsive.
@@ -216,6 +220,7 @@
       },
       mCodec)
   , mTimer(aContext)
+  , mExitTimer(aContext)
 {
 }
 
@@ -266,8 +271,9 @@
 
 void GatewayDaemon::RequestStop()
 {
-  if (mStopRequestedAt == TimePoint{}) {
-    mStopRequestedAt = ReadClock();
+  if (!mOutputLimit) {
+    const Duration limit = mOptions.mSettings.mStopLimit;
+    mOutputLimit = ReadClock() + limit - limit / kOutputMarginDivisor;
   }
   Deliver(gateway::event::StopRequested{});
 }
@@ -287,6 +293,9 @@
 
 void GatewayDaemon::Tick()
 {
+  if (mIsExiting) {
+    return;
+  }
   mStore.Tick(ReadClock());
   ReportStoreProgress();
   Deliver(gateway::event::Tick{});
--- a/src/cranberrywingd/gateway_daemon.h
+++ b/src/cranberrywingd/gateway_daemon.h
@@ -96,10 +96,6 @@
   void Execute(gateway::effect::ApplyCallerLimits& aEffect);
   void Execute(gateway::effect::RecordTimeline& aEffect);
   void Execute(gateway::effect::Exit& aEffect);
-  /// Ends the event loop once callers have read all responses and closed their
-  /// connections, or shortly before the stop limit: closing a connection
-  /// earlier would cut a large response that a slow link is still carrying.
-  void ExitOnceResponsesAreRead();
   /// Forgets the attempt's connection and returns it; null if the attempt was
   /// cancelled.
   netutil::HttpClientConnectionPtr TakeConnection(const SentAttempt& aSent);
@@ -138,6 +134,11 @@
   void OnCallerRequest(const netutil::ExchangeId& aExchange,
                        RequestContent&& aContent);
   void OnCallerDisconnected(const netutil::ExchangeId& aExchange);
+  /// Stops the event loop once callers have read all output and closed their
+  /// connections, or its time limit has passed: a slow link still carries what
+  /// was written, and the end of the process would cut it. Precondition:
+  /// RequestStop was called.
+  void AwaitOutput();
   void RecordSlowClient(const netutil::SlowClient& aClient);
   AnswerContentPtr WriteMetricsPage() const;
   netutil::HttpServerHooks PlatformQueryHooks(netutil::HttpServer& aServer);
@@ -164,13 +165,16 @@
   netutil::HttpClientConnectionPtr mWatchConnection;
   PeerDatagrams mPeers;
   boost::asio::steady_timer mTimer;
+  boost::asio::steady_timer mExitTimer;
+  /// Latest time at which a stopping process sends output; set by RequestStop.
+  std::optional<TimePoint> mOutputLimit;
+  bool mIsExiting = false;
 
   /// State of mStore as last delivered to mGateway.
   gateway::StoreProgress mStoreProgress;
   /// Epoch of the store's last answer.
   std::optional<std::int64_t> mStoreEpoch;
   std::uint64_t mStorePulls = 0;
-  TimePoint mStopRequestedAt{};
   std::uint64_t mNextRequest = 1;
   std::unordered_map<RequestId, Exchange> mExchanges;
   std::map<netutil::ExchangeId, RequestId> mRequestByExchange;
--- a/src/cranberrywingd/gateway_daemon_effects.cpp
+++ b/src/cranberrywingd/gateway_daemon_effects.cpp
@@ -7,9 +7,8 @@
 namespace {
 
 constexpr Milliseconds kProbeTimeout{ 600 };
-constexpr Milliseconds kExitPollInterval{ 50 };
-/// The process ends at the latest this long before it would be killed.
-constexpr Milliseconds kExitMargin{ 200 };
+/// Interval at which an exiting process checks whether output is left to send.
+constexpr Milliseconds kOutputCheckInterval{ 50 };
 
 gateway::event::FailureKind KindOf(netutil::ExchangeFailureKind aKind)
 {
@@ -230,29 +229,27 @@
 void GatewayDaemon::Execute(gateway::effect::Exit&)
 {
   mStore.RevokeLease();
+  mIsExiting = true;
   mCallers.StopAccepting();
   mCallers.CloseAllAfterResponses();
-  ExitOnceResponsesAreRead();
+  mLog.Flush();
+  AwaitOutput();
 }
 
-void GatewayDaemon::ExitOnceResponsesAreRead()
+void GatewayDaemon::AwaitOutput()
 {
-  mLog.Flush();
-  const Duration untilKill = mStopRequestedAt + mOptions.mSettings.mStopLimit -
-                             kExitMargin - ReadClock();
-  const bool isDone =
-    mCallers.ConnectionCount() == 0 || untilKill <= Duration::zero();
-  // The last interval leaves time to end the lease.
-  mTimer.expires_after(kExitPollInterval);
-  mTimer.async_wait([this, isDone](boost::system::error_code aError) {
+  // The first interval also leaves time to end the lease.
+  mExitTimer.expires_after(kOutputCheckInterval);
+  mExitTimer.async_wait([this](boost::system::error_code aError) {
     if (aError) {
       return;
     }
-    if (isDone) {
-      mContext.stop();
-    } else {
-      ExitOnceResponsesAreRead();
+    if (mCallers.ConnectionCount() > 0 && ReadClock() < *mOutputLimit) {
+      AwaitOutput();
+      return;
     }
+    mLog.Flush();
+    mContext.stop();
   });
 }
 
