Use regions up to 0.55 of their slots

Cause: an object is bound to few servers, so that requests queue there while other servers of the region have free slots. In a region with a tenth of the servers and a third of the callers, 79 of 100 requests met a queue. Change: a region sends requests elsewhere above 0.55 of its slots, not 0.7. Two tests of the plan's arithmetic now state the utilization of 0.7 that their figures assume.

--- a/src/include/cranberrywing/gateway/region_plan.h
+++ b/src/include/cranberrywing/gateway/region_plan.h
@@ -66,8 +66,10 @@
   struct Options
   {
     RegionId mOwnRegion;
-    /// Utilization of a region's slots above which its queues grow fast.
-    double mUtilization = 0.7;
+    /// Utilization of a region's slots above which its queues grow fast. It is
+    /// lower than for slots that share one queue, because an object is bound to
+    /// few servers, and requests queue there while others have free slots.
+    double mUtilization = 0.55;
     /// Maximum fraction of the own region's requests whose region may change
     /// from one mShiftWindow to the next. Shares change slower than that,
     /// because the fraction that is observed also varies at random.
--- a/src/libcranberrywing/gateway/region_bound_test.cpp
+++ b/src/libcranberrywing/gateway/region_bound_test.cpp
@@ -76,8 +76,7 @@
 }
 
 TEST_CASE("Requests bound to a crowded region with slow servers do not hang "
-          "there",
-          "[!shouldfail]")
+          "there")
 {
   CheckFewExpire(kManyObjects);
 }
@@ -90,8 +89,7 @@
 }
 
 TEST_CASE("The end of traffic leaves the same mix of regions beside slow "
-          "servers",
-          "[!shouldfail]")
+          "servers")
 {
   CheckMixAfterTheEnd(kManyObjects);
 }
--- a/src/libcranberrywing/gateway/region_plan_test.cpp
+++ b/src/libcranberrywing/gateway/region_plan_test.cpp
@@ -49,6 +49,15 @@
   CHECK(shares.at(kFar) / shares.at(kThird) == Approx(far / third));
 }
 
+// Guards against queues at the servers of a region with a tenth of the servers
+// and a third of the callers, while those of other regions have free slots.
+TEST_CASE("A small region sends requests elsewhere before its servers queue")
+{
+  RegionPlan plan({ .mOwnRegion = kNear });
+  plan.Update(kService, Load(8, 16), TimePoint{ std::chrono::seconds(10) });
+  CHECK(ShareOf(plan, kNear) * 16 <= 0.6 * 8);
+}
+
 // A small region that is home to a large account of callers elsewhere.
 TEST_CASE("Requests that may run elsewhere make room for those that may not")
 {
@@ -96,7 +105,7 @@
 // Guards against the same if the plan gives several of them a share.
 TEST_CASE("Requests that may run in some of the plan's regions go by shares")
 {
-  RegionPlan plan({ .mOwnRegion = kNear });
+  RegionPlan plan({ .mOwnRegion = kNear, .mUtilization = 0.7 });
   plan.Update(kService, Load(8, 16), TimePoint{ std::chrono::seconds(10) });
   const double own = ShareOf(plan, kNear);
   const double far = ShareOf(plan, kFar);
@@ -146,7 +155,7 @@
 // Pattern: one of the four failure domains of a region is evacuated.
 TEST_CASE("The loss of a quarter of a region's servers moves requests at once")
 {
-  RegionPlan plan({ .mOwnRegion = kNear });
+  RegionPlan plan({ .mOwnRegion = kNear, .mUtilization = 0.7 });
   TimePoint now{ std::chrono::seconds(1) };
   plan.Update(kService, Load(48, 32), now);
   CHECK(ShareOf(plan, kNear) == Approx(1));
