Mend faults that a review of the new parts found

- A stopping VM that still waits for callers registered itself again when the store reported the end of its lease.
It makes no store calls any more.
Found by reading; no test.
- After a message with the greatest number, the placing VM sent numbers that all others refuse.
It starts again at 1.
The new test was not run without the change.
- A faulty report that names an object for two services caused a change of placements each second.
Found by reading; no test.
- Names and comments in usual terms.

--- a/src/cranberrywingd/gateway_daemon.h
+++ b/src/cranberrywingd/gateway_daemon.h
@@ -134,10 +134,9 @@
   void OnCallerRequest(const netutil::ExchangeId& aExchange,
                        RequestContent&& aContent);
   void OnCallerDisconnected(const netutil::ExchangeId& aExchange);
-  /// Stops the event loop once callers have read all output and closed their
-  /// connections, or its time limit has passed: a slow link still carries what
-  /// was written, and the end of the process would cut it. Precondition:
-  /// RequestStop was called.
+  /// Stops the event loop once callers have closed their connections, or its
+  /// time limit has passed: output may still be in socket buffers.
+  /// Precondition: RequestStop was called.
   void AwaitOutput();
   void RecordSlowClient(const netutil::SlowClient& aClient);
   AnswerContentPtr WriteMetricsPage() const;
--- a/src/cranberrywingd/gateway_daemon_store.cpp
+++ b/src/cranberrywingd/gateway_daemon_store.cpp
@@ -37,6 +37,11 @@
                               const gateway::StoreCall& aCall,
                               Duration aTimeout)
 {
+  if (mIsExiting) {
+    // The store reports the end of the lease as a lost entry, which a process
+    // that goes on would register again.
+    return;
+  }
   ++mMetrics.mStoreCalls;
   const bool isLeaseEnd =
     std::holds_alternative<gateway::store_call::RevokeLease>(aCall);
--- a/src/cranberrywingd/gateway_settings_test.cpp
+++ b/src/cranberrywingd/gateway_settings_test.cpp
@@ -83,7 +83,7 @@
   CHECK_FALSE(ReadGatewaySettings(kSettings + "max_shift: -1").has_value());
 }
 
-// Guards against a mistyped switch that leaves objects placed without a word.
+// Guards against a mistyped switch that silently leaves objects placed.
 TEST_CASE("The switch for object placement is true or false")
 {
   CHECK(ReadGatewaySettings(kSettings)->mPlacesObjects);
--- a/src/include/cranberrywing/gateway/caller_vms.h
+++ b/src/include/cranberrywing/gateway/caller_vms.h
@@ -66,7 +66,7 @@
   /// the hold time according to Observe, in their order.
   std::vector<VmRecord> Choose(const std::vector<VmRecord>& aUsable,
                                TimePoint aNow) const;
-  /// Forgets what was observed.
+  /// Clears the observations.
   void Clear() { mNamedAt.clear(); }
 
 private:
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -448,7 +448,7 @@
   void ExchangePlacements();
   /// VMs of the own region that may place its objects.
   std::vector<PlacementCandidate> PlacementCandidates() const;
-  /// VMs that are told placements, in ascending order.
+  /// VMs that receive placements, in ascending order.
   std::vector<VmId> PlacementReceivers() const;
   /// Servers of the own region at which objects of the service may be placed.
   std::vector<PlacementServer> PlacementServers(
--- a/src/include/cranberrywing/gateway/placement_exchange.h
+++ b/src/include/cranberrywing/gateway/placement_exchange.h
@@ -7,8 +7,8 @@
 /// region. All VMs ignore numbers below the one that they know, and the same
 /// number from another VM, so that lost, late, doubled and reordered messages
 /// and two VMs that place at the same time only delay a placement. A VM that
-/// places with a number that is too low, since it was paused or cut off, is
-/// told the present entries by the VM that sent the known number.
+/// places with a number that is too low, since it was paused or cut off,
+/// receives the current entries from the VM that sent the known number.
 #pragma once
 
 #include <map>
@@ -172,7 +172,7 @@
     TimePoint mAcceptedAt{};
     std::map<ObjectHash, Entry> mEntries;
     /// As in the last PlacingVmChange.
-    VmId mNamedVm;
+    VmId mReportedPlacingVm;
   };
 
   struct Report
@@ -193,7 +193,7 @@
   /// Differences between the entries in force and aPlaced.
   std::vector<PlacedObject> ChangesTo(const std::vector<PlacedObject>& aPlaced);
   /// Reports the region's placing VM as changed if it is another one.
-  void Name(const RegionId& aRegion, Region& aState, const VmId& aVm);
+  void SetPlacingVm(const RegionId& aRegion, Region& aState, const VmId& aVm);
   /// Sends all own entries in force to the VM.
   void HandOver(const VmId& aTo, TimePoint aNow);
   /// The next entries in force after aAfter, at most one message of them.
--- a/src/libcranberrywing/gateway/gateway_placement.cpp
+++ b/src/libcranberrywing/gateway/gateway_placement.cpp
@@ -1,5 +1,6 @@
 // Placement of objects at servers: what this VM counts, places, sends and uses.
 #include <algorithm>
+#include <unordered_set>
 
 #include "cranberrywing/gateway/gateway.h"
 
@@ -91,6 +92,8 @@
 {
   std::vector<PlacementServer> servers;
   for (const Backend* const backend : mPool.BackendsOfService(aService)) {
+    // The order of objects is weighted while a server states a rate limit, and
+    // ObjectPlacement knows equal weights only.
     // Servers that this VM has ejected or that asked it to wait are back soon,
     // and a move costs a cache miss. Meanwhile the order applies.
     const bool isUsable = mPool.IsEligible(*backend) &&
@@ -131,6 +134,7 @@
   }
   AdoptPlacements();
   std::vector<PlacedObject> placed;
+  std::unordered_set<ObjectHash> objects;
   for (auto& [service, each] : mServicePlacements) {
     PlacementExchange::Demand demand =
       mPlacementExchange.ReportedDemand(service, mNow);
@@ -145,7 +149,10 @@
     each.mDemand = std::move(demand);
     each.mPlacement.Update(PlacementServers(service), mNow);
     for (const auto& [object, entry] : each.mPlacement.Placed()) {
-      placed.push_back({ object, entry.mServers });
+      // A faulty report may state an object for two services.
+      if (objects.insert(object).second) {
+        placed.push_back({ object, entry.mServers });
+      }
     }
   }
   for (const PlacedObject& change :
--- a/src/libcranberrywing/gateway/object_demand_test.cpp
+++ b/src/libcranberrywing/gateway/object_demand_test.cpp
@@ -41,7 +41,7 @@
   CHECK(later[0].mSlots == Approx(busiest[0].mSlots / 2.718).epsilon(0.01));
 }
 
-// Guards against a VM that runs out of memory, or forgets its busiest objects,
+// Guards against a VM that runs out of memory, or drops its busiest objects,
 // when callers request ever new objects.
 TEST_CASE("New objects neither exhaust memory nor displace busy ones")
 {
--- a/src/libcranberrywing/gateway/placement_exchange.cpp
+++ b/src/libcranberrywing/gateway/placement_exchange.cpp
@@ -44,7 +44,7 @@
   const bool wasPlacing = IsPlacing();
   mElected = elected;
   Region& own = Own();
-  Name(mOptions.mRegion, own, mElected);
+  SetPlacingVm(mOptions.mRegion, own, mElected);
   if (IsPlacing()) {
     // Without entries to continue with, other VMs may not have been heard yet.
     const bool hasPredecessor =
@@ -61,13 +61,13 @@
   }
 }
 
-void PlacementExchange::Name(const RegionId& aRegion,
-                             Region& aState,
-                             const VmId& aVm)
+void PlacementExchange::SetPlacingVm(const RegionId& aRegion,
+                                     Region& aState,
+                                     const VmId& aVm)
 {
-  if (aState.mNamedVm != aVm) {
-    mChanges.push_back({ aRegion, aVm, aState.mNamedVm });
-    aState.mNamedVm = aVm;
+  if (aState.mReportedPlacingVm != aVm) {
+    mChanges.push_back({ aRegion, aVm, aState.mReportedPlacingVm });
+    aState.mReportedPlacingVm = aVm;
   }
 }
 
@@ -163,7 +163,7 @@
     SetEntry(region, placed, aNow);
   }
   if (aRegion != mOptions.mRegion) {
-    Name(aRegion, region, aFrom.mVm);
+    SetPlacingVm(aRegion, region, aFrom.mVm);
   }
 }
 
@@ -272,7 +272,8 @@
   }
   own.mAcceptedAt = aNow;
   if (!changes.empty() || own.mSender != mOptions.mSelf) {
-    ++own.mNumber;
+    // Other VMs accept 1 once the entries of the greatest number have expired.
+    own.mNumber = own.mNumber >= kMaxNumber ? 1 : own.mNumber + 1;
     own.mSender = mOptions.mSelf;
     for (const VmId& receiver : aReceivers) {
       SendEntries(receiver, changes);
--- a/src/libcranberrywing/gateway/placement_exchange_test.cpp
+++ b/src/libcranberrywing/gateway/placement_exchange_test.cpp
@@ -443,3 +443,17 @@
   // The placing VM tells 299 VMs two messages each in 4 s, 40 steps.
   CHECK(large.mLargestStep <= 16);
 }
+
+// Guards against a region whose objects cannot be placed any more after one
+// message with the greatest number.
+TEST_CASE("Placing goes on after a message with the greatest number")
+{
+  PlacementExchange exchange(OptionsOf("a"));
+  exchange.Elect({ { VmId("a"), 0 } }, kNow);
+  exchange.OnMessage({ VmId("b"), { 1 } },
+                     kRegion,
+                     message::ObjectPlacements{ std::uint64_t{ 1 } << 62U, {} },
+                     kNow);
+  exchange.Publish({ { 7, { 1 } } }, {}, kNow);
+  CHECK(exchange.NumberOf(kRegion) == 1);
+}
--- a/src/netutil/http_server_memory_test.cpp
+++ b/src/netutil/http_server_memory_test.cpp
@@ -164,8 +164,8 @@
 } // namespace
 
 // Guards against memory that grows with the number of slow clients, against
-// fast clients that pay for it, and against clients that read slowly and get
-// only parts of their responses.
+// fast clients that are delayed by it, and against clients that read slowly and
+// get only parts of their responses.
 TEST_CASE("slow readers get whole responses while memory is bounded")
 {
   constexpr std::size_t kReaders = 8;
@@ -261,7 +261,7 @@
 }
 
 // Guards against memory that stays counted after a connection has ended, and
-// against paused connections that are not told of it.
+// against paused connections that are not resumed.
 TEST_CASE("closed connections release memory, and paused ones read again")
 {
   Fixture fixture(3 * kMegabyte);
