--- a/src/libcranberrywing/gateway/gateway_placement_test.cpp
+++ b/src/libcranberrywing/gateway/gateway_placement_test.cpp
@@ -36,22 +36,25 @@
                                    .mFailureDomain = FailureDomainId("near-a"),
                                    .mAddress = "10.0.0.2",
                                    .mPeerPort = 81 } });
-    TellStatus();
+    ReceiveStatus();
     Advance(milliseconds(25));
   }
 
-  void TellStatus() { Tell(message::GatewayStatus{ .mPolicy = { 1 } }); }
+  void ReceiveStatus()
+  {
+    ReceiveFromPeer(message::GatewayStatus{ .mPolicy = { 1 } });
+  }
 
-  void Tell(Message aMessage)
+  void ReceiveFromPeer(Message aMessage)
   {
     Deliver(event::PeerMessageReceived{ .mFrom = mOther,
                                         .mMessage = std::move(aMessage) });
   }
 
-  /// Tells where the test's object is placed.
+  /// Delivers a placement of the test's object.
   void Place(std::uint64_t aNumber, std::vector<std::uint64_t> aServers)
   {
-    Tell(message::ObjectPlacements{
+    ReceiveFromPeer(message::ObjectPlacements{
       aNumber, { { HashObject(kService, "o"), std::move(aServers) } } });
   }
 
@@ -156,7 +159,7 @@
   std::size_t reports = 0;
   double slots = 0;
   for (int n = 0; n < 80; ++n) {
-    fixture.TellStatus();
+    fixture.ReceiveStatus();
     fixture.ServerOfRequest();
     fixture.Advance(milliseconds(25));
     reports += fixture.CountMessages<message::ObjectDemands>();
--- a/src/libcranberrywing/gateway/placement_exchange_test.cpp
+++ b/src/libcranberrywing/gateway/placement_exchange_test.cpp
@@ -383,7 +383,7 @@
   now += seconds(5);
   CHECK(repeat(now) <= 8);
   exchange.Publish(placed, receivers, now);
-  // VMs that come and go do not keep others from being told.
+  // VMs that come and go do not delay the messages to others.
   receivers.erase(receivers.begin() + 5, receivers.begin() + 15);
   told.clear();
   for (const TimePoint end = now + seconds(5); now < end;
@@ -440,7 +440,7 @@
        << " sent, " << large.mMostReceived << " received of 300");
   CHECK(large.mSent <= 1.1 * small.mSent);
   CHECK(large.mReceived <= 1.1 * small.mReceived);
-  // The placing VM tells 299 VMs two messages each in 4 s, 40 steps.
+  // The placing VM sends two messages to each of 299 VMs in 4 s, 40 steps.
   CHECK(large.mLargestStep <= 16);
 }
 
--- a/src/netutil/http_session.h
+++ b/src/netutil/http_session.h
@@ -110,7 +110,7 @@
   void FlushResponses();
   void AppendResponse(const PendingExchange& aPending, bool aIsLast);
   void AppendContinue();
-  /// Tells the server what is held for the client.
+  /// Reports to the server what is held for the client.
   void UpdateHeld();
   /// Frees the part of the output being written that is sent, if it is large.
   void TrimWriting();
