--- a/review/rig-2/poison.cpp
+++ b/review/rig-2/poison.cpp
@@ -68,6 +68,14 @@
         onRun));
       instances.back()->Begin(0);
     }
+    // The other service's instances are sound.
+    for (int n = count; n < 9; ++n) {
+      instances.push_back(std::make_unique<Instance>(
+        store,
+        Instance::Options{ .id = "i-" + std::to_string(n), .service = "shopdesk", .zone = zones[n % zones.size()] },
+        onRun));
+      instances.back()->Begin(0);
+    }
   }
   store.Set("op/config", Configuration(7));
   std::vector<std::unique_ptr<Gateway>> gateways;
