--- a/review/rig-2/poison.cpp
+++ b/review/rig-2/poison.cpp
@@ -1,7 +1,9 @@
-// A request that crashes each instance that begins to run it comes again and again, at any machine.
-// Usage: poison FOLDER MODE TROUBLE, where MODE is one of
-//   roll  the gateways are stopped and started in turn (without trouble: they aren't)
-//   few   the service has two instances, which start again under the id that they had (without trouble: the request
+// A request that crashes each instance that begins to run it comes again and
+// again, at any machine. Usage: poison FOLDER MODE TROUBLE, where MODE is one
+// of
+//   roll  the gateways are stopped and started in turn (without trouble: they
+//   aren't) few   the service has two instances, which start again under the id
+//   that they had (without trouble: the request
 //         crashes nothing)
 #include "rig.h"
 
@@ -33,7 +35,8 @@
 
   std::mutex mutex;
   std::map<std::string, Sent> sent;
-  std::vector<std::pair<long long, std::string>> arrivals; // of the request that crashes instances
+  std::vector<std::pair<long long, std::string>>
+    arrivals; // of the request that crashes instances
   std::map<std::string, int> runs;
   std::vector<std::unique_ptr<Instance>> instances;
   int starts = 0;
@@ -46,25 +49,33 @@
       return false;
     }
     arrivals.emplace_back(NowMs(), attempt);
-    record.Line("instance " + id + " begins to run " + attempt + (crashes ? " and crashes" : ""));
+    record.Line("instance " + id + " begins to run " + attempt +
+                (crashes ? " and crashes" : ""));
     if (!crashes) {
       return false;
     }
     for (const auto& instance : instances) {
       if (instance->Id() == id) {
-        instance->CrashFor(kBackMs, mode == "few" ? id : id.substr(0, 3) + "." + std::to_string(++starts));
+        instance->CrashFor(kBackMs,
+                           mode == "few" ? id
+                                         : id.substr(0, 3) + "." +
+                                             std::to_string(++starts));
       }
     }
     return true;
   };
-  const std::vector<std::string> zones{ "accra-osu", "accra-tema", "kumasi-adum" };
+  const std::vector<std::string> zones{ "accra-osu",
+                                        "accra-tema",
+                                        "kumasi-adum" };
   const int count = mode == "few" ? 2 : 9;
   {
     const std::lock_guard lock(mutex);
     for (int n = 0; n < count; ++n) {
       instances.push_back(std::make_unique<Instance>(
         store,
-        Instance::Options{ .id = "i-" + std::to_string(n), .service = "ledger", .zone = zones[n % zones.size()] },
+        Instance::Options{ .id = "i-" + std::to_string(n),
+                           .service = "ledger",
+                           .zone = zones[n % zones.size()] },
         onRun));
       instances.back()->Begin(0);
     }
@@ -72,7 +83,9 @@
     for (int n = count; n < 9; ++n) {
       instances.push_back(std::make_unique<Instance>(
         store,
-        Instance::Options{ .id = "i-" + std::to_string(n), .service = "shopdesk", .zone = zones[n % zones.size()] },
+        Instance::Options{ .id = "i-" + std::to_string(n),
+                           .service = "shopdesk",
+                           .zone = zones[n % zones.size()] },
         onRun));
       instances.back()->Begin(0);
     }
@@ -80,8 +93,12 @@
   store.Set("op/config", Configuration(7));
   std::vector<std::unique_ptr<Gateway>> gateways;
   for (size_t n = 0; n < zones.size(); ++n) {
-    gateways.push_back(std::make_unique<Gateway>("edge-" + std::to_string(n), zones[n].substr(0, zones[n].find('-')),
-                                                 zones[n], store.Port(), folder));
+    gateways.push_back(
+      std::make_unique<Gateway>("edge-" + std::to_string(n),
+                                zones[n].substr(0, zones[n].find('-')),
+                                zones[n],
+                                store.Port(),
+                                folder));
     gateways.back()->Start();
   }
   for (const auto& gateway : gateways) {
@@ -95,10 +112,13 @@
   }
   SleepMs(4000);
 
-  // Start and stop of each gateway's processes, for which it isn't in touch until kStableMs later.
-  std::vector<std::vector<std::pair<long long, long long>>> disturbed(gateways.size());
+  // Start and stop of each gateway's processes, for which it isn't in touch
+  // until kStableMs later.
+  std::vector<std::vector<std::pair<long long, long long>>> disturbed(
+    gateways.size());
   std::atomic<bool> isOver{ false };
-  // A client sends the request again each second, at one machine after the other.
+  // A client sends the request again each second, at one machine after the
+  // other.
   std::thread poison([&] {
     for (int n = 0; !isOver; ++n) {
       const size_t target = static_cast<size_t>(n) % gateways.size();
@@ -107,10 +127,12 @@
         const std::lock_guard lock(mutex);
         sent[attempt] = { target, NowMs() };
       }
-      const int status = Ask(gateways[target]->Callers(),
-                             Request("PUT", "/pay/2f", attempt, 1500, kKey, "invoice 4711"), 2500);
-      record.Line("client sent " + attempt + " to " + gateways[target]->Name() + ", answer " +
-                  (status ? std::to_string(status) : "none"));
+      const int status =
+        Ask(gateways[target]->Callers(),
+            Request("PUT", "/pay/2f", attempt, 1500, kKey, "invoice 4711"),
+            2500);
+      record.Line("client sent " + attempt + " to " + gateways[target]->Name() +
+                  ", answer " + (status ? std::to_string(status) : "none"));
       SleepMs(1000);
     }
   });
@@ -120,8 +142,15 @@
     for (int n = 0; !isOver; ++n) {
       std::thread([&, n] {
         const std::string attempt = "other-" + std::to_string(n);
-        const int status = Ask(gateways[static_cast<size_t>(n) % gateways.size()]->Callers(),
-                               Request("PUT", "/pay/" + attempt, attempt, 1500, kKey, "invoice " + attempt), 2500);
+        const int status =
+          Ask(gateways[static_cast<size_t>(n) % gateways.size()]->Callers(),
+              Request("PUT",
+                      "/pay/" + attempt,
+                      attempt,
+                      1500,
+                      kKey,
+                      "invoice " + attempt),
+              2500);
         ++(status == 200 ? paid : unpaid);
       }).detach();
       SleepMs(100);
@@ -145,7 +174,8 @@
       const std::lock_guard lock(mutex);
       disturbed[n].emplace_back(from, NowMs());
       record.Line(gateways[n]->Name() + " is started again");
-      // Time for the machine to be in touch again, and for the request to come there three times.
+      // Time for the machine to be in touch again, and for the request to come
+      // there three times.
       mutex.unlock();
       SleepMs(12000);
       mutex.lock();
@@ -166,7 +196,8 @@
     const Sent& request = sent[attempt];
     bool isInTouch = third > 0 && request.at > third + kStableMs;
     for (const auto& [from, to] : disturbed[request.gateway]) {
-      isInTouch = isInTouch && !(request.at >= from && request.at <= to + kStableMs);
+      isInTouch =
+        isInTouch && !(request.at >= from && request.at <= to + kStableMs);
     }
     counted += isInTouch && crashes ? 1 : 0;
     if (isInTouch && crashes) {
@@ -176,10 +207,13 @@
   for (const std::string& each : late) {
     record.Line("late retry: " + each);
   }
-  const std::string result = "the request began to run " + std::to_string(arrivals.size()) + " times, " +
-                             std::to_string(counted) + " of them retries that machines in touch sent later than " +
-                             std::to_string(kStableMs) + " ms after the third crash (at most 3 allowed); other payments: " +
-                             std::to_string(paid) + " answered 200, " + std::to_string(unpaid) + " not";
+  const std::string result =
+    "the request began to run " + std::to_string(arrivals.size()) + " times, " +
+    std::to_string(counted) +
+    " of them retries that machines in touch sent later than " +
+    std::to_string(kStableMs) +
+    " ms after the third crash (at most 3 allowed); other payments: " +
+    std::to_string(paid) + " answered 200, " + std::to_string(unpaid) + " not";
   record.Line(result);
   std::printf("%s\n", result.c_str());
   for (const auto& gateway : gateways) {
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -1,5 +1,6 @@
-// Stand-ins for the outside systems of a small deployment: the platform's store, instances, clients, and the
-// platform's part of starting, stopping and ending gateway processes. Everything listens on loopback addresses.
+// Stand-ins for the outside systems of a small deployment: the platform's
+// store, instances, clients, and the platform's part of starting, stopping and
+// ending gateway processes. Everything listens on loopback addresses.
 #pragma once
 
 #include <arpa/inet.h>
@@ -40,7 +41,8 @@
 
 inline long long NowMs()
 {
-  return std::chrono::duration_cast<milliseconds>(Clock::now() - kStart).count();
+  return std::chrono::duration_cast<milliseconds>(Clock::now() - kStart)
+    .count();
 }
 
 inline void SleepMs(long long ms)
@@ -52,14 +54,19 @@
 
 inline long long UnixMs()
 {
-  return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+  return std::chrono::duration_cast<milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
 }
 
 // What was sent, answered and run, a line each.
 class Record
 {
 public:
-  explicit Record(const std::string& path) : file(path) {}
+  explicit Record(const std::string& path)
+    : file(path)
+  {
+  }
   void Line(const std::string& text)
   {
     const std::lock_guard lock(mutex);
@@ -80,7 +87,8 @@
   address.sin_family = AF_INET;
   address.sin_port = htons(static_cast<uint16_t>(port));
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 || listen(fd, 512) != 0) {
+  if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 ||
+      listen(fd, 512) != 0) {
     close(fd);
     return -1;
   }
@@ -108,7 +116,8 @@
   return fd;
 }
 
-// A run of consecutive ports below the range for outgoing connections that were free a moment ago.
+// A run of consecutive ports below the range for outgoing connections that were
+// free a moment ago.
 inline int FreePorts(int count)
 {
   static std::atomic<int> next{ 15000 + static_cast<int>(getpid() % 400) * 40 };
@@ -154,7 +163,10 @@
 class Reader
 {
 public:
-  explicit Reader(int fd) : fd(fd) {}
+  explicit Reader(int fd)
+    : fd(fd)
+  {
+  }
 
   // False at the end of the connection, or if the limit is reached (0: none).
   bool Read(Message& message, bool isResponse, int limitMs = 0)
@@ -184,10 +196,13 @@
       const size_t colon = line.find(':');
       if (colon != std::string::npos) {
         const size_t value = line.find_first_not_of(' ', colon + 1);
-        message.fields.emplace_back(line.substr(0, colon), value == std::string::npos ? "" : line.substr(value));
+        message.fields.emplace_back(
+          line.substr(0, colon),
+          value == std::string::npos ? "" : line.substr(value));
       }
     }
-    const size_t length = std::strtoul(message.Field("Content-Length").c_str(), nullptr, 10);
+    const size_t length =
+      std::strtoul(message.Field("Content-Length").c_str(), nullptr, 10);
     while (buffer.size() < head + 4 + length) {
       if (!Fill(limitMs, end)) {
         return false;
@@ -202,7 +217,8 @@
   bool Fill(int limitMs, Clock::time_point end)
   {
     if (limitMs > 0) {
-      const auto left = std::chrono::duration_cast<milliseconds>(end - Clock::now()).count();
+      const auto left =
+        std::chrono::duration_cast<milliseconds>(end - Clock::now()).count();
       pollfd entry{ fd, POLLIN, 0 };
       if (left <= 0 || poll(&entry, 1, static_cast<int>(left)) <= 0) {
         return false;
@@ -225,7 +241,8 @@
 {
   size_t done = 0;
   while (done < text.size()) {
-    const ssize_t count = send(fd, text.data() + done, text.size() - done, MSG_NOSIGNAL);
+    const ssize_t count =
+      send(fd, text.data() + done, text.size() - done, MSG_NOSIGNAL);
     if (count <= 0) {
       return false;
     }
@@ -234,15 +251,18 @@
   return true;
 }
 
-inline std::string Response(int status, const std::string& fields, const std::string& body)
+inline std::string Response(int status,
+                            const std::string& fields,
+                            const std::string& body)
 {
-  return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields + "Content-Length: " +
-         std::to_string(body.size()) + "\r\n\r\n" + body;
+  return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 inline std::string Base64(const std::string& bytes)
 {
-  static const char* digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  static const char* digits =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
   std::string text;
   text.reserve(bytes.size() * 4 / 3 + 4);
   for (size_t n = 0; n < bytes.size(); n += 3) {
@@ -261,7 +281,8 @@
   return text;
 }
 
-// The text of a JSON member: a string without escapes, or a number. Enough for what gateways send.
+// The text of a JSON member: a string without escapes, or a number. Enough for
+// what gateways send.
 inline std::string Member(const std::string& json, const std::string& name)
 {
   size_t at = json.find("\"" + name + "\":");
@@ -271,7 +292,8 @@
   at += name.size() + 3;
   const bool isText = json[at] == '"';
   const size_t first = isText ? at + 1 : at;
-  const size_t last = isText ? json.find('"', first) : json.find_first_of(",}]", first);
+  const size_t last =
+    isText ? json.find('"', first) : json.find_first_of(",}]", first);
   return json.substr(first, last - first);
 }
 
@@ -289,7 +311,8 @@
   std::string decoded;
   for (size_t n = 0; n < text.size(); ++n) {
     if (text[n] == '%' && n + 2 < text.size()) {
-      decoded += static_cast<char>(std::strtol(text.substr(n + 1, 2).c_str(), nullptr, 16));
+      decoded += static_cast<char>(
+        std::strtol(text.substr(n + 1, 2).c_str(), nullptr, 16));
       n += 2;
     } else {
       decoded += text[n];
@@ -298,7 +321,8 @@
   return decoded;
 }
 
-// Accepts connections on a port, each served by a thread of its own, until it is stopped.
+// Accepts connections on a port, each served by a thread of its own, until it
+// is stopped.
 class Server
 {
 public:
@@ -330,7 +354,8 @@
     for (const int fd : open) {
       const linger reset{ 1, 0 };
       setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
-      // Ends the thread's read; the thread closes the descriptor, which sends the reset.
+      // Ends the thread's read; the thread closes the descriptor, which sends
+      // the reset.
       shutdown(fd, SHUT_RD);
     }
   }
@@ -375,7 +400,9 @@
     std::thread([this] { EndLeases(); }).detach();
   }
 
-  void Set(const std::string& key, const std::string& value, long long lease = 0)
+  void Set(const std::string& key,
+           const std::string& value,
+           long long lease = 0)
   {
     const std::lock_guard lock(data);
     SetLocked(key, Base64(value), lease);
@@ -402,11 +429,15 @@
 
   static std::string Text(const std::string& key, const Item& item)
   {
-    return "{\"key\":\"" + key + "\",\"value\":\"" + item.value + "\",\"revision\":" + std::to_string(item.revision) +
-           ",\"created_rev\":" + std::to_string(item.created) + ",\"lease\":" + std::to_string(item.lease) + "}";
+    return "{\"key\":\"" + key + "\",\"value\":\"" + item.value +
+           "\",\"revision\":" + std::to_string(item.revision) +
+           ",\"created_rev\":" + std::to_string(item.created) +
+           ",\"lease\":" + std::to_string(item.lease) + "}";
   }
 
-  void SetLocked(const std::string& key, const std::string& value, long long lease)
+  void SetLocked(const std::string& key,
+                 const std::string& value,
+                 long long lease)
   {
     Item& item = items[key];
     item.value = value;
@@ -420,7 +451,8 @@
   {
     if (items.erase(key) > 0) {
       ++revision;
-      Tell("{\"key\":\"" + key + "\",\"revision\":" + std::to_string(revision) + ",\"tombstone\":true}");
+      Tell("{\"key\":\"" + key + "\",\"revision\":" + std::to_string(revision) +
+           ",\"tombstone\":true}");
     }
   }
 
@@ -428,7 +460,8 @@
   {
     const auto now = Clock::now();
     events.push_back({ revision, std::move(text), now });
-    while (!events.empty() && now - events.front().at > std::chrono::seconds(20)) {
+    while (!events.empty() &&
+           now - events.front().at > std::chrono::seconds(20)) {
       forgotten = events.front().revision;
       events.erase(events.begin());
     }
@@ -463,25 +496,32 @@
   {
     std::unique_lock lock(data);
     const std::string path = request.target.substr(0, request.target.find('?'));
-    const auto number = [](const std::string& text) { return std::strtoll(text.c_str(), nullptr, 10); };
+    const auto number = [](const std::string& text) {
+      return std::strtoll(text.c_str(), nullptr, 10);
+    };
     const std::string current = "\"current_rev\":";
     if (path == "/cranberrywing/kv-range") {
       const std::string prefix = Parameter(request.target, "prefix");
       std::string list;
       bool more = false;
       int count = 0;
-      for (auto it = items.upper_bound(Parameter(request.target, "after")); it != items.end(); ++it) {
+      for (auto it = items.upper_bound(Parameter(request.target, "after"));
+           it != items.end();
+           ++it) {
         if (it->first.compare(0, prefix.size(), prefix) != 0) {
           continue;
         }
-        if (count == 500 || (count > 0 && list.size() + it->second.value.size() > 1'500'000)) {
+        if (count == 500 ||
+            (count > 0 && list.size() + it->second.value.size() > 1'500'000)) {
           more = true;
           break;
         }
         list += (count++ ? "," : "") + Text(it->first, it->second);
       }
-      return { 200, "{\"items\":[" + list + "],\"has_more\":" + (more ? "true" : "false") + "," + current +
-                      std::to_string(revision) + "}" };
+      return { 200,
+               "{\"items\":[" + list +
+                 "],\"has_more\":" + (more ? "true" : "false") + "," + current +
+                 std::to_string(revision) + "}" };
     }
     if (path == "/cranberrywing/kv-watch") {
       const long long after = number(Parameter(request.target, "after"));
@@ -489,21 +529,27 @@
       if (after < forgotten) {
         return { 410, "{}" };
       }
-      changed.wait_for(lock, milliseconds(number(Parameter(request.target, "wait_ms"))),
-                       [&] { return revision > after; });
+      changed.wait_for(
+        lock, milliseconds(number(Parameter(request.target, "wait_ms"))), [&] {
+          return revision > after;
+        });
       std::string list;
       for (const Event& event : events) {
         if (event.revision > after) {
           list += (list.empty() ? "" : ",") + event.text;
         }
       }
-      return { 200, "{\"events\":[" + list + "]," + current + std::to_string(revision) + "}" };
+      return { 200,
+               "{\"events\":[" + list + "]," + current +
+                 std::to_string(revision) + "}" };
     }
     if (path == "/cranberrywing/kv-lease") {
       const std::string ttl = Member(request.body, "ttl_time");
       const milliseconds time(number(ttl));
       leases[++lastLease] = { Clock::now() + time, time };
-      return { 200, "{\"lease\":" + std::to_string(lastLease) + ",\"ttl_time\":\"" + ttl + "\"}" };
+      return { 200,
+               "{\"lease\":" + std::to_string(lastLease) + ",\"ttl_time\":\"" +
+                 ttl + "\"}" };
     }
     const std::string id = path.substr(path.rfind('/') + 1);
     if (path.find("/kv-keep/") != std::string::npos) {
@@ -512,7 +558,9 @@
         return { 404, "{}" };
       }
       it->second.first = Clock::now() + it->second.second;
-      return { 200, "{\"ttl_time\":\"" + std::to_string(it->second.second.count()) + "ms\"}" };
+      return { 200,
+               "{\"ttl_time\":\"" + std::to_string(it->second.second.count()) +
+                 "ms\"}" };
     }
     if (path.find("/kv-lease-end/") != std::string::npos) {
       const auto it = leases.find(number(id));
@@ -543,7 +591,8 @@
     Message request;
     while (reader.Read(request, false)) {
       const auto [status, body] = Call(request);
-      if (!Write(fd, Response(status, "Content-Type: application/json\r\n", body))) {
+      if (!Write(
+            fd, Response(status, "Content-Type: application/json\r\n", body))) {
         return;
       }
     }
@@ -557,7 +606,8 @@
   long long revision = 100, forgotten = 0, lastLease = 1000;
 };
 
-// An instance of a service. It reports to the store, answers health checks, and runs requests.
+// An instance of a service. It reports to the store, answers health checks, and
+// runs requests.
 class Instance : public Server
 {
 public:
@@ -570,7 +620,10 @@
   // Called when a request begins to run; true if it crashes the instance.
   using Runs = std::function<bool(const Message&, const std::string& id)>;
 
-  Instance(Store& store, Options options, Runs runs) : store(store), options(std::move(options)), runs(std::move(runs))
+  Instance(Store& store, Options options, Runs runs)
+    : store(store)
+    , options(std::move(options))
+    , runs(std::move(runs))
   {
   }
 
@@ -591,7 +644,8 @@
     return true;
   }
 
-  // Crashes, and is back at its address after some seconds. Its entry goes after three reports' time of silence.
+  // Crashes, and is back at its address after some seconds. Its entry goes
+  // after three reports' time of silence.
   void CrashFor(int backMs, const std::string& nextId)
   {
     ++lifetimes;
@@ -617,9 +671,12 @@
   void Report()
   {
     store.Set("servers/" + options.id,
-              "{\"address\":\"127.0.0.1:" + std::to_string(Port()) + "\",\"born\":" + std::to_string(born) +
-                ",\"info\":{\"service\":\"" + options.service + "\",\"version\":\"v1\",\"zone\":\"" + options.zone +
-                "\",\"slots\":" + std::to_string(options.slots) + "},\"status\":{\"state\":\"ready\",\"sequence\":" +
+              "{\"address\":\"127.0.0.1:" + std::to_string(Port()) +
+                "\",\"born\":" + std::to_string(born) +
+                ",\"info\":{\"service\":\"" + options.service +
+                "\",\"version\":\"v1\",\"zone\":\"" + options.zone +
+                "\",\"slots\":" + std::to_string(options.slots) +
+                "},\"status\":{\"state\":\"ready\",\"sequence\":" +
                 std::to_string(++sequence) + ",\"cold_remaining\":\"0ms\"}}");
   }
 
@@ -630,8 +687,10 @@
     while (reader.Read(request, false)) {
       const std::string own = "Instance-Id: " + options.id + "\r\n";
       const std::string attempt = request.Field("Attempt-Id");
-      const std::string echo = attempt.empty() ? "" : "Attempt-Id: " + attempt + "\r\n";
-      const std::string load = "Instance-Load: 1,0," + std::to_string(options.slots) + "\r\n";
+      const std::string echo =
+        attempt.empty() ? "" : "Attempt-Id: " + attempt + "\r\n";
+      const std::string load =
+        "Instance-Load: 1,0," + std::to_string(options.slots) + "\r\n";
       std::string answer;
       if (request.target == "/healthz") {
         answer = Response(200, own + load, "");
@@ -641,7 +700,10 @@
         return;
       } else {
         SleepMs(options.workMs);
-        answer = Response(200, echo + load + "Response-Signature: s." + attempt + "\r\n", "run " + attempt);
+        answer =
+          Response(200,
+                   echo + load + "Response-Signature: s." + attempt + "\r\n",
+                   "run " + attempt);
       }
       if (!isOpen || !Write(fd, answer)) {
         return;
@@ -656,23 +718,36 @@
   std::atomic<long long> sequence{ 0 }, lifetimes{ 0 };
 };
 
-// A gateway process, started with the command and the settings of the deploy file.
+// A gateway process, started with the command and the settings of the deploy
+// file.
 class Gateway
 {
 public:
-  Gateway(std::string name, std::string region, std::string zone, int storePort, std::string folder)
-    : name(std::move(name)), folder(std::move(folder))
+  Gateway(std::string name,
+          std::string region,
+          std::string zone,
+          int storePort,
+          std::string folder)
+    : name(std::move(name))
+    , folder(std::move(folder))
   {
     first = FreePorts(5);
-    const auto at = [this](int offset) { return "\"127.0.0.1:" + std::to_string(first + offset) + "\"\n"; };
+    const auto at = [this](int offset) {
+      return "\"127.0.0.1:" + std::to_string(first + offset) + "\"\n";
+    };
     std::ofstream file(Settings());
-    file << "vm: \"" << this->name << "\"\nregion: \"" << region << "\"\nfailure_domain: \"" << zone
-         << "\"\ncallers: " << at(0) << "readiness: " << at(1) << "lookups: " << at(2) << "peers: " << at(3)
+    file << "vm: \"" << this->name << "\"\nregion: \"" << region
+         << "\"\nfailure_domain: \"" << zone << "\"\ncallers: " << at(0)
+         << "readiness: " << at(1) << "lookups: " << at(2) << "peers: " << at(3)
          << "metrics: " << at(4) << "store: \"127.0.0.1:" << storePort
-         << "\"\nlease_ttl_min: \"1000ms\"\nregions:\n  \"accra-osu\": \"accra\"\n  \"accra-tema\": \"accra\"\n"
-            "  \"kumasi-adum\": \"kumasi\"\nlookup_lifetime_max: \"5s\"\nstop_limit: \"6s\"\nretry_ratio: \"0.2\"\n"
-            "retry_allowance: \"62\"\nretry_window: \"10s\"\ncold_overshoot: \"1.5\"\ncold_slack: \"5\"\n"
-            "file_limit: \"4100\"\nmemory_limit_mb: \"260\"\nmax_shift: \"0.15\"\nlink_mbps: \"1000\"\n";
+         << "\"\nlease_ttl_min: \"1000ms\"\nregions:\n  \"accra-osu\": "
+            "\"accra\"\n  \"accra-tema\": \"accra\"\n"
+            "  \"kumasi-adum\": \"kumasi\"\nlookup_lifetime_max: "
+            "\"5s\"\nstop_limit: \"6s\"\nretry_ratio: \"0.2\"\n"
+            "retry_allowance: \"62\"\nretry_window: \"10s\"\ncold_overshoot: "
+            "\"1.5\"\ncold_slack: \"5\"\n"
+            "file_limit: \"4100\"\nmemory_limit_mb: \"260\"\nmax_shift: "
+            "\"0.15\"\nlink_mbps: \"1000\"\n";
   }
   ~Gateway() { End(); }
 
@@ -685,7 +760,9 @@
     // Prepared before the fork: the child may only make simple calls.
     const std::string variable = "CRANBERRYWING_BOOT=" + Settings();
     const std::string log = folder + "/" + name + ".log";
-    const std::string path = std::string("PATH=") + (getenv("PATH") ? getenv("PATH") : "/usr/bin:/bin");
+    const std::string path =
+      std::string("PATH=") +
+      (getenv("PATH") ? getenv("PATH") : "/usr/bin:/bin");
     const char* environment[] = { variable.c_str(), path.c_str(), nullptr };
     const char* program = "target/bin/cranberrywing-gateway";
     const char* arguments[] = { program, nullptr };
@@ -696,7 +773,9 @@
       const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(out, 1);
       dup2(out, 2);
-      execve(program, const_cast<char* const*>(arguments), const_cast<char* const*>(environment));
+      execve(program,
+             const_cast<char* const*>(arguments),
+             const_cast<char* const*>(environment));
       _exit(127);
     }
     pid = child;
@@ -735,7 +814,9 @@
   {
     std::ifstream file("/proc/" + std::to_string(pid) + "/statm");
     long all = 0, resident = 0;
-    return file >> all >> resident ? resident * (sysconf(_SC_PAGESIZE) / 1024) / 1024 : 0;
+    return file >> all >> resident
+             ? resident * (sysconf(_SC_PAGESIZE) / 1024) / 1024
+             : 0;
   }
 
   bool IsReady() const
@@ -745,8 +826,9 @@
       return false;
     }
     Message answer;
-    const bool isReady = Write(fd, "GET /cranberrywing/readyz HTTP/1.1\r\nHost: x\r\n\r\n") &&
-                         Reader(fd).Read(answer, true, 1000) && answer.status == 200;
+    const bool isReady =
+      Write(fd, "GET /cranberrywing/readyz HTTP/1.1\r\nHost: x\r\n\r\n") &&
+      Reader(fd).Read(answer, true, 1000) && answer.status == 200;
     close(fd);
     return isReady;
   }
@@ -759,15 +841,20 @@
   pid_t pid = 0;
 };
 
-// Sends one request on a new connection and returns the status; 0 if there is no answer within the limit.
-inline int Ask(int port, const std::string& text, int limitMs, Message* answer = nullptr)
+// Sends one request on a new connection and returns the status; 0 if there is
+// no answer within the limit.
+inline int Ask(int port,
+               const std::string& text,
+               int limitMs,
+               Message* answer = nullptr)
 {
   const int fd = Connect(port);
   if (fd < 0) {
     return 0;
   }
   Message message;
-  const bool isAnswered = Write(fd, text) && Reader(fd).Read(message, true, limitMs);
+  const bool isAnswered =
+    Write(fd, text) && Reader(fd).Read(message, true, limitMs);
   close(fd);
   if (answer) {
     *answer = message;
@@ -775,27 +862,46 @@
   return isAnswered ? message.status : 0;
 }
 
-inline std::string Request(const std::string& method, const std::string& target, const std::string& attempt,
-                           int deadlineMs, const std::string& key, const std::string& body)
+inline std::string Request(const std::string& method,
+                           const std::string& target,
+                           const std::string& attempt,
+                           int deadlineMs,
+                           const std::string& key,
+                           const std::string& body)
 {
-  return method + " " + target + " HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: " + attempt +
-         "\r\nAffinity-Key: 17\r\nDeadline-Ms: " + std::to_string(deadlineMs) + "\r\nAuthorization: Bearer " + key +
-         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  return method + " " + target +
+         " HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: " + attempt +
+         "\r\nAffinity-Key: 17\r\nDeadline-Ms: " + std::to_string(deadlineMs) +
+         "\r\nAuthorization: Bearer " + key +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
 }
 
 // A configuration of two routes, two services and one tenant without a limit.
 inline std::string Configuration(int version)
 {
   return "{\"version\":\"r" + std::to_string(version) +
-         "\",\"routes\":{\"columns\":[\"name\",\"host\",\"prefix\",\"kind\",\"timeout\",\"target_latency\",\"priority\","
-         "\"service\",\"max_attempts\",\"public\",\"sticky\",\"allowed_regions\",\"weighted_services\"],\"rows\":["
-         "[\"look\",\"shop.example\",\"/look/\",\"idempotent\",\"800ms\",\"400ms\",2,\"shopdesk\",2,false,true,[],null],"
-         "[\"pay\",\"shop.example\",\"/pay/\",\"non_idempotent\",\"1500ms\",\"250ms\",0,\"ledger\",2,false,true,[],null]"
-         "]},\"services\":{\"columns\":[\"name\",\"health_path\",\"max_connections\",\"protocol\",\"tls\",\"cold\","
-         "\"cold_per_s\"],\"rows\":[[\"shopdesk\",\"/healthz\",390,\"h1\",false,\"3s\",7.3],"
-         "[\"ledger\",\"/healthz\",390,\"h1\",false,\"3s\",7.3]]},\"limits\":{\"max_header_bytes\":16384,"
-         "\"max_body_bytes\":67108864,\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"},\"tenants\":{"
-         "\"columns\":[\"name\",\"api_keys\",\"priority\",\"rate_per_s\",\"burst\",\"allowed_regions\"],\"rows\":["
+         "\",\"routes\":{\"columns\":[\"name\",\"host\",\"prefix\",\"kind\","
+         "\"timeout\",\"target_latency\",\"priority\","
+         "\"service\",\"max_attempts\",\"public\",\"sticky\",\"allowed_"
+         "regions\",\"weighted_services\"],\"rows\":["
+         "[\"look\",\"shop.example\",\"/look/"
+         "\",\"idempotent\",\"800ms\",\"400ms\",2,\"shopdesk\",2,false,true,[],"
+         "null],"
+         "[\"pay\",\"shop.example\",\"/pay/"
+         "\",\"non_idempotent\",\"1500ms\",\"250ms\",0,\"ledger\",2,false,true,"
+         "[],null]"
+         "]},\"services\":{\"columns\":[\"name\",\"health_path\",\"max_"
+         "connections\",\"protocol\",\"tls\",\"cold\","
+         "\"cold_per_s\"],\"rows\":[[\"shopdesk\",\"/"
+         "healthz\",390,\"h1\",false,\"3s\",7.3],"
+         "[\"ledger\",\"/"
+         "healthz\",390,\"h1\",false,\"3s\",7.3]]},\"limits\":{\"max_header_"
+         "bytes\":16384,"
+         "\"max_body_bytes\":67108864,\"header_timeout\":\"3000ms\",\"idle_"
+         "timeout\":\"15000ms\"},\"tenants\":{"
+         "\"columns\":[\"name\",\"api_keys\",\"priority\",\"rate_per_s\","
+         "\"burst\",\"allowed_regions\"],\"rows\":["
          "[\"kaje80\",[\"b9wu3fexd9dnn2ctnfzs\"],1,0,0,[]]]}}";
 }
 
