--- a/review/rig-2/poison.cpp
+++ b/review/rig-2/poison.cpp
@@ -1,10 +1,11 @@
 // A request that crashes each instance that begins to run it comes again and
-// again, at any machine. Usage: poison FOLDER MODE TROUBLE, where MODE is one
-// of
-//   roll  the gateways are stopped and started in turn (without trouble: they
-//   aren't) few   the service has two instances, which start again under the id
-//   that they had (without trouble: the request
-//         crashes nothing)
+// again, at any machine. Usage: poison FOLDER MODE TROUBLE.
+//
+// MODE roll: the gateways are stopped and started in turn. Without trouble they
+// aren't.
+//
+// MODE few: the service has two instances, which start again under the id that
+// they had. Without trouble the request crashes nothing.
 #include "rig.h"
 
 using namespace rig;
@@ -37,15 +38,14 @@
   std::map<std::string, Sent> sent;
   std::vector<std::pair<long long, std::string>>
     arrivals; // of the request that crashes instances
-  std::map<std::string, int> runs;
   std::vector<std::unique_ptr<Instance>> instances;
   int starts = 0;
 
   const auto onRun = [&](const Message& request, const std::string& id) {
     const std::string attempt = request.Field("Attempt-Id");
     const std::lock_guard lock(mutex);
-    ++runs[attempt];
     if (request.target != "/pay/2f") {
+      record.Line("instance " + id + " runs " + attempt);
       return false;
     }
     arrivals.emplace_back(NowMs(), attempt);
@@ -152,6 +152,8 @@
                       "invoice " + attempt),
               2500);
         ++(status == 200 ? paid : unpaid);
+        record.Line("client sent " + attempt + ", answer " +
+                    (status ? std::to_string(status) : "none"));
       }).detach();
       SleepMs(100);
     }
--- a/review/rig-2/stops.cpp
+++ b/review/rig-2/stops.cpp
@@ -148,6 +148,12 @@
   const std::lock_guard lock(mutex);
   int answered = 0, refused = 0, excused = 0, lost = 0, other = 0;
   for (const auto& [attempt, look] : looks) {
+    record.Line(attempt + ": sent at " + std::to_string(look.sentAt) + " to " +
+                gateways[look.gateway]->Name() + ", run from " +
+                std::to_string(look.runAt) + " to " +
+                std::to_string(look.doneAt) + ", ended at " +
+                std::to_string(look.endedAt) + ", answer " +
+                (look.status ? std::to_string(look.status) : "none"));
     if (look.status == 200) {
       ++answered;
       continue;
