Give requests in flight at a planned exit a final answer

Cause: AdvanceShutdown exited with requests in flight and gave them no response. Responses leave a connection in the order of the requests, so each of these held back all that was finished behind it.

Why it works: at the exit, in the last sixth of the stop limit, each request in flight is given up: 504 if it was sent to a server, else 503 (not run). What is finished behind it leaves at once, with an eighth of the limit for output.

--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -338,6 +338,9 @@
   TimePoint ExitTime() const;
   /// Closes caller connections and exits once the stop's deadlines are reached.
   void AdvanceShutdown();
+  /// Refuses all requests in flight, so that finished answers behind them on
+  /// their connections can be sent.
+  void GiveUpAllRequests();
 
   // gateway_requests.cpp
   void On(const event::RequestArrived& aEvent);
@@ -490,6 +493,14 @@
   void RefuseOutcomeUnknown(Request& aRequest, std::string aReason);
   /// Refuses requests whose deadline is reached.
   void ExpireRequests();
+  /// Ends what is still done for a request that is given up: a wait for tokens,
+  /// or the current attempt. Returns the attempt's server as EndAttempt does.
+  Backend* EndWithoutAnswer(Request& aRequest);
+  /// Refuses a request that has been given up. The code applies if the request
+  /// has not run; otherwise its outcome is unknown.
+  void RefuseUnanswered(Request& aRequest,
+                        ResultCode aNotRunCode,
+                        std::string aDetail);
   /// Applies random jitter and bounds to a retry delay.
   Duration JitterRetryDelay(Duration aBase);
 
--- a/src/libcranberrywing/gateway/gateway_outcomes.cpp
+++ b/src/libcranberrywing/gateway/gateway_outcomes.cpp
@@ -331,33 +331,48 @@
   }
   for (const RequestId id : due) {
     Request& request = mRequests.at(id);
-    if (request.mWaitsForTokens) {
-      mRateLimiter.Cancel(id);
+    const Attempt last = request.mCurrent;
+    Backend* const backend = EndWithoutAnswer(request);
+    if (backend && !mServerReach.IsCutOff()) {
+      const Duration usual =
+        mServiceTimes.Estimate(*request.mRoute, request.mService).mWarm;
+      mPool.OnTimeout(*backend,
+                      ToSeconds(mNow - last.mSentAt) /
+                        std::max(1e-3, ToSeconds(usual)),
+                      mNow);
     }
-    if (!request.mCurrent.mBackend.IsEmpty()) {
-      request.mMayHaveRun = true;
-      mEffects.push_back(
-        effect::CancelDispatch{ id, request.mCurrent.mNumber });
-      Backend* const backend = EndAttempt(request, false);
-      if (backend && !mServerReach.IsCutOff()) {
-        const Duration usual =
-          mServiceTimes.Estimate(*request.mRoute, request.mService).mWarm;
-        mPool.OnTimeout(*backend,
-                        ToSeconds(mNow - request.mCurrent.mSentAt) /
-                          std::max(1e-3, ToSeconds(usual)),
-                        mNow);
-      }
-    }
-    const bool isNotRun = !request.mMayHaveRun;
-    RefuseRequest(
-      request,
-      { .mCode =
-          isNotRun ? ResultCode::Overloaded : ResultCode::DeadlineExceeded,
-        .mExecution = isNotRun ? Execution::NotRun : Execution::Unknown,
-        .mDetail = "no answer from a backend server before the deadline" });
+    RefuseUnanswered(request,
+                     ResultCode::Overloaded,
+                     "no answer from a backend server before the deadline");
   }
 }
 
+Backend* Gateway::EndWithoutAnswer(Request& aRequest)
+{
+  const RequestId id = aRequest.mArrival.mRequest;
+  if (aRequest.mWaitsForTokens) {
+    mRateLimiter.Cancel(id);
+  }
+  if (aRequest.mCurrent.mBackend.IsEmpty()) {
+    return nullptr;
+  }
+  aRequest.mMayHaveRun = true;
+  mEffects.push_back(effect::CancelDispatch{ id, aRequest.mCurrent.mNumber });
+  return EndAttempt(aRequest, false);
+}
+
+void Gateway::RefuseUnanswered(Request& aRequest,
+                               ResultCode aNotRunCode,
+                               std::string aDetail)
+{
+  const bool isNotRun = !aRequest.mMayHaveRun;
+  RefuseRequest(
+    aRequest,
+    { .mCode = isNotRun ? aNotRunCode : ResultCode::DeadlineExceeded,
+      .mExecution = isNotRun ? Execution::NotRun : Execution::Unknown,
+      .mDetail = std::move(aDetail) });
+}
+
 Duration Gateway::JitterRetryDelay(Duration aBase)
 {
   // Jitter prevents callers that were refused together from retrying together.
--- a/src/libcranberrywing/gateway/gateway_shutdown.cpp
+++ b/src/libcranberrywing/gateway/gateway_shutdown.cpp
@@ -57,8 +57,26 @@
   if (isQuiet || mNow >= ExitTime()) {
     mHasExited = true;
     Record("stopped", { { "in_flight", std::to_string(mRequests.size()) } });
+    GiveUpAllRequests();
     mEffects.push_back(effect::Exit{});
   }
 }
 
+void Gateway::GiveUpAllRequests()
+{
+  std::vector<RequestId> ids;
+  ids.reserve(mRequests.size());
+  for (const auto& [id, request] : mRequests) {
+    ids.push_back(id);
+  }
+  std::sort(ids.begin(), ids.end());
+  for (const RequestId id : ids) {
+    Request& request = mRequests.at(id);
+    EndWithoutAnswer(request);
+    RefuseUnanswered(request,
+                     ResultCode::ShuttingDown,
+                     "no answer from a backend server before the VM exits");
+  }
+}
+
 } // namespace cranberrywing::gateway
--- /dev/null
+++ b/src/libcranberrywing/gateway/gateway_shutdown_test.cpp
@@ -0,0 +1,59 @@
+#include "libcranberrywing/gateway/gateway_test_fleet.h"
+
+namespace cranberrywing::gateway::testing {
+
+namespace {
+
+/// Time after the stop request, with the fixture's stop limit of 6 s.
+constexpr Duration kExit = std::chrono::milliseconds(5250);
+
+void SetTimeouts(GatewayFixture& aFixture, Duration aTimeout)
+{
+  PolicyContent content = aFixture.Content(2);
+  for (RoutePolicy& route : content.mRoutes) {
+    route.mTimeout = aTimeout;
+  }
+  aFixture.SetPolicy(content);
+}
+
+/// Position of the first effect of the kind that belongs to the request.
+template<class Kind>
+std::size_t PositionOf(const EffectList& aEffects, RequestId aRequest)
+{
+  for (std::size_t n = 0; n < aEffects.size(); ++n) {
+    const auto* const found = std::get_if<Kind>(&aEffects[n]);
+    if (found && found->mRequest == aRequest) {
+      return n;
+    }
+  }
+  return aEffects.size();
+}
+
+} // namespace
+
+// Guards against the failure LOST: answers that are finished, but held behind
+// one that is not on their connection, are dropped when a stopping VM exits.
+TEST_CASE("Requests still in flight at the exit of a stopping VM are answered")
+{
+  GatewayFixture fixture;
+  SetTimeouts(fixture, std::chrono::seconds(6));
+  fixture.Deliver(event::StopRequested{});
+  fixture.Advance(kExit / 2);
+  const RequestId request = fixture.Request("/prices/1");
+  REQUIRE(fixture.FindEffect<effect::Dispatch>());
+  fixture.Advance(kExit / 2 - std::chrono::milliseconds(25));
+  CHECK_FALSE(fixture.FindEffect<effect::Refuse>());
+  fixture.Advance(std::chrono::milliseconds(25));
+  const auto* const refuse = fixture.FindEffect<effect::Refuse>();
+  REQUIRE(refuse);
+  CHECK(refuse->mRequest == request);
+  CHECK(refuse->mRefusal.mCode == ResultCode::DeadlineExceeded);
+  CHECK(refuse->mRefusal.mExecution == Execution::Unknown);
+  CHECK(refuse->mCloseAfter);
+  const EffectList& effects = fixture.mLastEffects;
+  CHECK(PositionOf<effect::CancelDispatch>(effects, request) <
+        PositionOf<effect::Refuse>(effects, request));
+  CHECK(std::holds_alternative<effect::Exit>(effects.back()));
+}
+
+} // namespace cranberrywing::gateway::testing
