Count crashed processes of servers, not their identifiers

Cause: CrashGuard counted servers by BackendId and blocked a request after three. Two identifiers never make three, however often their processes crash; and a server that was back before a health check found it down did not count.

Why it works: what is counted is the process: identifier and stated start. Another process under the identifier proves that the former one ended.

CrashGuard::OnReset takes a LostAttempt now, so the tests of the guard pass one; their checks are as they were.

--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -239,6 +239,8 @@
   /// Informs the crash guard that the server cannot be reached, failed a health
   /// check or was removed.
   void OnBackendDown(const BackendId& aBackend);
+  /// Informs the crash guard which process runs under the server's identifier.
+  void OnBackendRestarted(const Backend& aBackend);
   /// Appends an event to the log.
   void Record(std::string aName,
               std::vector<cranberrywing::effect::Field> aFields);
@@ -482,6 +484,9 @@
                       std::optional<double> aPerSecond,
                       TimePoint aStatedAt,
                       std::string_view aSource);
+  /// Informs the crash guard that the server reset the attempt's connection,
+  /// unless the server is leaving.
+  void RecordReset(const Request& aRequest, const Attempt& aAttempt);
   /// Updates service times, server health and crash guard. The latency counts
   /// as it would be without the time factor that the answer states.
   void LearnFromSuccess(Request& aRequest,
--- a/src/include/cranberrywing/messages/offers.h
+++ b/src/include/cranberrywing/messages/offers.h
@@ -104,13 +104,17 @@
 };
 
 /// Blocks requests with this fingerprint, because they crashed the servers that
-/// ran them.
+/// ran them. With neither a lifetime nor a lost server it takes crashes that
+/// were reported back, since a server has answered the request.
 struct RequestBlock
 {
   ContentDigest mFingerprint;
+  /// Remaining time of the block; with mLost the time since the loss.
   std::uint32_t mLifetimeMs = 0;
-  /// If set, the sender lost only this server. Receivers count the loss and
-  /// block the request once it has crashed enough servers.
+  /// If set, the sender lost only this process of a server, named by the
+  /// server's identifier and, where processes under one identifier can be told
+  /// apart, '#' and the lifetime. Receivers count the loss and block the
+  /// request once it has crashed enough processes.
   BackendId mLost;
 
   template<class Archive>
--- a/src/libcranberrywing/crash_guard.cpp
+++ b/src/libcranberrywing/crash_guard.cpp
@@ -16,13 +16,22 @@
 constexpr Duration kReportDelay = std::chrono::seconds(1);
 /// Crashes reported per sweep; bounded because each is sent to every peer.
 constexpr std::size_t kMaxReportsPerSweep = 16;
+/// Crashes that different VMs see at most this long after each other may have a
+/// common cause.
+constexpr Duration kCommonCauseTime = std::chrono::milliseconds(250);
 
-template<class Value>
-void AddUnique(std::vector<Value>& aValues, const Value& aValue)
+Milliseconds::rep CountMs(Duration aDuration)
 {
-  if (std::find(aValues.begin(), aValues.end(), aValue) == aValues.end()) {
-    aValues.push_back(aValue);
-  }
+  return std::chrono::duration_cast<Milliseconds>(aDuration).count();
+}
+
+/// Servers without a known lifetime are named by their identifier alone.
+BackendId NameProcess(const LostAttempt& aAttempt)
+{
+  return aAttempt.mLifetime == 0
+           ? aAttempt.mBackend
+           : BackendId(aAttempt.mBackend.mName + '#' +
+                       std::to_string(aAttempt.mLifetime));
 }
 
 } // namespace
@@ -63,6 +72,30 @@
   return it != mBlocks.end() && aNow < it->second;
 }
 
+CrashGuard::Crash CrashGuard::ToCrash(const LostAttempt& aAttempt)
+{
+  return { .mProcess = NameProcess(aAttempt),
+           .mSentAt = aAttempt.mSentAt,
+           .mLostAt = aAttempt.mLostAt };
+}
+
+std::size_t CrashGuard::CountSeparate(std::vector<Crash> aCrashes)
+{
+  std::sort(
+    aCrashes.begin(), aCrashes.end(), [](const Crash& a, const Crash& b) {
+      return a.mLostAt < b.mLostAt;
+    });
+  std::size_t count = 0;
+  TimePoint lastLostAt = TimePoint::min();
+  for (const Crash& crash : aCrashes) {
+    if (crash.mSentAt >= lastLostAt) {
+      ++count;
+      lastLostAt = crash.mLostAt;
+    }
+  }
+  return count;
+}
+
 bool CrashGuard::IsSuspect(const ContentDigest& aFingerprint,
                            TimePoint aNow) const
 {
@@ -70,69 +103,102 @@
   if (it == mSuspects.end()) {
     return false;
   }
-  std::vector<BackendId> servers = it->second.mCrashedServers;
-  for (const Reset& reset : it->second.mResets) {
-    if (aNow - reset.mTime <= mOptions.mConfirmationTime) {
-      AddUnique(servers, reset.mBackend);
+  std::vector<Crash> crashes = it->second.mCrashes;
+  for (const LostAttempt& reset : it->second.mResets) {
+    if (aNow - reset.mLostAt <= mOptions.mConfirmationTime) {
+      AddUnique(crashes, ToCrash(reset));
     }
   }
-  return servers.size() >= mOptions.mCrashThreshold;
+  return CountSeparate(std::move(crashes)) >= mOptions.mCrashThreshold;
 }
 
 void CrashGuard::OnReset(const ContentDigest& aFingerprint,
-                         const BackendId& aBackend,
-                         TimePoint aNow)
+                         const LostAttempt& aAttempt)
 {
   const bool isKnown = mSuspects.contains(aFingerprint);
   if (!isKnown && mSuspects.size() >= kMaxSuspects) {
     return;
   }
   Suspect& suspect = mSuspects[aFingerprint];
-  suspect.mResets.push_back({ aBackend, aNow });
+  suspect.mResets.push_back(aAttempt);
   suspect.mExpiry =
-    std::max(suspect.mExpiry, aNow + mOptions.mConfirmationTime);
+    std::max(suspect.mExpiry, aAttempt.mLostAt + mOptions.mConfirmationTime);
 }
 
 void CrashGuard::OnServerDown(const BackendId& aBackend,
                               TimePoint aNow,
                               EffectList& aOut)
 {
-  std::vector<ContentDigest> affected;
+  ConfirmResets(
+    [&](const LostAttempt& aReset) { return aReset.mBackend == aBackend; },
+    aNow,
+    aOut);
+}
+
+void CrashGuard::OnServerRestarted(const BackendId& aBackend,
+                                   std::uint64_t aLifetime,
+                                   TimePoint aNow,
+                                   EffectList& aOut)
+{
+  ConfirmResets(
+    [&](const LostAttempt& aReset) {
+      return aReset.mBackend == aBackend && aReset.mLifetime != aLifetime;
+    },
+    aNow,
+    aOut);
+}
+
+void CrashGuard::ConfirmResets(const Filter& aFilter,
+                               TimePoint aNow,
+                               EffectList& aOut)
+{
+  std::vector<std::pair<ContentDigest, LostAttempt>> confirmed;
   for (auto& [fingerprint, suspect] : mSuspects) {
-    const std::size_t removed =
-      std::erase_if(suspect.mResets, [&](const Reset& aReset) {
-        return aReset.mBackend == aBackend &&
-               aNow - aReset.mTime <= mOptions.mConfirmationTime;
-      });
-    if (removed > 0) {
-      affected.push_back(fingerprint);
-    }
+    std::erase_if(suspect.mResets,
+                  [&, &print = fingerprint](const auto& aReset) {
+                    if (!aFilter(aReset) ||
+                        aNow - aReset.mLostAt > mOptions.mConfirmationTime) {
+                      return false;
+                    }
+                    confirmed.emplace_back(print, aReset);
+                    return true;
+                  });
   }
-  std::sort(affected.begin(), affected.end());
-  for (const ContentDigest& fingerprint : affected) {
-    if (!RecordCrash(fingerprint, aBackend, aNow)) {
-      mUnreportedCrashes.push_back({ fingerprint, aBackend, aNow });
+  std::stable_sort(
+    confirmed.begin(), confirmed.end(), [](const auto& a, const auto& b) {
+      return a.first < b.first;
+    });
+  for (const auto& [fingerprint, attempt] : confirmed) {
+    const Crash crash = ToCrash(attempt);
+    if (!RecordCrash(fingerprint, crash, aNow)) {
+      mUnreported.push_back({ fingerprint, crash, aNow });
       continue;
     }
-    const auto lifetime =
-      std::chrono::duration_cast<Milliseconds>(mOptions.mBlockTime);
     mPeerMessages.push_back(
-      { fingerprint, static_cast<std::uint32_t>(lifetime.count()), {} });
+      { fingerprint,
+        static_cast<std::uint32_t>(CountMs(mOptions.mBlockTime)),
+        {} });
     aOut.push_back(
       effect::RecordTimeline{ "request_blocked",
                               { { "fingerprint", ToHex(fingerprint) },
-                                { "last_backend", aBackend.mName } } });
+                                { "last_backend", attempt.mBackend.mName } } });
   }
 }
 
 bool CrashGuard::RecordCrash(const ContentDigest& aFingerprint,
-                             const BackendId& aBackend,
+                             const Crash& aCrash,
                              TimePoint aNow)
 {
+  if (IsBlocked(aFingerprint, aNow)) {
+    return false;
+  }
   Suspect& suspect = mSuspects[aFingerprint];
+  if (aCrash.mLostAt <= suspect.mClearedAt) {
+    return false;
+  }
   suspect.mExpiry = aNow + mOptions.mBlockTime;
-  AddUnique(suspect.mCrashedServers, aBackend);
-  if (suspect.mCrashedServers.size() < mOptions.mCrashThreshold) {
+  AddUnique(suspect.mCrashes, aCrash);
+  if (CountSeparate(suspect.mCrashes) < mOptions.mCrashThreshold) {
     return false;
   }
   mSuspects.erase(aFingerprint);
@@ -140,29 +206,73 @@
   return true;
 }
 
+bool CrashGuard::Contains(const std::vector<Crash>& aCrashes,
+                          const Crash& aCrash)
+{
+  return std::any_of(
+    aCrashes.begin(), aCrashes.end(), [&](const Crash& aOther) {
+      return aOther.mProcess == aCrash.mProcess;
+    });
+}
+
+void CrashGuard::AddUnique(std::vector<Crash>& aCrashes, const Crash& aCrash)
+{
+  if (!Contains(aCrashes, aCrash)) {
+    aCrashes.push_back(aCrash);
+  }
+}
+
 void CrashGuard::Block(const ContentDigest& aFingerprint, TimePoint aUntil)
 {
   TimePoint& until = mBlocks[aFingerprint];
   until = std::max(until, aUntil);
 }
 
-void CrashGuard::OnSuccess(const ContentDigest& aFingerprint)
+void CrashGuard::OnSuccess(const ContentDigest& aFingerprint, TimePoint aNow)
 {
-  if (!mSuspects.empty()) {
-    mSuspects.erase(aFingerprint);
+  const auto it = mSuspects.find(aFingerprint);
+  if (it == mSuspects.end()) {
+    return;
+  }
+  if (it->second.mIsKnownToPeers) {
+    mPeerMessages.push_back({ aFingerprint, 0, {} });
   }
+  Clear(it->second, aNow);
+}
+
+void CrashGuard::Clear(Suspect& aSuspect, TimePoint aNow)
+{
+  aSuspect = {};
+  aSuspect.mClearedAt = aNow;
+  aSuspect.mExpiry = aNow + mOptions.mConfirmationTime;
 }
 
 void CrashGuard::OnMessage(const message::RequestBlock& aMessage,
                            TimePoint aNow)
 {
+  const Milliseconds time(aMessage.mLifetimeMs);
   if (!aMessage.mLost.IsEmpty()) {
-    RecordCrash(aMessage.mFingerprint, aMessage.mLost, aNow);
+    const TimePoint lostAt = aNow - time;
+    RecordCrash(aMessage.mFingerprint,
+                { .mProcess = aMessage.mLost,
+                  .mSentAt = lostAt - kCommonCauseTime,
+                  .mLostAt = lostAt },
+                aNow);
+    const auto it = mSuspects.find(aMessage.mFingerprint);
+    if (it != mSuspects.end() && !it->second.mCrashes.empty()) {
+      it->second.mIsKnownToPeers = true;
+    }
+    return;
+  }
+  if (aMessage.mLifetimeMs == 0) {
+    const auto it = mSuspects.find(aMessage.mFingerprint);
+    if (it != mSuspects.end()) {
+      Clear(it->second, aNow);
+    }
     return;
   }
-  const Duration lifetime =
-    std::min<Duration>(Milliseconds(aMessage.mLifetimeMs), mOptions.mBlockTime);
-  Block(aMessage.mFingerprint, aNow + lifetime);
+  Block(aMessage.mFingerprint,
+        aNow + std::min<Duration>(time, mOptions.mBlockTime));
 }
 
 void CrashGuard::Tick(TimePoint aNow)
@@ -181,15 +291,19 @@
 void CrashGuard::ReportCrashes(TimePoint aNow)
 {
   std::size_t reported = 0;
-  while (!mUnreportedCrashes.empty() && reported < kMaxReportsPerSweep &&
-         aNow - mUnreportedCrashes.front().mTime >= kReportDelay) {
-    const Crash& crash = mUnreportedCrashes.front();
-    const auto it = mSuspects.find(crash.mFingerprint);
-    if (it != mSuspects.end() && !it->second.mCrashedServers.empty()) {
-      mPeerMessages.push_back({ crash.mFingerprint, 0, crash.mBackend });
+  while (!mUnreported.empty() && reported < kMaxReportsPerSweep &&
+         aNow - mUnreported.front().mTime >= kReportDelay) {
+    const Report& report = mUnreported.front();
+    const auto it = mSuspects.find(report.mFingerprint);
+    if (it != mSuspects.end() && Contains(it->second.mCrashes, report.mCrash)) {
+      const Duration age = aNow - report.mCrash.mLostAt;
+      mPeerMessages.push_back({ report.mFingerprint,
+                                static_cast<std::uint32_t>(CountMs(age)),
+                                report.mCrash.mProcess });
+      it->second.mIsKnownToPeers = true;
       ++reported;
     }
-    mUnreportedCrashes.pop_front();
+    mUnreported.pop_front();
   }
 }
 
--- a/src/libcranberrywing/crash_guard_test.cpp
+++ b/src/libcranberrywing/crash_guard_test.cpp
@@ -12,13 +12,44 @@
 const ContentDigest kRequest{ 1, 2 };
 const ContentDigest kOther{ 3, 4 };
 
+/// An attempt that was lost as soon as it was sent.
+LostAttempt Lost(std::size_t aServer, double aTime, std::uint64_t aLifetime = 0)
+{
+  return { .mBackend = Server(aServer),
+           .mLifetime = aLifetime,
+           .mSentAt = At(aTime),
+           .mLostAt = At(aTime) };
+}
+
+/// A guard that, as the gateway's, blocks after three crashes.
+CrashGuard GatewayGuard()
+{
+  return CrashGuard(
+    { .mCrashThreshold = 3, .mBlockTime = std::chrono::seconds(60) });
+}
+
+/// Delivers a guard's messages to the others, until none is left.
+void Exchange(std::vector<CrashGuard>& aGuards, double aNow)
+{
+  for (std::size_t from = 0; from < aGuards.size(); ++from) {
+    for (const message::RequestBlock& message :
+         aGuards[from].TakePeerMessages()) {
+      for (std::size_t to = 0; to < aGuards.size(); ++to) {
+        if (to != from) {
+          aGuards[to].OnMessage(message, At(aNow));
+        }
+      }
+    }
+  }
+}
+
 void CrashServer(CrashGuard& aGuard,
                  const ContentDigest& aRequest,
                  std::size_t aServer,
                  double aNow,
                  EffectList& aOut)
 {
-  aGuard.OnReset(aRequest, Server(aServer), At(aNow));
+  aGuard.OnReset(aRequest, Lost(aServer, aNow));
   aGuard.OnServerDown(Server(aServer), At(aNow + 1), aOut);
 }
 
@@ -62,7 +93,7 @@
   CHECK_FALSE(guard.IsBlocked(kRequest, At(100)));
   // Connections reset by servers that stay up.
   for (std::size_t n = 1; n < 10; ++n) {
-    guard.OnReset(kRequest, Server(n), At(100));
+    guard.OnReset(kRequest, Lost(n, 100));
   }
   guard.OnServerDown(Server(5), At(200), out);
   CHECK_FALSE(guard.IsBlocked(kRequest, At(200)));
@@ -75,11 +106,11 @@
   CrashGuard guard({});
   EffectList out;
   CrashServer(guard, kOther, 0, 0, out);
-  guard.OnSuccess(kOther);
+  guard.OnSuccess(kOther, At(1.5));
   CrashServer(guard, kOther, 1, 2, out);
   CHECK_FALSE(guard.IsBlocked(kOther, At(3)));
   guard.Tick(At(3.5));
-  guard.OnSuccess(kOther);
+  guard.OnSuccess(kOther, At(4));
   guard.Tick(At(5));
   CHECK(guard.TakePeerMessages().size() <= 1);
 }
@@ -89,9 +120,9 @@
 TEST_CASE("two resets stop further attempts during the confirmation time")
 {
   CrashGuard guard({});
-  guard.OnReset(kRequest, Server(0), At(0));
+  guard.OnReset(kRequest, Lost(0, 0));
   CHECK_FALSE(guard.IsSuspect(kRequest, At(0)));
-  guard.OnReset(kRequest, Server(1), At(0.1));
+  guard.OnReset(kRequest, Lost(1, 0.1));
   CHECK(guard.IsSuspect(kRequest, At(0.1)));
   CHECK_FALSE(guard.IsSuspect(kRequest, At(20)));
 }
@@ -117,6 +148,120 @@
   CHECK(second.IsBlocked(kRequest, At(5)));
 }
 
+// Guards against the failure BUDGET: a request passes without end through a
+// service whose few servers start again under the identifiers that they had.
+TEST_CASE("a process that a server starts anew counts as another crash")
+{
+  std::vector<CrashGuard> guards{ GatewayGuard(), GatewayGuard() };
+  EffectList out;
+  for (std::size_t n = 0; n < 3; ++n) {
+    const double now = 2.0 * static_cast<double>(n);
+    CrashGuard& guard = guards[n % 2];
+    CHECK_FALSE(guard.IsBlocked(kRequest, At(now)));
+    guard.OnReset(kRequest, Lost(0, now, n + 1));
+    guard.OnServerDown(Server(0), At(now + 0.1), out);
+    for (CrashGuard& each : guards) {
+      each.Tick(At(now + 1.5));
+    }
+    Exchange(guards, now + 1.5);
+  }
+  CHECK(guards[0].IsBlocked(kRequest, At(6)));
+  CHECK(guards[1].IsBlocked(kRequest, At(6)));
+}
+
+// Guards against the failure BUDGET: a server is back so fast that no health
+// check finds it down, and its crash is not counted.
+TEST_CASE("a new process under a server's identifier proves a crash")
+{
+  CrashGuard guard = GatewayGuard();
+  EffectList out;
+  for (std::uint64_t lifetime = 1; lifetime <= 3; ++lifetime) {
+    const auto now = static_cast<double>(lifetime);
+    CHECK_FALSE(guard.IsBlocked(kRequest, At(now)));
+    guard.OnReset(kRequest, Lost(0, now, lifetime));
+    guard.OnServerRestarted(Server(0), lifetime, At(now + 0.1), out);
+    CHECK_FALSE(guard.IsBlocked(kRequest, At(now + 0.1)));
+    guard.OnServerRestarted(Server(0), lifetime + 1, At(now + 0.2), out);
+  }
+  CHECK(guard.IsBlocked(kRequest, At(4)));
+}
+
+// Guards against blocking a frequent request that was being run on the servers
+// of a failure domain when it lost power.
+TEST_CASE("servers that are lost during overlapping attempts count once")
+{
+  CrashGuard guard = GatewayGuard();
+  EffectList out;
+  for (std::size_t n = 0; n < 6; ++n) {
+    LostAttempt attempt = Lost(n, 1, 1);
+    attempt.mSentAt = At(0.9);
+    attempt.mLostAt = At(1 + 0.01 * static_cast<double>(n));
+    guard.OnReset(kRequest, attempt);
+  }
+  CHECK_FALSE(guard.IsSuspect(kRequest, At(1.1)));
+  for (std::size_t n = 0; n < 6; ++n) {
+    guard.OnServerDown(Server(n), At(2), out);
+  }
+  CHECK_FALSE(guard.IsBlocked(kRequest, At(2)));
+
+  // The same seen by one VM each.
+  std::vector<CrashGuard> guards(6, GatewayGuard());
+  for (std::size_t n = 0; n < 6; ++n) {
+    CrashServer(guards[n], kRequest, n, 10, out);
+    guards[n].Tick(At(12 + 0.1 * static_cast<double>(n)));
+    Exchange(guards, 12 + 0.1 * static_cast<double>(n));
+  }
+  for (const CrashGuard& each : guards) {
+    CHECK_FALSE(each.IsBlocked(kRequest, At(13)));
+  }
+}
+
+// Guards against counting crashes at VMs that were told of them, but not that
+// another VM got an answer.
+TEST_CASE("an answer clears the crashes that were reported to peers")
+{
+  std::vector<CrashGuard> guards(3, GatewayGuard());
+  EffectList out;
+  CrashServer(guards[0], kRequest, 0, 0, out);
+  CrashServer(guards[1], kRequest, 1, 2, out);
+  guards[0].Tick(At(5));
+  guards[1].Tick(At(5));
+  Exchange(guards, 5);
+  guards[2].OnReset(kRequest, Lost(2, 6));
+  CHECK(guards[2].IsSuspect(kRequest, At(6)));
+  guards[0].OnSuccess(kRequest, At(7));
+  Exchange(guards, 7);
+  guards[2].OnReset(kRequest, Lost(3, 8));
+  CHECK_FALSE(guards[2].IsSuspect(kRequest, At(8)));
+  CHECK(guards[0].TakePeerMessages().empty());
+}
+
+// Guards against blocking a frequent request that is often being run when a
+// server crashes by itself again and again.
+TEST_CASE(
+  "a server that crashes by itself blocks no request that others answer")
+{
+  std::vector<CrashGuard> guards(4, GatewayGuard());
+  EffectList out;
+  std::uint64_t lifetime = 1;
+  for (std::size_t n = 0; n < 200; ++n) {
+    const auto now = static_cast<double>(n);
+    CrashGuard& guard = guards[n % guards.size()];
+    REQUIRE_FALSE(guard.IsBlocked(kRequest, At(now)));
+    if (n % 3 != 0) {
+      guard.OnReset(kRequest, Lost(0, now, lifetime));
+      ++lifetime;
+      guard.OnServerRestarted(Server(0), lifetime, At(now + 0.1), out);
+    } else {
+      guard.OnSuccess(kRequest, At(now));
+    }
+    for (CrashGuard& each : guards) {
+      each.Tick(At(now + 0.5));
+    }
+    Exchange(guards, now + 0.5);
+  }
+}
+
 // Repeats of a request must have equal fingerprints even if their headers
 // differ; different requests must have different ones.
 TEST_CASE("a fingerprint covers route, method, target and body")
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -109,6 +109,14 @@
   ForwardCoreEffects(effects);
 }
 
+void Gateway::OnBackendRestarted(const Backend& aBackend)
+{
+  cranberrywing::EffectList effects;
+  mCrashGuard.OnServerRestarted(
+    aBackend.mEntry.mBackend, aBackend.mLifetimeHash, mNow, effects);
+  ForwardCoreEffects(effects);
+}
+
 void Gateway::On(const event::PolicyReceived& aEvent)
 {
   if (mPolicy && aEvent.mPolicy->GetRevision() <= mPolicy->GetRevision()) {
@@ -147,6 +155,7 @@
   if (!mPool.Upsert(entry, mNow)) {
     return;
   }
+  OnBackendRestarted(*mPool.Find(entry.mBackend));
   if (entry.mIsDraining) {
     mEffects.push_back(
       effect::CloseBackendConnections{ entry.mAddress, entry.mPort });
--- a/src/libcranberrywing/gateway/gateway_outcomes.cpp
+++ b/src/libcranberrywing/gateway/gateway_outcomes.cpp
@@ -70,7 +70,7 @@
                             aRequest.mObject == 0 || aRequest.mCurrent.mWasWarm,
                             latency);
   }
-  mCrashGuard.OnSuccess(aRequest.mFingerprint);
+  mCrashGuard.OnSuccess(aRequest.mFingerprint, mNow);
 }
 
 void Gateway::HeedAnswer(Backend& aBackend, const event::BackendReplied& aEvent)
@@ -179,7 +179,8 @@
   if (!request) {
     return;
   }
-  const BackendId server = request->mCurrent.mBackend;
+  const Attempt attempt = request->mCurrent;
+  const BackendId& server = attempt.mBackend;
   Backend* const backend = EndAttempt(*request, false);
   const bool isSent = aEvent.mStage == event::FailureStage::AfterFirstByte;
   request->mMayHaveRun = request->mMayHaveRun || isSent;
@@ -197,7 +198,7 @@
   }
   if (aEvent.mKind == event::FailureKind::Reset && isSent &&
       !mServerReach.IsCutOff()) {
-    mCrashGuard.OnReset(request->mFingerprint, server, mNow);
+    RecordReset(*request, attempt);
   }
   if (AwaitOtherAttempt(*request)) {
     return;
@@ -220,6 +221,33 @@
   RefuseOutcomeUnknown(*request, "server_failed");
 }
 
+void Gateway::RecordReset(const Request& aRequest, const Attempt& aAttempt)
+{
+  const Backend* const backend = mPool.Find(aAttempt.mBackend);
+  if (!backend) {
+    // Its entry is removed before a planned stop, but not before a crash.
+    return;
+  }
+  const bool isSameProcess = backend->mLifetimeHash == aAttempt.mLifetime;
+  if (isSameProcess && (backend->mEntry.mIsDraining ||
+                        mPool.Notices().IsLeaving(aAttempt.mLifetime))) {
+    return;
+  }
+  Record("server_reset",
+         { { "trace", aRequest.mArrival.mTrace },
+           { "backend", aAttempt.mBackend.mName },
+           { "lifetime", std::to_string(aAttempt.mLifetime) },
+           { "fingerprint", ToHex(aRequest.mFingerprint) } });
+  mCrashGuard.OnReset(aRequest.mFingerprint,
+                      { .mBackend = aAttempt.mBackend,
+                        .mLifetime = aAttempt.mLifetime,
+                        .mSentAt = aAttempt.mSentAt,
+                        .mLostAt = mNow });
+  if (!isSameProcess) {
+    OnBackendRestarted(*backend);
+  }
+}
+
 void Gateway::On(const event::RequestCancelled& aEvent)
 {
   const auto it = mRequests.find(aEvent.mRequest);
--- a/src/libcranberrywing/gateway/gateway_requests.cpp
+++ b/src/libcranberrywing/gateway/gateway_requests.cpp
@@ -99,7 +99,9 @@
     RefuseRequest(
       request,
       { .mCode = ResultCode::NoBackend,
-        .mDetail = "backend servers went down while running this request" });
+        .mDetail = "backend servers went down while running this request; "
+                   "fingerprint=" +
+                   ToHex(request.mFingerprint) });
     return;
   }
   request.mService = mServiceSplit.Next(route);
--- a/src/libcranberrywing/requests_outcome.cpp
+++ b/src/libcranberrywing/requests_outcome.cpp
@@ -76,7 +76,7 @@
   } else {
     mComponents.mSelector.OnFinish(request->mBackend, aEvent.mLatency);
     mComponents.mHealth.OnSuccess(request->mBackend, aEvent.mLatency, aNow);
-    mComponents.mCrashGuard.OnSuccess(request->mFingerprint);
+    mComponents.mCrashGuard.OnSuccess(request->mFingerprint, aNow);
   }
   const RequestId id = request->mId;
   if (!IsNonIdempotent(*request)) {
@@ -159,7 +159,8 @@
     aEvent.mStage == event::FailureStage::AfterFirstByte;
   if (endedWhileRunning) {
     mComponents.mCrashGuard.OnReset(
-      aRequest.mFingerprint, aRequest.mBackend, aNow);
+      aRequest.mFingerprint,
+      { .mBackend = aRequest.mBackend, .mSentAt = aNow, .mLostAt = aNow });
   }
 }
 
