Repeat blocked requests to all VMs while they last

Cause: a block was told to the other VMs once, when it was made. A VM that started later, missed the datagram or was cut off never heard of it, and a block ended after 60 s though the request still came.

Why it works: who hears a VM for the first time tells it the blocks; each VM repeats its blocks to one other VM a second, 16 at most, in turn; a blocked request that arrives extends its block. A test with 60 VMs shows that all learn a block within 12 s at that rate, and that repetition does not extend it. At most 1,024 requests are blocked. The own interface does the same.

--- a/src/cranberrywingd/gateway_daemon_metrics.cpp
+++ b/src/cranberrywingd/gateway_daemon_metrics.cpp
@@ -159,6 +159,9 @@
   writer.Gauge("cranberrywing_vms",
                "VMs that share fleet-wide limits.",
                static_cast<double>(mGateway.Fleet().SharingVmCount()));
+  writer.Gauge("cranberrywing_requests_blocked",
+               "Requests that are refused since they crashed servers.",
+               static_cast<double>(mGateway.BlockedRequests()));
   const gateway::CallerVmCounts callerVms =
     mGateway.CountCallerVms(ReadClock());
   writer.Gauge("cranberrywing_caller_vms",
--- a/src/include/cranberrywing/crash_guard.h
+++ b/src/include/cranberrywing/crash_guard.h
@@ -53,6 +53,10 @@
   explicit CrashGuard(Options aOptions);
 
   bool IsBlocked(const ContentDigest& aFingerprint, TimePoint aNow) const;
+  /// Call when a request arrives. Returns whether it is blocked; if so, its
+  /// block lasts for another mBlockTime, and thus as long as callers go on
+  /// sending the request.
+  bool OnArrival(const ContentDigest& aFingerprint, TimePoint aNow);
   /// Whether the processes that crashed while running the request, together
   /// with those that recently reset its connection but are not known to have
   /// ended yet, reach the threshold. Such a request must not be sent to another
@@ -77,12 +81,21 @@
   /// happened to run on a server while another request crashed it is cleared in
   /// this way by its next attempt.
   void OnSuccess(const ContentDigest& aFingerprint, TimePoint aNow);
-  void OnMessage(const message::RequestBlock& aMessage, TimePoint aNow);
+  /// Returns whether the message has blocked a request that was not blocked.
+  bool OnMessage(const message::RequestBlock& aMessage, TimePoint aNow);
   void Tick(TimePoint aNow);
   /// Returns and clears the messages to send to all peers: new blocks, server
   /// crashes attributed to requests that have not been cleared, and requests
   /// that have been cleared.
   std::vector<message::RequestBlock> TakePeerMessages();
+  /// Blocks to tell a VM that has just started. With very many blocks these are
+  /// some of them, others at each call.
+  std::vector<message::RequestBlock> NextBlocks(TimePoint aNow);
+  /// As NextBlocks once per second, and otherwise empty. Sent to one VM after
+  /// the other, these reach those that have missed a block or were cut off when
+  /// it was told.
+  std::vector<message::RequestBlock> TakeBlocksToRepeat(TimePoint aNow);
+  std::size_t BlockCount() const { return mBlocks.size(); }
 
 private:
   /// The crash of a process during an attempt.
@@ -146,7 +159,9 @@
   /// Forgets all losses until now.
   void Clear(Suspect& aSuspect, TimePoint aNow);
   void ReportCrashes(TimePoint aNow);
-  void Block(const ContentDigest& aFingerprint, TimePoint aUntil);
+  /// Returns whether the request was not blocked before. With the maximum
+  /// number of blocks, the one that ends first gives way.
+  bool Block(const ContentDigest& aFingerprint, TimePoint aUntil);
 
   Options mOptions;
   DigestMap<Suspect> mSuspects;
@@ -154,6 +169,9 @@
   std::deque<Report> mUnreported;
   std::vector<message::RequestBlock> mPeerMessages;
   TimePoint mNextSweep{};
+  TimePoint mNextRepeat{};
+  /// The last block that NextBlocks returned.
+  ContentDigest mLastTold;
 };
 
 } // namespace cranberrywing
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -144,6 +144,8 @@
   {
     return mStoreRelay.Age(aNow);
   }
+  /// Number of different requests that are refused since they crashed servers.
+  std::size_t BlockedRequests() const { return mCrashGuard.BlockCount(); }
   const PlacementExchange& Placements() const { return mPlacementExchange; }
   const PolicyPtr& CurrentPolicy() const { return mPolicy; }
   std::size_t InFlight() const { return mRequests.size(); }
@@ -329,8 +331,12 @@
   /// Logs the service's region shares if they changed noticeably.
   void RecordShares(const ServiceId& aService, const RegionalLoad& aLoad);
   void ProbeServers();
-  /// Sends fingerprints that the crash guard blocked to all peers.
+  /// Sends what is new in the crash guard to all peers.
   void BroadcastRequestBlocks();
+  /// Repeats blocked requests to one peer after the other.
+  void RepeatRequestBlocks();
+  /// Tells a VM that has just started which requests are blocked.
+  void TellRequestBlocks(const VmId& aVm);
 
   // gateway_shutdown.cpp
   /// Whether a request that arrives after the stop request is accepted: it will
@@ -577,6 +583,8 @@
   std::size_t mNextDemandReceiver;
   std::size_t mNextLimitReceiver;
   std::size_t mNextLoadReceiver;
+  /// The same for the list of all VMs.
+  std::size_t mNextBlockReceiver;
 };
 
 } // namespace cranberrywing::gateway
--- a/src/libcranberrywing/crash_guard.cpp
+++ b/src/libcranberrywing/crash_guard.cpp
@@ -16,6 +16,12 @@
 constexpr Duration kReportDelay = std::chrono::seconds(1);
 /// Crashes reported per sweep; bounded because each is sent to every peer.
 constexpr std::size_t kMaxReportsPerSweep = 16;
+/// Interval at which a VM repeats its blocks to another one.
+constexpr Duration kRepeatInterval = std::chrono::seconds(1);
+/// Blocks told at a time; bounds the datagrams sent per second.
+constexpr std::size_t kMaxBlocksTold = 16;
+/// Bounds memory, and the time after which each block has been repeated.
+constexpr std::size_t kMaxBlocks = 1024;
 /// Crashes that different VMs see at most this long after each other may have a
 /// common cause.
 constexpr Duration kCommonCauseTime = std::chrono::milliseconds(250);
@@ -72,6 +78,15 @@
   return it != mBlocks.end() && aNow < it->second;
 }
 
+bool CrashGuard::OnArrival(const ContentDigest& aFingerprint, TimePoint aNow)
+{
+  const bool isBlocked = IsBlocked(aFingerprint, aNow);
+  if (isBlocked) {
+    Block(aFingerprint, aNow + mOptions.mBlockTime);
+  }
+  return isBlocked;
+}
+
 CrashGuard::Crash CrashGuard::ToCrash(const LostAttempt& aAttempt)
 {
   return { .mProcess = NameProcess(aAttempt),
@@ -222,10 +237,17 @@
   }
 }
 
-void CrashGuard::Block(const ContentDigest& aFingerprint, TimePoint aUntil)
+bool CrashGuard::Block(const ContentDigest& aFingerprint, TimePoint aUntil)
 {
-  TimePoint& until = mBlocks[aFingerprint];
-  until = std::max(until, aUntil);
+  if (mBlocks.size() >= kMaxBlocks && !mBlocks.contains(aFingerprint)) {
+    mBlocks.erase(std::min_element(
+      mBlocks.begin(), mBlocks.end(), [](const auto& a, const auto& b) {
+        return a.second < b.second;
+      }));
+  }
+  const auto [it, isNew] = mBlocks.emplace(aFingerprint, aUntil);
+  it->second = std::max(it->second, aUntil);
+  return isNew;
 }
 
 void CrashGuard::OnSuccess(const ContentDigest& aFingerprint, TimePoint aNow)
@@ -247,32 +269,32 @@
   aSuspect.mExpiry = aNow + mOptions.mConfirmationTime;
 }
 
-void CrashGuard::OnMessage(const message::RequestBlock& aMessage,
+bool CrashGuard::OnMessage(const message::RequestBlock& aMessage,
                            TimePoint aNow)
 {
   const Milliseconds time(aMessage.mLifetimeMs);
   if (!aMessage.mLost.IsEmpty()) {
     const TimePoint lostAt = aNow - time;
-    RecordCrash(aMessage.mFingerprint,
-                { .mProcess = aMessage.mLost,
-                  .mSentAt = lostAt - kCommonCauseTime,
-                  .mLostAt = lostAt },
-                aNow);
+    const bool isBlocked = RecordCrash(aMessage.mFingerprint,
+                                       { .mProcess = aMessage.mLost,
+                                         .mSentAt = lostAt - kCommonCauseTime,
+                                         .mLostAt = lostAt },
+                                       aNow);
     const auto it = mSuspects.find(aMessage.mFingerprint);
     if (it != mSuspects.end() && !it->second.mCrashes.empty()) {
       it->second.mIsKnownToPeers = true;
     }
-    return;
+    return isBlocked;
   }
   if (aMessage.mLifetimeMs == 0) {
     const auto it = mSuspects.find(aMessage.mFingerprint);
     if (it != mSuspects.end()) {
       Clear(it->second, aNow);
     }
-    return;
+    return false;
   }
-  Block(aMessage.mFingerprint,
-        aNow + std::min<Duration>(time, mOptions.mBlockTime));
+  return Block(aMessage.mFingerprint,
+               aNow + std::min<Duration>(time, mOptions.mBlockTime));
 }
 
 void CrashGuard::Tick(TimePoint aNow)
@@ -307,6 +329,40 @@
   }
 }
 
+std::vector<message::RequestBlock> CrashGuard::NextBlocks(TimePoint aNow)
+{
+  std::vector<ContentDigest> fingerprints;
+  for (const auto& [fingerprint, until] : mBlocks) {
+    if (aNow < until) {
+      fingerprints.push_back(fingerprint);
+    }
+  }
+  std::sort(fingerprints.begin(), fingerprints.end());
+  const auto next =
+    std::upper_bound(fingerprints.begin(), fingerprints.end(), mLastTold);
+  std::rotate(fingerprints.begin(), next, fingerprints.end());
+  fingerprints.resize(std::min(fingerprints.size(), kMaxBlocksTold));
+  std::vector<message::RequestBlock> blocks;
+  for (const ContentDigest& fingerprint : fingerprints) {
+    const Duration left = mBlocks.at(fingerprint) - aNow;
+    // A lifetime of zero has another meaning.
+    const auto leftMs = std::max<Milliseconds::rep>(1, CountMs(left));
+    blocks.push_back({ fingerprint, static_cast<std::uint32_t>(leftMs), {} });
+    mLastTold = fingerprint;
+  }
+  return blocks;
+}
+
+std::vector<message::RequestBlock> CrashGuard::TakeBlocksToRepeat(
+  TimePoint aNow)
+{
+  if (aNow < mNextRepeat) {
+    return {};
+  }
+  mNextRepeat = aNow + kRepeatInterval;
+  return NextBlocks(aNow);
+}
+
 std::vector<message::RequestBlock> CrashGuard::TakePeerMessages()
 {
   return std::exchange(mPeerMessages, {});
--- a/src/libcranberrywing/crash_guard_test.cpp
+++ b/src/libcranberrywing/crash_guard_test.cpp
@@ -1,6 +1,7 @@
 #include "cranberrywing/crash_guard.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 #include "libcranberrywing/balancing_test_settings.h"
 
@@ -262,6 +263,79 @@
   }
 }
 
+// Guards against the failure BUDGET: a request passes again once its block has
+// ended, though its callers never stopped sending it.
+TEST_CASE("a block lasts as long as the request comes")
+{
+  CrashGuard guard = GatewayGuard();
+  guard.OnMessage({ kRequest, 60'000, {} }, At(0));
+  for (int n = 1; n <= 10; ++n) {
+    CHECK(guard.OnArrival(kRequest, At(50 * n)));
+    guard.Tick(At(50 * n));
+  }
+  CHECK_FALSE(guard.OnArrival(kRequest, At(561)));
+  CHECK_FALSE(guard.OnArrival(kOther, At(10)));
+}
+
+// Guards against the failure BUDGET: VMs that started after a request was
+// blocked, or missed the message, pass it on.
+TEST_CASE("all VMs learn a block within seconds, at a bounded rate")
+{
+  constexpr std::size_t kVms = 60;
+  constexpr std::size_t kMaxMessagesPerSecond = 16;
+  std::vector<CrashGuard> guards(kVms, GatewayGuard());
+  guards[0].OnMessage({ kRequest, 60'000, {} }, At(0));
+  std::size_t turn = 0;
+  for (int second = 0; second < 12; ++second) {
+    ++turn;
+    for (std::size_t from = 0; from < kVms; ++from) {
+      const auto blocks = guards[from].TakeBlocksToRepeat(At(second));
+      CHECK(blocks.size() <= kMaxMessagesPerSecond);
+      CHECK(guards[from].TakeBlocksToRepeat(At(second)).empty());
+      // Each VM goes through the others from a place of its own.
+      const std::size_t to = (from * 7 + turn) % kVms;
+      for (const message::RequestBlock& block : blocks) {
+        guards[to].OnMessage(block, At(second + 0.05));
+      }
+    }
+  }
+  for (const CrashGuard& each : guards) {
+    CHECK(each.IsBlocked(kRequest, At(12)));
+  }
+  // Repetition does not make blocks last longer.
+  for (int second = 12; second < 70; ++second) {
+    for (std::size_t from = 0; from < kVms; ++from) {
+      guards[from].Tick(At(second));
+      for (const message::RequestBlock& block :
+           guards[from].TakeBlocksToRepeat(At(second))) {
+        guards[(from * 7 + turn) % kVms].OnMessage(block, At(second + 0.05));
+      }
+    }
+    ++turn;
+  }
+  for (const CrashGuard& each : guards) {
+    CHECK_FALSE(each.IsBlocked(kRequest, At(70)));
+  }
+}
+
+// Guards against memory and messages that grow with a flood of requests that
+// crash servers.
+TEST_CASE("very many blocks are bounded, and all are told in turn")
+{
+  CrashGuard guard = GatewayGuard();
+  for (std::uint64_t n = 1; n <= 5'000; ++n) {
+    guard.OnMessage({ ContentDigest{ n, n }, 60'000, {} }, At(0));
+  }
+  CHECK(guard.BlockCount() <= 1'024);
+  std::set<ContentDigest> told;
+  for (int turn = 0; turn < 64; ++turn) {
+    for (const message::RequestBlock& block : guard.NextBlocks(At(1))) {
+      told.insert(block.mFingerprint);
+    }
+  }
+  CHECK(told.size() == guard.BlockCount());
+}
+
 // Repeats of a request must have equal fingerprints even if their headers
 // differ; different requests must have different ones.
 TEST_CASE("a fingerprint covers route, method, target and body")
--- a/src/libcranberrywing/gateway/crashing_request_test.cpp
+++ b/src/libcranberrywing/gateway/crashing_request_test.cpp
@@ -67,4 +67,36 @@
   }
 }
 
+// Guards against the failure BUDGET: VMs that are restarted in turn are not
+// told which requests are blocked, and crash further servers with them.
+TEST_CASE("A VM that has just started is told which requests are blocked")
+{
+  GatewayFixture fixture;
+  for (int n = 1; n <= 3; ++n) {
+    REQUIRE(CrashServerOf(fixture, "/orders/poison", n));
+  }
+  const VmId vm("vm-2");
+  fixture.Deliver(event::VmRegistered{ { .mVm = vm,
+                                         .mIncarnation = { 8 },
+                                         .mRegion = RegionId("near"),
+                                         .mAddress = "10.0.0.2",
+                                         .mPeerPort = 82 } });
+  fixture.Deliver(
+    event::PeerMessageReceived{ { vm, { 8 } }, message::GatewayStatus{} });
+  const auto* const sent = fixture.FindEffect<effect::SendMessage>();
+  REQUIRE(sent);
+  CHECK(sent->mTo == vm);
+  CHECK(sent->mPort == 82);
+  const auto* const block = std::get_if<message::RequestBlock>(&sent->mMessage);
+  REQUIRE(block);
+
+  // The other VM refuses the request, and goes on to tell others.
+  GatewayFixture other;
+  const VmId first("vm-1");
+  other.Deliver(event::PeerMessageReceived{ { first, { 7 } }, *block });
+  other.Request("/orders/poison");
+  CHECK_FALSE(other.FindEffect<effect::Dispatch>());
+  CHECK(other.FindEffect<effect::Refuse>());
+}
+
 } // namespace cranberrywing::gateway::testing
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -48,6 +48,7 @@
   , mNextDemandReceiver(HashBytes(mOptions.mSelf.mVm.mName))
   , mNextLimitReceiver(mNextDemandReceiver)
   , mNextLoadReceiver(mNextDemandReceiver)
+  , mNextBlockReceiver(mNextDemandReceiver)
 {
 }
 
@@ -322,6 +323,7 @@
   }
   if (!wasHeard && mFleet.HasHeard(aEvent.mFrom)) {
     TellLeavingServers(aEvent.mFrom.mVm);
+    TellRequestBlocks(aEvent.mFrom.mVm);
   }
   if (const auto* const beacon =
         std::get_if<message::StoreBeacon>(&aEvent.mMessage)) {
@@ -374,7 +376,11 @@
     mRateLimiter.OnMessage(aEvent.mFrom, *transfer, mNow, effects);
   } else if (const auto* const block =
                std::get_if<message::RequestBlock>(&aEvent.mMessage)) {
-    mCrashGuard.OnMessage(*block, mNow);
+    if (mCrashGuard.OnMessage(*block, mNow)) {
+      Record("request_block_learned",
+             { { "fingerprint", ToHex(block->mFingerprint) },
+               { "from", aEvent.mFrom.mVm.mName } });
+    }
   }
   ForwardCoreEffects(effects);
 }
@@ -407,6 +413,7 @@
   ExpireRequests();
   RetryFromSilentServers();
   BroadcastRequestBlocks();
+  RepeatRequestBlocks();
   RelayStoreChanges();
   UpdatePlan();
   UpdateCallerVms();
--- a/src/libcranberrywing/gateway/gateway_requests.cpp
+++ b/src/libcranberrywing/gateway/gateway_requests.cpp
@@ -94,7 +94,7 @@
       ? RouteId(route.mRoute.mName + '\n' + request.mAccount->mAccount.mName)
       : route.mRoute,
     *aEvent.mContent);
-  if (mCrashGuard.IsBlocked(request.mFingerprint, mNow) ||
+  if (mCrashGuard.OnArrival(request.mFingerprint, mNow) ||
       mCrashGuard.IsSuspect(request.mFingerprint, mNow)) {
     RefuseRequest(
       request,
--- a/src/libcranberrywing/gateway/gateway_upkeep.cpp
+++ b/src/libcranberrywing/gateway/gateway_upkeep.cpp
@@ -61,14 +61,46 @@
 {
   for (const message::RequestBlock& block : mCrashGuard.TakePeerMessages()) {
     for (const auto& [id, peer] : mFleet.Peers()) {
-      mEffects.push_back(effect::SendMessage{ .mTo = id,
-                                              .mAddress = peer.mRecord.mAddress,
-                                              .mPort = peer.mRecord.mPeerPort,
-                                              .mMessage = block });
+      SendTo({ id, peer.mRecord.mAddress, peer.mRecord.mPeerPort }, block);
     }
   }
 }
 
+void Gateway::RepeatRequestBlocks()
+{
+  const auto blocks = mCrashGuard.TakeBlocksToRepeat(mNow);
+  if (blocks.empty()) {
+    return;
+  }
+  std::vector<RelayEndpoint> receivers;
+  for (const auto& [id, peer] : mFleet.Peers()) {
+    if (IsReceiver(peer)) {
+      receivers.push_back(
+        { id, peer.mRecord.mAddress, peer.mRecord.mPeerPort });
+    }
+  }
+  if (receivers.empty()) {
+    return;
+  }
+  const RelayEndpoint& next = receivers[mNextBlockReceiver % receivers.size()];
+  ++mNextBlockReceiver;
+  for (const message::RequestBlock& block : blocks) {
+    SendTo(next, block);
+  }
+}
+
+void Gateway::TellRequestBlocks(const VmId& aVm)
+{
+  const auto it = mFleet.Peers().find(aVm);
+  if (it == mFleet.Peers().end()) {
+    return;
+  }
+  const VmRecord& record = it->second.mRecord;
+  for (const message::RequestBlock& block : mCrashGuard.NextBlocks(mNow)) {
+    SendTo({ aVm, record.mAddress, record.mPeerPort }, block);
+  }
+}
+
 void Gateway::RelayStoreChanges()
 {
   mStoreRelay.Tick(mFleet, mNow);
--- a/src/libcranberrywing/reducer.cpp
+++ b/src/libcranberrywing/reducer.cpp
@@ -156,19 +156,33 @@
   mOffers.Tick(aNow, aOut);
   mRequests.Tick(aNow, aOut);
   mDrain.Tick(aNow, aOut);
-  SendRequestBlocks(aOut);
+  SendRequestBlocks(aNow, aOut);
 }
 
-void Reducer::State::SendRequestBlocks(EffectList& aOut)
+void Reducer::State::SendRequestBlocks(TimePoint aNow, EffectList& aOut)
 {
+  const auto send = [&aOut](const VmId& aVm,
+                            const message::RequestBlock& aBlock) {
+    aOut.push_back(effect::SendMessage{ .mTo = aVm,
+                                        .mTransport = effect::Transport::Stream,
+                                        .mMessage = aBlock });
+  };
+  const auto& members = mMembership.Members();
   for (const message::RequestBlock& block : mCrashGuard.TakePeerMessages()) {
-    for (const auto& [vm, member] : mMembership.Members()) {
-      aOut.push_back(
-        effect::SendMessage{ .mTo = vm,
-                             .mTransport = effect::Transport::Stream,
-                             .mMessage = block });
+    for (const auto& [vm, member] : members) {
+      send(vm, block);
     }
   }
+  const auto repeated = mCrashGuard.TakeBlocksToRepeat(aNow);
+  if (repeated.empty() || members.empty()) {
+    return;
+  }
+  const auto next = std::next(
+    members.begin(),
+    static_cast<std::ptrdiff_t>(mNextBlockReceiver++ % members.size()));
+  for (const message::RequestBlock& block : repeated) {
+    send(next->first, block);
+  }
 }
 
 bool Reducer::State::IsCurrent(TimePoint aNow) const
--- a/src/libcranberrywing/reducer_state.h
+++ b/src/libcranberrywing/reducer_state.h
@@ -74,7 +74,9 @@
   /// VMs that hold a fraction of the account's rate, those of this VM's region
   /// first.
   std::vector<VmId> ShareHolders(const AccountSettings& aAccount) const;
-  void SendRequestBlocks(EffectList& aOut);
+  /// Sends what is new in the crash guard to all members, and repeats blocked
+  /// requests to one after the other.
+  void SendRequestBlocks(TimePoint aNow, EffectList& aOut);
   bool IsCurrent(TimePoint aNow) const;
   bool MayAcceptEdits(TimePoint aNow) const;
   Duration LongestDeadline() const;
@@ -127,6 +129,8 @@
 
   KeyTable mKeys;
   CrashGuard mCrashGuard;
+  /// Counts the members to which blocked requests were repeated.
+  std::size_t mNextBlockReceiver = 0;
   RetryPolicy mRetries;
   BackendHealth mHealth;
   ServerReach mReach;
--- a/src/libcranberrywing/requests.cpp
+++ b/src/libcranberrywing/requests.cpp
@@ -159,7 +159,7 @@
       kUnreadyRetryAfter);
   }
   aRequest.mFingerprint = FingerprintRequest(route.mRoute, *aRequest.mContent);
-  if (mComponents.mCrashGuard.IsBlocked(aRequest.mFingerprint, aNow)) {
+  if (mComponents.mCrashGuard.OnArrival(aRequest.mFingerprint, aNow)) {
     return MakeRefusal(ResultCode::RequestBlocked,
                        "backend servers crashed while running this request");
   }
