Reset connections whose request is given up

Cause: an attempt that is cancelled or whose time is over closed its socket in the ordinary way. What the peer has not acknowledged stays with the system, which goes on sending it for minutes.

--- a/src/netutil/http_client.cpp
+++ b/src/netutil/http_client.cpp
@@ -338,6 +338,7 @@
 void HttpClientConnection::Fail(ExchangeFailureKind aKind, std::string aDetail)
 {
   mIsKeepAlive = false;
+  DiscardUnsent();
   Finish(tl::unexpected(ExchangeFailure{
     .mKind = aKind,
     .mWasSent = mWasSent,
@@ -366,8 +367,19 @@
   }
 }
 
+void HttpClientConnection::DiscardUnsent()
+{
+  // Closing in the ordinary way leaves what the peer has not acknowledged to
+  // the system, which goes on sending it, if need be for minutes.
+  boost::system::error_code ec;
+  mSocket.set_option(asio::socket_base::linger(true, 0), ec);
+}
+
 void HttpClientConnection::Close()
 {
+  if (mIsActive) {
+    DiscardUnsent();
+  }
   mIsActive = false;
   mIsConnected = false;
   mIsKeepAlive = false;
--- a/src/netutil/http_client.h
+++ b/src/netutil/http_client.h
@@ -179,6 +179,9 @@
   bool ChargeBudget();
   /// Extends the time limit as HttpClientOptions::mProgressTime tells.
   void ExtendTimer();
+  /// Lets the connection end with a reset when it is closed, so that nothing of
+  /// a request that is given up reaches the server later.
+  void DiscardUnsent();
   void Fail(ExchangeFailureKind aKind, std::string aDetail);
   void Finish(ExchangeResult aResult);
 
