--- a/src/libcranberrywing/crash_guard.cpp
+++ b/src/libcranberrywing/crash_guard.cpp
@@ -96,10 +96,11 @@
 
 std::size_t CrashGuard::CountSeparate(std::vector<Crash> aCrashes)
 {
-  std::sort(
-    aCrashes.begin(), aCrashes.end(), [](const Crash& a, const Crash& b) {
-      return a.mLostAt < b.mLostAt;
-    });
+  std::sort(aCrashes.begin(),
+            aCrashes.end(),
+            [](const Crash& aLeft, const Crash& aRight) {
+              return aLeft.mLostAt < aRight.mLostAt;
+            });
   std::size_t count = 0;
   TimePoint lastLostAt = TimePoint::min();
   for (const Crash& crash : aCrashes) {
@@ -179,10 +180,11 @@
                     return true;
                   });
   }
-  std::stable_sort(
-    confirmed.begin(), confirmed.end(), [](const auto& a, const auto& b) {
-      return a.first < b.first;
-    });
+  std::stable_sort(confirmed.begin(),
+                   confirmed.end(),
+                   [](const auto& aLeft, const auto& aRight) {
+                     return aLeft.first < aRight.first;
+                   });
   for (const auto& [fingerprint, attempt] : confirmed) {
     const Crash crash = ToCrash(attempt);
     if (!RecordCrash(fingerprint, crash, aNow)) {
@@ -240,10 +242,11 @@
 bool CrashGuard::Block(const ContentDigest& aFingerprint, TimePoint aUntil)
 {
   if (mBlocks.size() >= kMaxBlocks && !mBlocks.contains(aFingerprint)) {
-    mBlocks.erase(std::min_element(
-      mBlocks.begin(), mBlocks.end(), [](const auto& a, const auto& b) {
-        return a.second < b.second;
-      }));
+    mBlocks.erase(std::min_element(mBlocks.begin(),
+                                   mBlocks.end(),
+                                   [](const auto& aLeft, const auto& aRight) {
+                                     return aLeft.second < aRight.second;
+                                   }));
   }
   const auto [it, isNew] = mBlocks.emplace(aFingerprint, aUntil);
   it->second = std::max(it->second, aUntil);
