Count a planned stop from when it may have been requested

It counted the stop from when it handled the signal, so that all its times lay 1.2 and 1.5 s too late.

Why it works: a signal that had come before the last but one timer event would have been handled between the two, so that event bounds its time from below; in calm that is 25 to 50 ms. The log's `stopping` event names the difference.

--- a/src/cranberrywingd/gateway_daemon.cpp
+++ b/src/cranberrywingd/gateway_daemon.cpp
@@ -271,11 +271,10 @@
 
 void GatewayDaemon::RequestStop()
 {
-  if (!mOutputLimit) {
-    const Duration limit = mOptions.mSettings.mStopLimit;
-    mOutputLimit = ReadClock() + limit - limit / kOutputMarginDivisor;
-  }
   Deliver(gateway::event::StopRequested{});
+  const Duration limit = mOptions.mSettings.mStopLimit;
+  mOutputLimit = mGateway.StoppingSince().value_or(ReadClock()) + limit -
+                 limit / kOutputMarginDivisor;
 }
 
 void GatewayDaemon::Reload(const GatewaySettings& aSettings)
--- a/src/include/cranberrywing/gateway/gateway.h
+++ b/src/include/cranberrywing/gateway/gateway.h
@@ -122,6 +122,9 @@
   /// Whether the links to all backend servers are lost.
   bool IsCutOff() const { return mServerReach.IsCutOff(); }
   bool IsStopping() const { return mStoppingSince.has_value(); }
+  /// Earliest time at which the stop may have been requested; nullopt if it has
+  /// not been.
+  std::optional<TimePoint> StoppingSince() const { return mStoppingSince; }
   /// At most aMaxCount of the VMs that callers of a region should use. If there
   /// are more, the choice differs from VM to VM and changes with time, so that
   /// all of them get callers. If the configuration has routes with large
@@ -524,6 +527,9 @@
   bool mHasRegistrations = false;
   TimePoint mRegistrationsAt{};
   std::optional<TimePoint> mStoppingSince;
+  /// Times of the last two Ticks.
+  TimePoint mLastTick{};
+  std::optional<TimePoint> mTickBefore;
   bool mHasClosedCallerConnections = false;
   bool mHasExited = false;
 
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -3,8 +3,12 @@
 #include <algorithm>
 #include <utility>
 
+#include "request_limits.h"
+
 namespace cranberrywing::gateway {
 
+using detail::ToMs;
+
 namespace {
 
 /// Tokens may be borrowed from another region, where a round trip can take 70
@@ -255,12 +259,17 @@
   if (mStoppingSince) {
     return;
   }
-  mStoppingSince = mNow;
+  // A process without processor time, or with a full event loop, handles the
+  // request late, but it is killed in time. Had the request come earlier, it
+  // would have been handled between the last two Ticks.
+  mStoppingSince = mTickBefore.value_or(mNow);
   mEffects.push_back(effect::AnnounceLeaving{});
   mNextSameRegionStatus = mNow;
   mNextCrossRegionStatus = mNow;
   SendStatus();
-  Record("stopping", { { "in_flight", std::to_string(mRequests.size()) } });
+  Record("stopping",
+         { { "in_flight", std::to_string(mRequests.size()) },
+           { "noticed_after_ms", ToMs(mNow - *mStoppingSince) } });
 }
 
 void Gateway::On(const event::BackendProbed& aEvent)
@@ -387,6 +396,10 @@
 
 void Gateway::On(const event::Tick&)
 {
+  if (mLastTick != TimePoint{}) {
+    mTickBefore = mLastTick;
+  }
+  mLastTick = mNow;
   cranberrywing::EffectList effects;
   mRateLimiter.Tick(mNow, effects);
   ForwardCoreEffects(effects);
--- a/src/libcranberrywing/gateway/gateway_shutdown.cpp
+++ b/src/libcranberrywing/gateway/gateway_shutdown.cpp
@@ -18,7 +18,8 @@
 /// it was sent this long after the stop request at most.
 constexpr Duration kExcusedSendTime = std::chrono::seconds(3);
 
-/// Time for which the stop request may wait until the event loop handles it.
+/// Time for which a request may wait until the event loop handles it, beyond
+/// what mStoppingSince allows for.
 constexpr Duration kMaxLoopDelay = std::chrono::milliseconds(250);
 
 } // namespace
--- a/src/libcranberrywing/gateway/gateway_shutdown_test.cpp
+++ b/src/libcranberrywing/gateway/gateway_shutdown_test.cpp
@@ -81,4 +81,30 @@
   CHECK(fixture.FindEffect<effect::Dispatch>());
 }
 
+// Guards against the failure LOST: a VM without processor time handles its stop
+// request late, and counts the time until it is killed from then.
+TEST_CASE("A stop that is noticed late counts from when it may have come")
+{
+  constexpr Duration kPause = std::chrono::milliseconds(1200);
+  constexpr Duration kTick = std::chrono::milliseconds(25);
+  GatewayFixture fixture;
+  SetTimeouts(fixture, std::chrono::seconds(4));
+  fixture.Advance(kTick);
+  const TimePoint before = fixture.mNow;
+  SECTION("the stop request is handled first")
+  {
+    fixture.mNow += kPause;
+  }
+  SECTION("a timer is handled first")
+  {
+    fixture.Advance(kPause);
+  }
+  fixture.Deliver(event::StopRequested{});
+  fixture.Advance(before + std::chrono::milliseconds(2800) - fixture.mNow);
+  fixture.Request("/prices/1");
+  CHECK_FALSE(fixture.FindEffect<effect::Dispatch>());
+  fixture.Advance(before + kExit - fixture.mNow);
+  CHECK(fixture.FindEffect<effect::Exit>());
+}
+
 } // namespace cranberrywing::gateway::testing
