Ignore a further SIGTERM during a planned stop

Cause: RunUntilStopped ended the event loop at the second signal of any kind. That is meant for operators at a terminal, but a platform may repeat SIGTERM, and kills when its time is over.

Test "a second SIGTERM does not cut a planned stop short" failed before (1 of 1), passes now.

Why it works: after the first signal only SIGINT ends the loop at once.

--- a/src/netutil/program.cpp
+++ b/src/netutil/program.cpp
@@ -8,6 +8,26 @@
 
 namespace cranberrywing::netutil {
 
+namespace {
+
+/// Stops the loop at the next SIGINT.
+void AwaitInterrupt(boost::asio::signal_set& aSignals,
+                    boost::asio::io_context& aContext)
+{
+  aSignals.async_wait([&](boost::system::error_code aError, int aSignal) {
+    if (aError) {
+      return;
+    }
+    if (aSignal == SIGINT) {
+      aContext.stop();
+      return;
+    }
+    AwaitInterrupt(aSignals, aContext);
+  });
+}
+
+} // namespace
+
 void RunUntilStopped(boost::asio::io_context& aContext,
                      const std::function<void()>& aOnStop)
 {
@@ -17,11 +37,7 @@
       return;
     }
     aOnStop();
-    signals.async_wait([&aContext](boost::system::error_code aSecond, int) {
-      if (!aSecond) {
-        aContext.stop();
-      }
-    });
+    AwaitInterrupt(signals, aContext);
   });
   aContext.run();
 }
--- a/src/netutil/program.h
+++ b/src/netutil/program.h
@@ -13,8 +13,9 @@
 namespace cranberrywing::netutil {
 
 /// Runs the event loop until it is stopped. The first SIGTERM or SIGINT calls
-/// aOnStop, which must stop the loop immediately or later. A second signal
-/// stops it immediately.
+/// aOnStop, which must stop the loop immediately or later. A SIGINT after that
+/// stops it immediately; a further SIGTERM is ignored, since whoever repeats it
+/// does not ask for answers to be cut.
 void RunUntilStopped(boost::asio::io_context& aContext,
                      const std::function<void()>& aOnStop);
 
