--- a/src/include/cranberrywing/messages/offers.h
+++ b/src/include/cranberrywing/messages/offers.h
@@ -104,8 +104,8 @@
 };
 
 /// Blocks requests with this fingerprint, because they crashed the servers that
-/// ran them. With neither a lifetime nor a lost server it takes crashes that
-/// were reported back, since a server has answered the request.
+/// ran them. With neither a lifetime nor a lost server it withdraws the losses
+/// reported so far, since a server has answered the request.
 struct RequestBlock
 {
   ContentDigest mFingerprint;
--- a/src/libcranberrywing/gateway/gateway.cpp
+++ b/src/libcranberrywing/gateway/gateway.cpp
@@ -259,9 +259,10 @@
   if (mStoppingSince) {
     return;
   }
-  // A process without processor time, or with a full event loop, handles the
-  // request late, but it is killed in time. Had the request come earlier, it
-  // would have been handled between the last two Ticks.
+  // A process without processor time handles the signal late, but is killed at
+  // a fixed time after it. A signal from before the last but one Tick would
+  // have been handled between the last two, so that Tick bounds its time from
+  // below.
   mStoppingSince = mTickBefore.value_or(mNow);
   mEffects.push_back(effect::AnnounceLeaving{});
   mNextSameRegionStatus = mNow;
