Reject responses without a length that a reset cuts during the upload

A backend server responded to a long upload at once, without a length, sent a part of the body and reset the connection while the upload was being written. The caller got the part as a whole 200, with a Content-Length of the part; an empty 200 if no byte of the body had been sent.

Cause: the system reports a reset once only. Asio runs the pending write of a socket before its read, so the write got the report, and OnSent left the end of the exchange to the read. The next read returned what had arrived, then an ordinary end of file, which OnRead took for the end of a response without a length. Class: an end that nothing but the connection states, while an operation on that connection is open or has failed.

Change: a close-delimited response is complete only once the whole request has been written. If the end is read earlier, the result of the write decides: a failed write makes the response malformed, as a reset that the read reports does. The two outcomes of the write are all there are, so the order in which the system reports does not matter any more. This also covers a process that crashes when it has read all that arrived: its system ends the connection in the ordinary way and resets it at the next part of the upload. Responses with a length or in chunks do not depend on it. No other reader takes the end of a connection for the end of a response: all other pools reject such responses at their head, and HttpLineStream fails at every end of file.

--- a/src/netutil/http_client.cpp
+++ b/src/netutil/http_client.cpp
@@ -45,7 +45,8 @@
   ++mExchangeNumber;
   mIsActive = true;
   mWasSent = false;
-  mIsSendComplete = false;
+  mSendState = SendState::InProgress;
+  mIsEndRead = false;
   mHead = SerializeHead(*aRequest, aExtraHeaders, mEndpoint);
   mRequest = std::move(aRequest);
   mHandler = std::move(aHandler);
@@ -181,7 +182,10 @@
   }
   // After a partial write, the server may still send a response with the
   // reason, so the read operation ends the exchange.
-  mIsSendComplete = !aError;
+  mSendState = aError ? SendState::Failed : SendState::Complete;
+  if (mIsEndRead) {
+    FinishCloseDelimited();
+  }
 }
 
 void HttpClientConnection::PrepareParser()
@@ -210,22 +214,14 @@
                                   std::size_t aBytes)
 {
   if (aError == asio::error::eof && mOptions.mAcceptsCloseDelimitedBody &&
-      mParser->is_header_done() && mParser->need_eof()) {
-    boost::system::error_code ec;
-    mParser->put_eof(ec);
-    if (!ec) {
-      if (!OnResponseRead()) {
-        Fail(ExchangeFailureKind::Reset,
-             "connection closed before the response to this request");
-      }
-      return;
-    }
+      IsCloseDelimited()) {
+    mIsEndRead = true;
+    FinishCloseDelimited();
+    return;
   }
   if (aError) {
-    const bool isCloseDelimited =
-      mParser->is_header_done() && mParser->need_eof();
-    Fail(isCloseDelimited ? ExchangeFailureKind::Malformed
-                          : ExchangeFailureKind::Reset,
+    Fail(IsCloseDelimited() ? ExchangeFailureKind::Malformed
+                            : ExchangeFailureKind::Reset,
          aError.message());
     return;
   }
@@ -236,6 +232,33 @@
   }
 }
 
+bool HttpClientConnection::IsCloseDelimited() const
+{
+  return mParser->is_header_done() && mParser->need_eof();
+}
+
+void HttpClientConnection::FinishCloseDelimited()
+{
+  // The system reports a reset once only. If the write operation received it,
+  // the end that was read may be that of a truncated response.
+  if (mSendState == SendState::InProgress) {
+    return;
+  }
+  if (mSendState == SendState::Failed) {
+    Fail(ExchangeFailureKind::Malformed,
+         "connection failed before the end of a response without a length");
+    return;
+  }
+  boost::system::error_code ec;
+  mParser->put_eof(ec);
+  if (ec) {
+    Fail(ExchangeFailureKind::Malformed, ec.message());
+  } else if (!OnResponseRead()) {
+    Fail(ExchangeFailureKind::Reset,
+         "connection closed before the response to this request");
+  }
+}
+
 bool HttpClientConnection::Parse()
 {
   while (mBuffer.size() > 0) {
@@ -285,8 +308,7 @@
   }
   // A close-delimited body is rejected: the connection also ends when the
   // server fails, so truncation could not be detected.
-  if (mParser->is_header_done() && mParser->need_eof() &&
-      !mOptions.mAcceptsCloseDelimitedBody) {
+  if (IsCloseDelimited() && !mOptions.mAcceptsCloseDelimitedBody) {
     Fail(ExchangeFailureKind::Malformed,
          "response has neither Content-Length nor chunked coding");
     return false;
@@ -311,7 +333,7 @@
     mUse = ConnectionUse::Repeated;
     return false;
   }
-  mIsKeepAlive = message.keep_alive() && mIsSendComplete &&
+  mIsKeepAlive = message.keep_alive() && mSendState == SendState::Complete &&
                  mBuffer.size() == 0 && !mCarried.IsFull();
   UpdateKeepAlive(response);
   Finish(std::move(response));
--- a/src/netutil/http_client.h
+++ b/src/netutil/http_client.h
@@ -76,8 +76,9 @@
   Duration mProgressTime{};
   Duration mMaxDuration = std::chrono::seconds(10);
   /// Whether to accept a close-delimited response: one without a length, which
-  /// ends when the connection is closed. The caller must be able to verify by
-  /// other means that it is complete.
+  /// ends when the connection is closed. One that ends earlier than the request
+  /// is complete only if the rest of the request can be written. Otherwise the
+  /// caller must be able to verify by other means that it is complete.
   bool mAcceptsCloseDelimitedBody = false;
   /// Whether TCP keep-alive probes are enabled, which close a connection to an
   /// unresponsive peer within about three seconds.
@@ -160,12 +161,26 @@
   using Parser =
     boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+  enum class SendState : std::uint8_t
+  {
+    InProgress,
+    Complete,
+    /// The connection failed after a part of the request.
+    Failed,
+  };
+
   void Connect();
   void OnConnected(boost::system::error_code aError);
   void Send();
   void OnSent(boost::system::error_code aError, std::size_t aBytes);
   void Read();
   void OnRead(boost::system::error_code aError, std::size_t aBytes);
+  /// Whether a response is being read that ends with the connection.
+  bool IsCloseDelimited() const;
+  /// Ends a close-delimited response, or leaves that to OnSent while the
+  /// request is being written. Precondition: the end of the connection was
+  /// read.
+  void FinishCloseDelimited();
   /// Returns false once the exchange has ended.
   bool Parse();
   void PrepareParser();
@@ -212,7 +227,9 @@
   bool mIsConnected = false;
   bool mIsActive = false;
   bool mWasSent = false;
-  bool mIsSendComplete = false;
+  SendState mSendState = SendState::InProgress;
+  /// Whether the server has ended its direction of the connection.
+  bool mIsEndRead = false;
   bool mIsKeepAlive = false;
 };
 
