--- /dev/null
+++ b/src/netutil/odd_fields_for_tests.h
@@ -0,0 +1,22 @@
+/// \file
+/// Field lines of responses that are not HTTP.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace cranberrywing::netutil {
+
+/// Lines whose field name is empty, or holds a blank, a control byte or a byte
+/// outside of ASCII.
+inline const std::vector<std::string> kInvalidNameLines{
+  "A b: v\r\n",    "A\tb: v\r\n",
+  "A : v\r\n",     "A\t: v\r\n",
+  "A\x01z: v\r\n", "A\x1b: v\r\n",
+  "A\x7f: v\r\n",  std::string("A\0b: v\r\n", 8),
+  "A\rb: v\r\n",   "A\nb: v\r\n",
+  "A\x80: v\r\n",  "\xc3\xa4: v\r\n",
+  ": v\r\n",
+};
+
+} // namespace cranberrywing::netutil
