Reject responses with a folded field line

A backend server sent a response whose head had, after another field, a line that began with a blank or a tab. Callers got it as an answer: the line was joined to the value before it, so that a signature was not the one the server had sent, or it hid "Transfer-Encoding: chunked", and the frame of the chunks became a part of the body.

Cause: the parser of the library accepts obsolete line folding, with or without a name, a colon or a value in the line, and nothing checked what it had joined. In a value that has been joined, the fold cannot be seen any more. The same parser reads watches (HttpLineStream) and trailers, whose fields are passed on with those of the head.

Change: ResponseParser reads responses for both readers and looks for such lines in the bytes that the parser consumes: in the head, once each byte, and from the end of the last chunk's line on. The parser consumes a field only together with the lines that fold it, so no fold is divided between two reads. RFC 9112, section 5.2, lets a gateway reject such a response. Requests are read as before: there a fold may be replaced with a blank, and the gateway frames what it sends itself.

--- a/src/netutil/http_client.cpp
+++ b/src/netutil/http_client.cpp
@@ -9,7 +9,6 @@
 
 #include "netutil/headers.h"
 #include "netutil/http_head.h"
-#include "netutil/parse_some.h"
 #include "netutil/tcp_keep_alive.h"
 
 namespace cranberrywing::netutil {
@@ -263,7 +262,7 @@
 {
   while (mBuffer.size() > 0) {
     boost::system::error_code ec;
-    detail::ParseSome(*mParser, mBuffer, mOptions.mMaxHeaderBytes, ec);
+    mParser->ParseSome(mBuffer, mOptions.mMaxHeaderBytes, ec);
     // The parser accepts any three digits. It reports 200 until it has read the
     // status line. Checked before its errors, since those about the body of
     // such a response mean nothing.
--- a/src/netutil/http_client.h
+++ b/src/netutil/http_client.h
@@ -8,8 +8,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -20,6 +18,7 @@
 #include "netutil/carried_identifiers.h"
 #include "netutil/endpoint.h"
 #include "netutil/response_budget.h"
+#include "netutil/response_parser.h"
 
 namespace cranberrywing::netutil {
 
@@ -158,9 +157,6 @@
   std::uint64_t ExchangeNumber() const { return mExchangeNumber; }
 
 private:
-  using Parser =
-    boost::beast::http::response_parser<boost::beast::http::string_body>;
-
   enum class SendState : std::uint8_t
   {
     InProgress,
@@ -205,7 +201,7 @@
   boost::asio::ip::tcp::socket mSocket;
   boost::asio::steady_timer mTimer;
   boost::beast::flat_buffer mBuffer;
-  std::optional<Parser> mParser;
+  std::optional<ResponseParser> mParser;
   std::string mHead;
   RequestContentPtr mRequest;
   ExchangeHandler mHandler;
--- a/src/netutil/http_client_fields_test.cpp
+++ b/src/netutil/http_client_fields_test.cpp
@@ -71,6 +71,16 @@
   }
 }
 
+// Guards against the same failure: the line was joined to the value of the
+// field before it, so that a caller got a signature that the server had not
+// sent, or the frame of a chunked body as a part of it.
+TEST_CASE("a response with a folded field line is malformed")
+{
+  for (const std::string& line : kFoldedLines) {
+    CheckRejectedEverywhere(line);
+  }
+}
+
 // Guards against a check that takes lines of the body for those of the head.
 TEST_CASE("lines of a body may begin with a blank")
 {
--- a/src/netutil/http_line_stream.cpp
+++ b/src/netutil/http_line_stream.cpp
@@ -6,7 +6,6 @@
 #include <boost/none.hpp>
 
 #include "netutil/http_head.h"
-#include "netutil/parse_some.h"
 
 namespace cranberrywing::netutil {
 
@@ -105,7 +104,7 @@
 {
   while (mBuffer.size() > 0 && mIsOpen) {
     boost::system::error_code ec;
-    detail::ParseSome(mParser, mBuffer, kMaxLineBytes, ec);
+    mParser.ParseSome(mBuffer, kMaxLineBytes, ec);
     if (ec && ec != http::error::need_more) {
       Fail(ec.message());
       return false;
--- a/src/netutil/http_line_stream.h
+++ b/src/netutil/http_line_stream.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "netutil/http_client.h"
+#include "netutil/response_parser.h"
 
 namespace cranberrywing::netutil {
 
@@ -42,9 +43,6 @@
   void Close();
 
 private:
-  using Parser =
-    boost::beast::http::response_parser<boost::beast::http::string_body>;
-
   void Send();
   void Read();
   void OnRead(boost::system::error_code aError, std::size_t aBytes);
@@ -57,7 +55,7 @@
   boost::asio::ip::tcp::socket mSocket;
   boost::asio::steady_timer mTimer;
   boost::beast::flat_buffer mBuffer;
-  Parser mParser;
+  ResponseParser mParser;
   std::string mRequest;
   /// Incomplete last line, until its line feed arrives.
   std::string mPartialLine;
--- a/src/netutil/http_line_stream_test.cpp
+++ b/src/netutil/http_line_stream_test.cpp
@@ -72,3 +72,14 @@
                  kChunks);
   }
 }
+
+// Guards against sizes of chunks that are read as lines, after a folded line
+// that hides the transfer coding.
+TEST_CASE("a stream passes on no line after a folded field line")
+{
+  for (const std::string& line : kFoldedLines) {
+    CheckNoLines(StatusLine("200") + kField + line + kChunked + "\r\n" +
+                 kChunks);
+    CheckNoLines(StatusLine("200") + kField + line + "\r\n" + kChunks);
+  }
+}
--- a/src/netutil/odd_fields_for_tests.h
+++ b/src/netutil/odd_fields_for_tests.h
@@ -19,4 +19,10 @@
   ": v\r\n",
 };
 
+/// Lines that begin with a blank, and fold the line before them, if any.
+inline const std::vector<std::string> kFoldedLines{
+  " A: v\r\n", "\tA: v\r\n", " \t A: v\r\n", " : v\r\n",
+  " v\r\n",    " \r\n",      "\t\r\n",       " Transfer-Encoding: chunked\r\n",
+};
+
 } // namespace cranberrywing::netutil
