--- a/src/netutil/http_client.h
+++ b/src/netutil/http_client.h
@@ -75,9 +75,10 @@
   Duration mProgressTime{};
   Duration mMaxDuration = std::chrono::seconds(10);
   /// Whether to accept a close-delimited response: one without a length, which
-  /// ends when the connection is closed. One that ends earlier than the request
-  /// is complete only if the rest of the request can be written. Otherwise the
-  /// caller must be able to verify by other means that it is complete.
+  /// ends when the connection is closed. If its end arrives before the whole
+  /// request is written, it is complete only if that write succeeds. A server
+  /// that fails later looks like one that has finished, so the caller must be
+  /// able to verify by other means that the response is complete.
   bool mAcceptsCloseDelimitedBody = false;
   /// Whether TCP keep-alive probes are enabled, which close a connection to an
   /// unresponsive peer within about three seconds.
@@ -173,9 +174,8 @@
   void OnRead(boost::system::error_code aError, std::size_t aBytes);
   /// Whether a response is being read that ends with the connection.
   bool IsCloseDelimited() const;
-  /// Ends a close-delimited response, or leaves that to OnSent while the
-  /// request is being written. Precondition: the end of the connection was
-  /// read.
+  /// Ends the exchange with its close-delimited response, or leaves that to
+  /// OnSent while the request is being written. Precondition: mIsEndRead.
   void FinishCloseDelimited();
   /// Returns false once the exchange has ended.
   bool Parse();
@@ -224,7 +224,7 @@
   bool mIsActive = false;
   bool mWasSent = false;
   SendState mSendState = SendState::InProgress;
-  /// Whether the server has ended its direction of the connection.
+  /// Whether the end of a close-delimited response was read.
   bool mIsEndRead = false;
   bool mIsKeepAlive = false;
 };
