--- a/src/netutil/early_server_for_tests.h
+++ b/src/netutil/early_server_for_tests.h
@@ -29,7 +29,7 @@
   HalfCloseThenReset,
   /// Reads the request to its end, then closes.
   ReadThenClose,
-  /// Ends its own direction, then does the same.
+  /// Ends its own direction, then reads the request to its end and closes.
   HalfCloseThenRead,
 };
 
