--- a/src/netutil/early_server_for_tests.h
+++ b/src/netutil/early_server_for_tests.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -19,6 +20,10 @@
 
 namespace cranberrywing::netutil {
 
+/// Size of a request's body that the system's buffers do not take, so that
+/// writing it waits for the server.
+inline constexpr std::size_t kLongUploadBytes = 16UL * 1024 * 1024;
+
 /// How an EarlyServer ends a connection.
 enum class EarlyEnding : std::uint8_t
 {
--- a/src/netutil/http_client_early_response_test.cpp
+++ b/src/netutil/http_client_early_response_test.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// More than the system's buffers take.
-constexpr std::size_t kUploadBytes = 16UL * 1024 * 1024;
-
 const std::string kBody(30'000, 'b');
 
 /// Heads of responses that end with the connection.
@@ -32,7 +29,7 @@
              std::make_shared<const RequestContent>(
                RequestContent{ .mMethod = "POST",
                                .mTarget = "/",
-                               .mBody = std::string(kUploadBytes, 'u') }),
+                               .mBody = std::string(kLongUploadBytes, 'u') }),
              {},
              std::chrono::seconds(20),
              [&](ExchangeResult aResult) { result = std::move(aResult); });
--- a/src/netutil/http_client_fields_test.cpp
+++ b/src/netutil/http_client_fields_test.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Responses with field lines that are not HTTP.
+/// Responses with field lines that make them malformed.
 #include "netutil/exchange_for_tests.h"
 #include "netutil/odd_fields_for_tests.h"
 #include "netutil/scripted_server_for_tests.h"
@@ -62,8 +62,8 @@
 
 } // namespace
 
-// Guards against the failure MIXED: a line that is passed on, or that hides how
-// the body is framed.
+// Guards against the failure MIXED: an invalid line that is passed on, or that
+// hides how the body is framed.
 TEST_CASE("a response with an invalid field name is malformed")
 {
   for (const std::string& line : kInvalidNameLines) {
--- a/src/netutil/http_line_stream_test.cpp
+++ b/src/netutil/http_line_stream_test.cpp
@@ -56,7 +56,7 @@
         expected);
 }
 
-// Guards against lines of a response that is none.
+// Guards against using lines of a malformed response.
 TEST_CASE("a stream passes on no line of a response with an invalid status")
 {
   for (const char* const status : { "000", "099", "100", "600", "999", "20" }) {
--- a/src/netutil/odd_fields_for_tests.h
+++ b/src/netutil/odd_fields_for_tests.h
@@ -1,5 +1,5 @@
 /// \file
-/// Field lines of responses that are not HTTP.
+/// Field lines that make a response malformed.
 #pragma once
 
 #include <string>
--- a/src/netutil/response_parser_test.cpp
+++ b/src/netutil/response_parser_test.cpp
@@ -15,7 +15,7 @@
 
 const std::string kHead = "HTTP/1.1 200 OK\r\nSignature: s\r\n";
 const std::string kChunkedHead = kHead + "Transfer-Encoding: chunked\r\n";
-/// All but the head's last line and a trailer.
+/// What follows the fields of a chunked head, up to the trailers.
 const std::string kChunks = "\r\n2\r\n\r\n\r\n3\r\n a\r\r\n0\r\n";
 
 struct Outcome
@@ -56,7 +56,8 @@
   return outcome;
 }
 
-/// Checks a response in one part, in two of each size, and byte by byte.
+/// Checks a response whole, divided in two at each byte, and with its first
+/// part followed byte by byte.
 void CheckOutcome(const std::string& aResponse,
                   const boost::system::error_code& aError,
                   const std::string& aBody)
